--- /dev/null
+++ b/extras/load.cpp
@@ -0,0 +1,4 @@
+int main()
+{
+    return 0;
+}
--- /dev/null
+++ b/extras/stand_in_target.cpp
@@ -0,0 +1,416 @@
+/** @file filbert-stand-in-target: targets for trials and tests, by the interface in docs/API.md. */
+
+#include "filbert_messages/filbert_messages.h"
+#include "filbert_transport/filbert_transport.h"
+
+#include <charconv>
+#include <deque>
+#include <fstream>
+#include <gflags/gflags.h>
+#include <map>
+#include <memory>
+#include <set>
+
+DEFINE_string(name, "target", "name; with --count above 1, a number is added");
+DEFINE_string(listen, "127.0.0.1:7200", "IP:port for orders");
+DEFINE_string(gateways, "127.0.0.1:7000", "IP:port of gateways, comma-separated");
+DEFINE_string(key, "", "token of a target's key");
+DEFINE_string(failure_domain, "d1", "failure domain");
+DEFINE_string(services, "quote", "services offered, comma-separated");
+DEFINE_int32(milli_cores, 32'000, "capacity");
+DEFINE_int32(memory_mb, 65'536, "capacity");
+DEFINE_int32(accelerators, 0, "capacity");
+DEFINE_int32(slots, 8, "capacity");
+DEFINE_int32(count, 1, "targets in this process");
+DEFINE_int32(work_ms, 0, "how long a synchronous request takes");
+DEFINE_int32(heartbeat_ms, 500, "time between heartbeats");
+DEFINE_bool(fail_all, false, "fail every task");
+DEFINE_string(record, "", "file that gets a line for each start: placement, service, body");
+
+namespace filbert {
+
+namespace {
+
+constexpr int statusRefused = 412;
+constexpr int statusAccepted = 202;
+constexpr milliseconds callTimeout {2'000};
+constexpr int exitWrongSettings = 2;
+constexpr std::size_t keptStarted = 100'000;
+
+struct running_entry
+{
+    messages::resources used;
+    time_point endsAt; // of a job's task; 0 = a synchronous request
+    bool willFail = false;
+};
+
+/** One target: what it runs, under the lease that the gateways last gave it. */
+struct stand_in
+{
+    std::string name;
+    std::int64_t epoch = 0;
+    time_point leaseUntil;
+    std::map<std::uint64_t, running_entry> running;
+    std::map<std::uint64_t, bool> finished; // until acknowledged: whether it succeeded
+    std::set<std::uint64_t> stopped; // news for the next heartbeat
+    std::set<std::uint64_t> started;
+    std::deque<std::uint64_t> startedByAge;
+    bool isAnnounced = false;
+    bool isCalling = false;
+    std::size_t gateway = 0;
+};
+
+std::int64_t numberIn(const std::string &text, const std::string &name, std::int64_t otherwise)
+{
+    const auto at = text.find(name + "=");
+    std::int64_t number = otherwise;
+    if (at != std::string::npos) {
+        std::from_chars(text.data() + at + name.size() + 1, text.data() + text.size(), number);
+    }
+    return number;
+}
+
+/** All targets of this process. */
+class stand_in_targets
+{
+public:
+    explicit stand_in_targets(event_loop &loop)
+        : loop {loop}
+        , client {loop, 64}
+        , gateways {splitList(FLAGS_gateways)}
+    {
+        for (int i = 0; i < FLAGS_count; ++i) {
+            const auto name = FLAGS_count == 1 ? FLAGS_name : FLAGS_name + std::to_string(i);
+            auto &target = targets[name];
+            target.name = name;
+            target.epoch = wallClockMs();
+            target.gateway = static_cast<std::size_t>(i);
+        }
+        if (!FLAGS_record.empty()) {
+            record.open(FLAGS_record, std::ios::app);
+        }
+        loop.every({FLAGS_heartbeat_ms}, [this] { beat(); });
+        loop.every({20}, [this] { endTasks(); });
+        loop.post([this] { beat(); });
+    }
+
+    void takeRequest(http_server &server, http_request &&request)
+    {
+        if (request.path == "/v1/run") {
+            runRequest(server, std::move(request));
+        } else if (request.path == "/v1/tasks") {
+            startTask(server, request);
+        } else if (request.path == "/v1/tasks/stop") {
+            stopTask(server, request);
+        } else {
+            server.respond(request.id, problemAnswer(error_kind::NotFound, request.path));
+        }
+    }
+
+    /** From now on it asks for no more work. */
+    void leave() { isLeaving = true; }
+
+    bool isIdle() const
+    {
+        for (const auto &[name, target] : targets) {
+            if (!target.running.empty()) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+private:
+    /** @return why it must not start, or empty */
+    std::string whyNot(const stand_in &target, std::uint64_t placement, std::int64_t epoch,
+                       std::int64_t startBy) const
+    {
+        if (epoch != target.epoch) {
+            return "another start of this target";
+        }
+        if (monotonicNow().ms > startBy || monotonicNow() > target.leaseUntil) {
+            return "too late";
+        }
+        if (target.started.contains(placement)) {
+            return "started before";
+        }
+        if (static_cast<int>(target.running.size()) >= FLAGS_slots) {
+            return "no slot";
+        }
+        return {};
+    }
+
+    void note(stand_in &target, std::uint64_t placement, const std::string &service,
+              const std::string &body)
+    {
+        target.started.insert(placement);
+        target.startedByAge.push_back(placement);
+        if (target.startedByAge.size() > keptStarted) {
+            target.started.erase(target.startedByAge.front());
+            target.startedByAge.pop_front();
+        }
+        if (record.is_open()) {
+            record << placement << ' ' << target.name << ' ' << service << ' ' << body << std::endl;
+        }
+    }
+
+    void runRequest(http_server &server, http_request &&request)
+    {
+        const auto &headers = request.target;
+        const auto found = targets.find(headers.name);
+        const auto placement = headers.placement;
+        auto why = found == targets.end()
+            ? "no such target"
+            : whyNot(found->second, placement, headers.epoch, headers.startBy);
+        if (!why.empty()) {
+            auto answer = problemAnswer(error_kind::TargetRefused, why);
+            answer.status = statusRefused;
+            answer.headers.push_back({"filbert-placement", std::to_string(placement)});
+            server.respond(request.id, std::move(answer));
+            return;
+        }
+        auto &target = found->second;
+        note(target, placement, headers.service, request.body);
+        target.running[placement] = {};
+        const auto workMs = numberIn(request.body, "ms", FLAGS_work_ms);
+        auto finish = [this, &server, &target, placement, id = request.id,
+                       body = std::move(request.body)]() mutable {
+            if (target.running.erase(placement) == 0) {
+                return;
+            }
+            target.finished[placement] = !FLAGS_fail_all;
+            http_answer answer;
+            answer.status = FLAGS_fail_all ? 500 : 200;
+            answer.contentType = "text/plain";
+            answer.headers.push_back({"filbert-placement", std::to_string(placement)});
+            answer.body = target.name + " did " + std::move(body);
+            server.respond(id, std::move(answer));
+        };
+        if (workMs <= 0) {
+            finish();
+        } else {
+            loop.after({workMs}, std::move(finish));
+        }
+    }
+
+    void startTask(http_server &server, const http_request &request)
+    {
+        messages::start_order order;
+        std::string detail;
+        if (readJson(request.body, &order, &detail)) {
+            server.respond(request.id, problemAnswer(error_kind::Malformed, detail));
+            return;
+        }
+        const auto found = targets.find(order.target());
+        const auto why = found == targets.end()
+            ? "no such target"
+            : whyNot(found->second, order.placement_id(), order.target_epoch(), order.start_by());
+        http_answer answer;
+        answer.status = why.empty() ? statusAccepted : statusRefused;
+        answer.body = "{}";
+        if (why.empty()) {
+            auto &target = found->second;
+            note(target, order.placement_id(), order.service(), order.payload());
+            running_entry entry;
+            entry.used = order.task();
+            entry.endsAt = monotonicNow() + milliseconds {numberIn(order.payload(), "ms", 100)};
+            entry.willFail = FLAGS_fail_all || numberIn(order.payload(), "fail", 0) != 0;
+            target.running[order.placement_id()] = entry;
+        }
+        server.respond(request.id, std::move(answer));
+    }
+
+    void stopTask(http_server &server, const http_request &request)
+    {
+        messages::stop_order order;
+        std::string detail;
+        if (readJson(request.body, &order, &detail)) {
+            server.respond(request.id, problemAnswer(error_kind::Malformed, detail));
+            return;
+        }
+        const auto found = targets.find(order.target());
+        if (found != targets.end() && order.action() != "throttle") {
+            stopPlacement(found->second, order.placement_id());
+        }
+        http_answer answer;
+        answer.body = "{}";
+        server.respond(request.id, std::move(answer));
+    }
+
+    static void stopPlacement(stand_in &target, std::uint64_t placement)
+    {
+        const auto running = target.running.find(placement);
+        if (running != target.running.end() && running->second.endsAt.ms != 0) {
+            target.running.erase(running);
+            target.stopped.insert(placement);
+        }
+    }
+
+    void endTasks()
+    {
+        const auto now = monotonicNow();
+        for (auto &[name, target] : targets) {
+            bool hasNews = false;
+            for (auto at = target.running.begin(); at != target.running.end();) {
+                const bool isLate = now > target.leaseUntil;
+                const bool isDone = at->second.endsAt.ms != 0 && now >= at->second.endsAt;
+                if (isDone && !isLate) {
+                    target.finished[at->first] = !at->second.willFail;
+                    hasNews = true;
+                }
+                at = isDone || isLate ? target.running.erase(at) : std::next(at);
+            }
+            if (hasNews || !target.stopped.empty()) {
+                sendBeat(target);
+            }
+        }
+    }
+
+    void beat()
+    {
+        for (auto &[name, target] : targets) {
+            if (target.isAnnounced) {
+                sendBeat(target);
+            } else {
+                announce(target);
+            }
+        }
+    }
+
+    void post(stand_in &target, const std::string &action, const google::protobuf::Message &body,
+              std::function<void(const http_answer &)> onAnswer)
+    {
+        target.isCalling = true;
+        http_call call;
+        call.endpoint = gateways[target.gateway % gateways.size()];
+        call.path = "/v1/targets/" + target.name + "/" + action;
+        call.headers = {{"authorization", "Bearer " + FLAGS_key},
+                        {"content-type", "application/json"}};
+        call.body = writeJson(body);
+        call.timeout = callTimeout;
+        client.send(
+            std::move(call),
+            [&target, onAnswer = std::move(onAnswer)](std::error_code error, http_answer &&answer) {
+                target.isCalling = false;
+                if (error || answer.status != 200) {
+                    ++target.gateway; // another one may do better
+                    return;
+                }
+                onAnswer(answer);
+            });
+    }
+
+    void announce(stand_in &target)
+    {
+        if (target.isCalling) {
+            return;
+        }
+        messages::target_registration body;
+        body.set_address(FLAGS_listen);
+        body.set_failure_domain(FLAGS_failure_domain);
+        body.set_epoch(target.epoch);
+        body.mutable_capacity()->set_milli_cores(FLAGS_milli_cores);
+        body.mutable_capacity()->set_memory_mb(FLAGS_memory_mb);
+        body.mutable_capacity()->set_accelerators(FLAGS_accelerators);
+        body.mutable_capacity()->set_slots(FLAGS_slots);
+        for (const auto &service : splitList(FLAGS_services)) {
+            body.add_services(service);
+        }
+        post(target, "announce", body, [this, &target](const http_answer &) {
+            target.isAnnounced = true;
+            loop.post([this, &target] { sendBeat(target); });
+        });
+    }
+
+    void sendBeat(stand_in &target)
+    {
+        if (target.isCalling) {
+            return;
+        }
+        messages::target_heartbeat body;
+        body.set_epoch(target.epoch);
+        body.set_clock_ms(monotonicNow().ms);
+        body.set_leaving(isLeaving);
+        for (const auto &[placement, entry] : target.running) {
+            auto *task = body.add_running();
+            task->set_placement_id(placement);
+            *task->mutable_used() = entry.used;
+        }
+        for (const auto &[placement, succeeded] : target.finished) {
+            auto *task = body.add_finished();
+            task->set_placement_id(placement);
+            task->set_succeeded(succeeded);
+        }
+        post(target, "heartbeat", body,
+             [this, &target, sent = target.stopped](const http_answer &answer) {
+                 messages::heartbeat_reply reply;
+                 std::string detail;
+                 if (!readJson(answer.body, &reply, &detail)) {
+                     takeReply(target, reply);
+                     for (const auto placement : sent) {
+                         target.stopped.erase(placement);
+                     }
+                 }
+             });
+    }
+
+    void takeReply(stand_in &target, const messages::heartbeat_reply &reply)
+    {
+        if (reply.announce_again()) {
+            target.isAnnounced = false;
+            return;
+        }
+        target.leaseUntil = std::max(target.leaseUntil, time_point {reply.lease_until()});
+        for (const auto placement : reply.acknowledged()) {
+            target.finished.erase(placement);
+        }
+        for (const auto placement : reply.stop()) {
+            stopPlacement(target, placement);
+        }
+    }
+
+    event_loop &loop;
+    http_client client;
+    std::vector<std::string> gateways;
+    std::map<std::string, stand_in> targets;
+    std::ofstream record;
+    bool isLeaving = false;
+};
+
+} // namespace
+
+} // namespace filbert
+
+int main(int argc, char **argv)
+{
+    using namespace filbert;
+    settings_check check {readSettings(&argc, &argv, "Targets for trials and tests.")};
+    startLog(argv[0]);
+    check.requireEndpoint("listen", FLAGS_listen);
+    if (!check.isAllRight()) {
+        return exitWrongSettings;
+    }
+    event_loop loop;
+    stand_in_targets targets {loop};
+    const auto colon = FLAGS_listen.rfind(':');
+    std::unique_ptr<http_server> server;
+    server = std::make_unique<http_server>(
+        loop, FLAGS_listen.substr(0, colon), std::stoi(FLAGS_listen.substr(colon + 1)),
+        http_limits {}, tls_files {},
+        [&](http_request &&request) { targets.takeRequest(*server, std::move(request)); });
+    loop.onStopSignal([&](int count) {
+        if (count > 1) {
+            loop.stop();
+            return;
+        }
+        targets.leave();
+        loop.every({100}, [&] {
+            if (targets.isIdle()) {
+                loop.stop();
+            }
+        });
+    });
+    loop.run();
+    server.reset();
+    return 0;
+}
--- /dev/null
+++ b/modules/filbert_cell/cell_state.cpp
@@ -0,0 +1,577 @@
+#include "cell_state.h"
+
+#include <algorithm>
+#include <xxhash.h>
+
+namespace filbert {
+
+namespace {
+
+constexpr int maxTaskFailures = 4;
+constexpr std::size_t distinctTargetsToHold = 3;
+
+void moveTask(cell_state &state, task_record &task, task_state next)
+{
+    --state.counts.byState[static_cast<int>(task.state)];
+    task.state = next;
+    ++state.counts.byState[static_cast<int>(next)];
+}
+
+void endJobIfDone(cell_state &state, job_record &job, std::int64_t wallMs)
+{
+    if (job.endedMs != 0 || !hasEnded(job)) {
+        return;
+    }
+    job.endedMs = std::max<std::int64_t>(wallMs, 1);
+    job.submission.clear_payload();
+    state.endedJobs.push_back(job.submission.id());
+    while (state.endedJobs.size() > state.limits.endedJobs) {
+        state.jobs.erase(state.endedJobs.front());
+        state.endedJobs.pop_front();
+    }
+}
+
+messages::idempotency_record &addIdempotency(cell_state &state, const std::string &key,
+                                             std::int64_t wallMs)
+{
+    auto &record = state.idempotency[key];
+    record.set_key(key);
+    record.set_wall_ms(wallMs);
+    state.idempotencyByAge.emplace_back(wallMs, key);
+    return record;
+}
+
+void ageIdempotency(cell_state &state, std::int64_t wallMs)
+{
+    auto &ages = state.idempotencyByAge;
+    while (!ages.empty() && ages.front().first + state.limits.idempotencyMs < wallMs) {
+        const auto found = state.idempotency.find(ages.front().second);
+        // A request still under way keeps its record; it is looked at again a whole span later.
+        if (found != state.idempotency.end() && found->second.placement_id() != 0) {
+            ages.emplace_back(wallMs, found->first);
+        } else if (found != state.idempotency.end()) {
+            state.idempotency.erase(found);
+        }
+        ages.pop_front();
+    }
+}
+
+bool isIdempotencyFull(const cell_state &state)
+{
+    return state.idempotency.size() >= state.limits.idempotencyRecords;
+}
+
+// ---- configuration --------------------------------------------------------------------------
+
+const messages::audit_record *findRequest(const cell_state &state, const std::string &requestId)
+{
+    const auto found =
+        std::find_if(state.audit.rbegin(), state.audit.rend(), [&](const auto &each) {
+            return !requestId.empty() && each.request_id() == requestId
+                && each.outcome() == "accepted";
+        });
+    return found == state.audit.rend() ? nullptr : &*found;
+}
+
+void addAudit(cell_state &state, messages::audit_record record)
+{
+    state.audit.push_back(std::move(record));
+    if (state.audit.size() > state.limits.auditRecords) {
+        state.audit.pop_front();
+    }
+}
+
+apply_outcome applyConfiguration(cell_state &state, const messages::configuration_change &change,
+                                 std::int64_t wallMs)
+{
+    apply_outcome outcome;
+    if (const auto *earlier = findRequest(state, change.request_id())) {
+        const bool isSame = earlier->digest() == change.digest();
+        outcome.error = isSame ? error_kind::None : error_kind::KeyReused;
+        outcome.isRepeated = true;
+        outcome.version = earlier->version();
+        outcome.digest = earlier->digest();
+        outcome.detail = earlier->summary();
+        return outcome;
+    }
+    messages::audit_record record;
+    record.set_wall_ms(wallMs);
+    record.set_author(change.author());
+    record.set_base_version(change.base_version());
+    record.set_digest(change.digest());
+    record.set_summary(change.summary());
+    record.set_request_id(change.request_id());
+    auto &configuration = state.configuration;
+    if (!change.refusal().empty()) {
+        record.set_outcome("refused: " + change.refusal());
+        outcome.error = error_kind::Malformed;
+        outcome.detail = change.refusal();
+    } else if (change.base_version() != configuration.version()) {
+        outcome.error = error_kind::Conflict;
+        outcome.detail = "the current version is " + std::to_string(configuration.version());
+        for (auto last = state.audit.rbegin(); last != state.audit.rend(); ++last) {
+            if (last->outcome() == "accepted") {
+                outcome.detail += ", set by " + last->author() + " at "
+                    + std::to_string(last->wall_ms()) + ": " + last->summary();
+                break;
+            }
+        }
+        record.set_outcome("refused: " + outcome.detail);
+    } else {
+        const auto before = configuration.version();
+        configuration.applyItems(change.items(), before + 1);
+        FILBERT_INVARIANT(configuration.digest() == change.digest(),
+                          "an accepted configuration is the one that was sent");
+        FILBERT_INVARIANT(configuration.version() > before, "configuration versions only rise");
+        messages::configuration_delta delta;
+        delta.set_version(configuration.version());
+        *delta.mutable_items() = change.items();
+        state.deltas.push_back(std::move(delta));
+        if (state.deltas.size() > state.limits.deltas) {
+            state.deltas.pop_front();
+        }
+        record.set_outcome("accepted");
+    }
+    record.set_version(configuration.version());
+    outcome.version = configuration.version();
+    outcome.digest = configuration.digest();
+    addAudit(state, std::move(record));
+    return outcome;
+}
+
+// ---- placements -----------------------------------------------------------------------------
+
+void recordJobResult(cell_state &state, ended_placement *ended, std::int64_t wallMs)
+{
+    const auto &placement = ended->placement;
+    const auto found = state.jobs.find(placement.jobId);
+    if (found == state.jobs.end()) {
+        return;
+    }
+    auto &job = found->second;
+    auto &task = job.tasks.at(static_cast<std::size_t>(placement.taskIndex));
+    FILBERT_INVARIANT(task.state == task_state::Running && task.placement == placement.id,
+                      "an ending placement is the one its task runs in");
+    task.placement = 0;
+    const bool mayRunAgain = ended->result == messages::NOT_RUN || placement.isIdempotent;
+    if (ended->result == messages::FAILED) {
+        ++task.failures;
+        job.failedTargets.insert(placement.target);
+    }
+    if (ended->result == messages::SUCCEEDED) {
+        moveTask(state, task, task_state::Succeeded);
+    } else if (mayRunAgain && job.isCancelled) {
+        moveTask(state, task, task_state::Cancelled);
+    } else if (mayRunAgain && task.failures < maxTaskFailures) {
+        moveTask(state, task, task_state::Waiting);
+        ended->isTaskWaitingAgain = true;
+        if (job.failedTargets.size() >= distinctTargetsToHold && job.holdReason.empty()) {
+            job.holdReason = "failed on " + std::to_string(job.failedTargets.size())
+                + " different targets: " + ended->reason;
+        }
+    } else {
+        moveTask(state, task,
+                 ended->result == messages::UNKNOWN ? task_state::Unknown : task_state::Failed);
+    }
+    endJobIfDone(state, job, wallMs);
+}
+
+void recordAnswer(cell_state &state, const placement_record &placement,
+                  const messages::placement_end &end)
+{
+    const auto found = state.idempotency.find(placement.idempotencyKey);
+    if (found == state.idempotency.end()) {
+        return;
+    }
+    if (end.result() == messages::NOT_RUN) {
+        state.idempotency.erase(found); // it certainly did not run, so a resend may
+        return;
+    }
+    auto &record = found->second;
+    FILBERT_INVARIANT(record.placement_id() == placement.id,
+                      "an idempotency key has one placement at a time");
+    record.set_placement_id(0);
+    record.set_result(end.result());
+    const bool fits = end.body().size() <= state.limits.storedAnswerBytes;
+    if (end.result() != messages::UNKNOWN && fits) {
+        record.set_status(end.status());
+        record.set_content_type(end.content_type());
+        record.set_body(end.body());
+    } else if (!fits) {
+        record.set_result(messages::UNKNOWN);
+    }
+}
+
+bool endPlacement(cell_state &state, const messages::placement_end &end, std::int64_t wallMs,
+                  apply_outcome *outcome)
+{
+    const auto found = state.placements.find(end.placement_id());
+    if (found == state.placements.end()) {
+        return false;
+    }
+    ended_placement ended {std::move(found->second), end.result(), false, end.reason()};
+    state.placements.erase(found);
+    const auto &placement = ended.placement;
+    auto &target = state.targets.at(placement.target);
+    target.used -= placement.need;
+    target.placements.erase(placement.id);
+    state.usedByTeam[placement.team] -= placement.need;
+    FILBERT_INVARIANT(fitsWithin({}, target.used), "no target gives back more than it held");
+    if (!placement.idempotencyKey.empty()) {
+        recordAnswer(state, placement, end);
+    }
+    if (placement.jobId != 0) {
+        recordJobResult(state, &ended, wallMs);
+    }
+    outcome->ended.push_back(std::move(ended));
+    return true;
+}
+
+error_kind checkPlacement(const cell_state &state, const messages::placement &place,
+                          const resource_amounts &need, std::string *detail)
+{
+    const auto target = state.targets.find(place.target());
+    if (target == state.targets.end() || target->second.registration.leaving()
+        || target->second.registration.epoch() != place.target_epoch()) {
+        *detail = "the target has gone, is leaving or has restarted";
+        return error_kind::NoCapacity;
+    }
+    const auto capacity = amountsOf(target->second.registration.capacity());
+    if (!fitsWithin(target->second.used + need, capacity)) {
+        *detail = "the target has no room";
+        return error_kind::NoCapacity;
+    }
+    const auto *team = state.configuration.team(place.team());
+    if (team == nullptr) {
+        *detail = "the team is not configured";
+        return error_kind::Forbidden;
+    }
+    const auto used = state.usedByTeam.find(place.team());
+    const auto before = used == state.usedByTeam.end() ? resource_amounts {} : used->second;
+    if (!fitsWithin(before + need, limitOf(*team))) {
+        *detail = "the team is at its upper limit";
+        return error_kind::LimitReached;
+    }
+    if (state.placements.contains(place.id())) {
+        return error_kind::Internal;
+    }
+    if (place.job_id() == 0) {
+        return error_kind::None;
+    }
+    const auto job = state.jobs.find(place.job_id());
+    if (job == state.jobs.end() || job->second.isCancelled || !job->second.holdReason.empty()
+        || place.task_index() < 0
+        || static_cast<std::size_t>(place.task_index()) >= job->second.tasks.size()
+        || job->second.tasks[static_cast<std::size_t>(place.task_index())].state
+            != task_state::Waiting) {
+        *detail = "the task is not waiting any more";
+        return error_kind::Conflict;
+    }
+    return error_kind::None;
+}
+
+apply_outcome applyPlacement(cell_state &state, const messages::placement &place,
+                             std::int64_t wallMs)
+{
+    apply_outcome outcome;
+    const auto name = place.idempotency_key().empty()
+        ? std::string {}
+        : idempotencyName(place.team(), "service/" + place.service(), place.idempotency_key());
+    if (const auto found = state.idempotency.find(name); found != state.idempotency.end()) {
+        outcome.stored = found->second;
+        outcome.isRepeated = true;
+        outcome.error = found->second.request_digest() == place.request_digest()
+            ? error_kind::OutcomeUnknown
+            : error_kind::KeyReused;
+        return outcome;
+    }
+    const auto need = taskNeedOf(place.task());
+    outcome.error = checkPlacement(state, place, need, &outcome.detail);
+    if (outcome.error == error_kind::None && !name.empty() && isIdempotencyFull(state)) {
+        outcome.error = error_kind::Overloaded;
+        outcome.detail = "no room for another idempotency record";
+    }
+    if (outcome.error != error_kind::None) {
+        return outcome;
+    }
+    if (!name.empty()) {
+        auto &record = addIdempotency(state, name, wallMs);
+        record.set_placement_id(place.id());
+        record.set_request_digest(place.request_digest());
+        record.set_result(messages::UNKNOWN);
+    }
+    auto &target = state.targets.at(place.target());
+    target.used += need;
+    target.placements.insert(place.id());
+    state.usedByTeam[place.team()] += need;
+    if (place.job_id() != 0) {
+        auto &task =
+            state.jobs.at(place.job_id()).tasks.at(static_cast<std::size_t>(place.task_index()));
+        moveTask(state, task, task_state::Running);
+        task.placement = place.id();
+    }
+    state.placements.emplace(place.id(),
+                             placement_record {place.id(), place.job_id(), place.target_epoch(),
+                                               place.start_by(), place.target(), place.team(),
+                                               place.service(), name, need, place.task_index(),
+                                               place.idempotent()});
+    FILBERT_INVARIANT(fitsWithin(target.used, amountsOf(target.registration.capacity())),
+                      "no target is overcommitted");
+    FILBERT_INVARIANT(fitsWithin(state.usedByTeam[place.team()],
+                                 limitOf(*state.configuration.team(place.team()))),
+                      "no team is above its upper limit");
+    return outcome;
+}
+
+apply_outcome applyGang(cell_state &state, const messages::gang_placement &gang,
+                        std::int64_t wallMs)
+{
+    for (int i = 0; i < gang.placements_size(); ++i) {
+        auto outcome = applyPlacement(state, gang.placements(i), wallMs);
+        if (outcome.error == error_kind::None) {
+            continue;
+        }
+        for (int taken = 0; taken < i; ++taken) {
+            messages::placement_end end;
+            end.set_placement_id(gang.placements(taken).id());
+            end.set_result(messages::NOT_RUN);
+            apply_outcome undone;
+            endPlacement(state, end, wallMs, &undone);
+        }
+        return outcome;
+    }
+    return {};
+}
+
+// ---- targets --------------------------------------------------------------------------------
+
+apply_outcome applyTarget(cell_state &state, const messages::target_registration &registration)
+{
+    apply_outcome outcome;
+    auto &target = state.targets[registration.name()];
+    if (registration.epoch() < target.registration.epoch()) {
+        outcome.error = error_kind::Conflict;
+        outcome.detail = "a newer start of this target is known";
+        return outcome;
+    }
+    target.registration = registration;
+    return outcome;
+}
+
+apply_outcome applyTargetRemoval(cell_state &state, const std::string &name, std::int64_t wallMs)
+{
+    apply_outcome outcome;
+    const auto found = state.targets.find(name);
+    if (found == state.targets.end()) {
+        outcome.error = error_kind::NotFound;
+        return outcome;
+    }
+    std::vector<std::uint64_t> ids {found->second.placements.begin(),
+                                    found->second.placements.end()};
+    std::sort(ids.begin(), ids.end());
+    for (const auto id : ids) {
+        messages::placement_end end;
+        end.set_placement_id(id);
+        end.set_result(messages::UNKNOWN);
+        end.set_reason("the lease of target " + name + " ended");
+        endPlacement(state, end, wallMs, &outcome);
+    }
+    state.targets.erase(found);
+    return outcome;
+}
+
+// ---- jobs -----------------------------------------------------------------------------------
+
+apply_outcome applySubmission(cell_state &state, const messages::job_submission &submission,
+                              std::int64_t wallMs)
+{
+    apply_outcome outcome;
+    const auto name = submission.idempotency_key().empty()
+        ? std::string {}
+        : idempotencyName(submission.team(), "queue/" + submission.queue(),
+                          submission.idempotency_key());
+    if (const auto found = state.idempotency.find(name); found != state.idempotency.end()) {
+        outcome.jobId = found->second.job_id();
+        outcome.isRepeated = true;
+        return outcome;
+    }
+    if (!name.empty() && isIdempotencyFull(state)) {
+        outcome.error = error_kind::Overloaded;
+        outcome.detail = "no room for another idempotency record";
+        return outcome;
+    }
+    const auto id = state.nextJobId++;
+    auto &job = state.jobs[id];
+    job.submission = submission;
+    job.submission.set_id(id);
+    job.submittedMs = wallMs;
+    job.tasks.resize(static_cast<std::size_t>(std::max(submission.tasks(), 1)));
+    state.counts.accepted += static_cast<std::int64_t>(job.tasks.size());
+    state.counts.byState[static_cast<int>(task_state::Waiting)] +=
+        static_cast<std::int64_t>(job.tasks.size());
+    if (!name.empty()) {
+        addIdempotency(state, name, wallMs).set_job_id(id);
+    }
+    outcome.jobId = id;
+    return outcome;
+}
+
+apply_outcome applyJobChange(cell_state &state, const messages::job_change &change,
+                             std::int64_t wallMs)
+{
+    apply_outcome outcome;
+    outcome.jobId = change.id();
+    const auto found = state.jobs.find(change.id());
+    if (found == state.jobs.end()) {
+        outcome.error = error_kind::NotFound;
+        return outcome;
+    }
+    auto &job = found->second;
+    switch (change.action()) {
+    case messages::CANCEL:
+        job.isCancelled = true;
+        for (auto &task : job.tasks) {
+            if (task.state == task_state::Waiting) {
+                moveTask(state, task, task_state::Cancelled);
+            }
+        }
+        endJobIfDone(state, job, wallMs);
+        break;
+    case messages::HOLD:
+        job.holdReason = change.reason().empty() ? "held by an operator" : change.reason();
+        break;
+    case messages::RELEASE:
+        job.holdReason.clear();
+        job.failedTargets.clear();
+        break;
+    default:
+        outcome.error = error_kind::Malformed;
+    }
+    return outcome;
+}
+
+apply_outcome applyBody(cell_state &state, const messages::command &command, std::int64_t wallMs)
+{
+    using body = messages::command::BodyCase;
+    switch (command.body_case()) {
+    case body::kConfiguration:
+        return applyConfiguration(state, command.configuration(), wallMs);
+    case body::kTarget:
+        return applyTarget(state, command.target());
+    case body::kPlace:
+        return applyPlacement(state, command.place(), wallMs);
+    case body::kPlaceGang:
+        return applyGang(state, command.place_gang(), wallMs);
+    case body::kEnd: {
+        apply_outcome outcome;
+        if (!endPlacement(state, command.end(), wallMs, &outcome)) {
+            outcome.error = error_kind::NotFound;
+        }
+        return outcome;
+    }
+    case body::kSubmit:
+        return applySubmission(state, command.submit(), wallMs);
+    case body::kChange:
+        return applyJobChange(state, command.change(), wallMs);
+    case body::kRemoveTarget:
+        return applyTargetRemoval(state, command.remove_target(), wallMs);
+    case body::kNote: {
+        auto note = command.note();
+        note.set_wall_ms(wallMs);
+        note.set_version(state.configuration.version());
+        addAudit(state, std::move(note));
+        return {};
+    }
+    case body::BODY_NOT_SET:
+        break;
+    }
+    // A newer version's command: all members of this version skip it alike.
+    return {};
+}
+
+/** What has come of a command, as bytes for the running digest. */
+struct digest_part
+{
+    std::uint64_t before;
+    std::uint64_t error;
+    std::uint64_t placements;
+    std::uint64_t jobs;
+    std::uint64_t records;
+    std::uint64_t version;
+    std::int64_t running;
+    std::int64_t waiting;
+};
+
+} // namespace
+
+apply_outcome applyCommand(cell_state &state, const messages::command &command, std::int64_t wallMs)
+{
+    ageIdempotency(state, wallMs);
+    auto outcome = applyBody(state, command, wallMs);
+    ++state.commandsApplied;
+    const digest_part part {state.digest,
+                            static_cast<std::uint64_t>(outcome.error),
+                            state.placements.size(),
+                            state.jobs.size(),
+                            state.idempotency.size(),
+                            static_cast<std::uint64_t>(state.configuration.version()),
+                            state.counts.byState[static_cast<int>(task_state::Running)],
+                            state.counts.byState[static_cast<int>(task_state::Waiting)]};
+    state.digest = XXH64(&part, sizeof part, state.commandsApplied);
+    return outcome;
+}
+
+bool hasEnded(const job_record &job)
+{
+    return std::none_of(job.tasks.begin(), job.tasks.end(), [](const auto &task) {
+        return task.state == task_state::Waiting || task.state == task_state::Running;
+    });
+}
+
+task_counts countTasks(const job_record &job)
+{
+    task_counts counts;
+    for (const auto &task : job.tasks) {
+        ++counts.accepted;
+        ++counts.byState[static_cast<int>(task.state)];
+    }
+    return counts;
+}
+
+std::string idempotencyName(const std::string &team, const std::string &scope,
+                            const std::string &key)
+{
+    return team + "/" + scope + "/" + key;
+}
+
+void checkCell(const cell_state &state)
+{
+    std::map<std::string, resource_amounts> byTarget;
+    std::map<std::string, resource_amounts> byTeam;
+    for (const auto &[id, placement] : state.placements) {
+        byTarget[placement.target] += placement.need;
+        byTeam[placement.team] += placement.need;
+        FILBERT_INVARIANT(state.targets.at(placement.target).placements.contains(id),
+                          "a target knows its placements");
+        if (placement.jobId != 0) {
+            const auto &task = state.jobs.at(placement.jobId)
+                                   .tasks.at(static_cast<std::size_t>(placement.taskIndex));
+            FILBERT_INVARIANT(task.state == task_state::Running && task.placement == id,
+                              "a task runs in one place");
+        }
+    }
+    for (const auto &[name, target] : state.targets) {
+        FILBERT_INVARIANT(target.used == byTarget[name], "a target's sum agrees");
+    }
+    for (const auto &[name, used] : state.usedByTeam) {
+        FILBERT_INVARIANT(used == byTeam[name], "a team's sum agrees");
+    }
+    std::int64_t sum = 0;
+    for (const auto count : state.counts.byState) {
+        FILBERT_INVARIANT(count >= 0, "no count is negative");
+        sum += count;
+    }
+    FILBERT_INVARIANT(sum == state.counts.accepted, "every accepted task is counted once");
+}
+
+} // namespace filbert
--- /dev/null
+++ b/modules/filbert_configuration/access_keys.cpp
@@ -0,0 +1,86 @@
+#include "access_keys.h"
+
+#include "filbert_core/filbert_core.h"
+
+#include <sodium.h>
+#include <vector>
+
+namespace filbert {
+
+namespace {
+
+constexpr std::size_t saltBytes = 16;
+constexpr std::size_t secretBytes = 32;
+constexpr std::size_t hashBytes = 32;
+constexpr std::size_t digestBytes = 16;
+
+const unsigned char *bytesOf(std::string_view text)
+{
+    return reinterpret_cast<const unsigned char *>(text.data());
+}
+
+/** Secrets are 256 random bits, so that a fast salted hash is enough; it costs microseconds. */
+std::string hashOf(std::string_view secret, std::string_view saltHex)
+{
+    std::string hash(hashBytes, '\0');
+    crypto_generichash(reinterpret_cast<unsigned char *>(hash.data()), hash.size(), bytesOf(secret),
+                       secret.size(), bytesOf(saltHex), saltHex.size());
+    return toHex(hash);
+}
+
+} // namespace
+
+std::string toHex(std::string_view bytes)
+{
+    std::string hex(bytes.size() * 2 + 1, '\0');
+    sodium_bin2hex(hex.data(), hex.size(), bytesOf(bytes), bytes.size());
+    hex.pop_back();
+    return hex;
+}
+
+std::string randomHex(std::size_t bytes)
+{
+    FILBERT_INVARIANT(sodium_init() >= 0, "the cryptography library starts");
+    std::string random(bytes, '\0');
+    randombytes_buf(random.data(), random.size());
+    return toHex(random);
+}
+
+std::string contentDigest(std::string_view data)
+{
+    std::string hash(digestBytes, '\0');
+    crypto_generichash(reinterpret_cast<unsigned char *>(hash.data()), hash.size(), bytesOf(data),
+                       data.size(), nullptr, 0);
+    return hash;
+}
+
+made_key makeKey(const std::string &id)
+{
+    made_key made;
+    const auto secret = randomHex(secretBytes);
+    made.token = id + "." + secret;
+    made.stored.set_id(id);
+    made.stored.set_salt(randomHex(saltBytes));
+    made.stored.set_hash(hashOf(secret, made.stored.salt()));
+    return made;
+}
+
+std::string_view keyIdOf(std::string_view token)
+{
+    return token.substr(0, token.find('.'));
+}
+
+std::string_view secretOf(std::string_view token)
+{
+    const auto dot = token.find('.');
+    return dot == std::string_view::npos ? std::string_view {} : token.substr(dot + 1);
+}
+
+bool isSecretOf(std::string_view secret, const messages::access_key &key)
+{
+    const auto hash = hashOf(secret, key.salt());
+    return hash.size() == key.hash().size()
+        && sodium_memcmp(hash.data(), key.hash().data(), hash.size()) == 0;
+}
+
+} // namespace filbert
--- /dev/null
+++ b/modules/filbert_configuration/cell_configuration.cpp
@@ -0,0 +1,333 @@
+#include "cell_configuration.h"
+
+#include "access_keys.h"
+
+#include <algorithm>
+#include <set>
+
+namespace filbert {
+
+namespace {
+
+constexpr std::string_view teamPrefix = "team/";
+constexpr std::string_view queuePrefix = "queue/";
+constexpr std::string_view servicePrefix = "service/";
+constexpr std::string_view principalPrefix = "principal/";
+constexpr std::string_view cellPart = "cell";
+constexpr std::string_view operatorRole = "operator";
+constexpr std::string_view targetRole = "target";
+constexpr std::size_t maxNameBytes = 64;
+constexpr std::size_t namesInSummary = 8;
+
+template <typename Message>
+const Message *findIn(const std::unordered_map<std::string, Message> &map, const std::string &name)
+{
+    const auto found = map.find(name);
+    return found == map.end() ? nullptr : &found->second;
+}
+
+bool isName(const std::string &text)
+{
+    return !text.empty() && text.size() <= maxNameBytes
+        && std::all_of(text.begin(), text.end(), [](unsigned char c) {
+               return std::isalnum(c) != 0 || c == '-' || c == '_';
+           });
+}
+
+template <typename Resources>
+bool isNegative(const Resources &r)
+{
+    return r.milli_cores() < 0 || r.memory_mb() < 0 || r.accelerators() < 0 || r.slots() < 0;
+}
+
+/** Gathers problems under the path of the part that is being looked at. */
+class problem_list
+{
+public:
+    void require(bool holds, const std::string &field, const std::string &expected)
+    {
+        if (!holds) {
+            problems.push_back({{}, 0, field, expected});
+        }
+    }
+
+    void requireUniqueName(const std::string &field, const std::string &name,
+                           std::set<std::string> *seen)
+    {
+        require(isName(name), field + ".name", "1 to 64 letters, digits, '-' or '_'");
+        require(seen->insert(name).second, field + ".name", "a name that occurs once: " + name);
+    }
+
+    void requireKeys(const std::string &field,
+                     const google::protobuf::RepeatedPtrField<messages::access_key> &keys,
+                     std::set<std::string> *seen)
+    {
+        for (int i = 0; i < keys.size(); ++i) {
+            const auto path = field + ".keys[" + std::to_string(i) + "]";
+            const auto &key = keys[i];
+            require(isName(key.id()), path + ".id", "1 to 64 letters, digits, '-' or '_'");
+            require(seen->insert(key.id()).second, path + ".id",
+                    "an id that occurs once: " + key.id());
+            require(!key.salt().empty() && !key.hash().empty(), path,
+                    "salt and hash, as 'filbertctl keys make' prints them");
+        }
+    }
+
+    std::vector<configuration_problem> problems;
+};
+
+std::string indexed(const char *list, int index)
+{
+    return std::string {list} + "[" + std::to_string(index) + "]";
+}
+
+} // namespace
+
+const messages::team *cell_configuration::team(const std::string &name) const
+{
+    return findIn(teamsByName, name);
+}
+
+const messages::queue *cell_configuration::queue(const std::string &name) const
+{
+    return findIn(queuesByName, name);
+}
+
+const messages::service *cell_configuration::service(const std::string &name) const
+{
+    return findIn(servicesByName, name);
+}
+
+std::error_code cell_configuration::authenticate(std::string_view token, key_owner *owner) const
+{
+    const auto found = keysById.find(std::string {keyIdOf(token)});
+    if (found == keysById.end() || !isSecretOf(secretOf(token), found->second.key)) {
+        return error_kind::Unauthorized;
+    }
+    *owner = found->second.owner;
+    return {};
+}
+
+bool cell_configuration::hasTeamKey(const std::string &team, const std::string &keyId) const
+{
+    const auto found = keysById.find(keyId);
+    return found != keysById.end() && found->second.owner.role == key_role::Team
+        && found->second.owner.name == team;
+}
+
+void cell_configuration::applyItems(
+    const google::protobuf::RepeatedPtrField<messages::configuration_item> &items,
+    std::int64_t version)
+{
+    for (const auto &item : items) {
+        dropPart(item.key());
+        if (!item.removed()) {
+            takePart(item.key(), item.value());
+        }
+    }
+    currentVersion = version;
+    currentDigest = digestOf(parts);
+}
+
+void cell_configuration::clear()
+{
+    *this = {};
+}
+
+void cell_configuration::takePart(const std::string &key, const std::string &value)
+{
+    parts[key] = value;
+    if (key.starts_with(teamPrefix)) {
+        messages::team team;
+        team.ParseFromString(value);
+        addKeys(key_role::Team, team.name(), team.keys());
+        teamsByName[team.name()] = std::move(team);
+    } else if (key.starts_with(queuePrefix)) {
+        messages::queue queue;
+        queue.ParseFromString(value);
+        queuesByName[queue.name()] = std::move(queue);
+    } else if (key.starts_with(servicePrefix)) {
+        messages::service service;
+        service.ParseFromString(value);
+        servicesByName[service.name()] = std::move(service);
+    } else if (key.starts_with(principalPrefix)) {
+        messages::principal principal;
+        principal.ParseFromString(value);
+        const bool isOperator = principal.role() == operatorRole;
+        operatorCount += isOperator ? 1 : 0;
+        addKeys(isOperator ? key_role::Operator : key_role::Target, principal.name(),
+                principal.keys());
+        principalsByName[principal.name()] = std::move(principal);
+    } else if (key == cellPart) {
+        cellName = value;
+    }
+}
+
+void cell_configuration::dropPart(const std::string &key)
+{
+    const auto name = key.substr(key.find('/') + 1);
+    if (key.starts_with(teamPrefix)) {
+        dropKeys(key_role::Team, name);
+        teamsByName.erase(name);
+    } else if (key.starts_with(queuePrefix)) {
+        queuesByName.erase(name);
+    } else if (key.starts_with(servicePrefix)) {
+        servicesByName.erase(name);
+    } else if (const auto *principal = findIn(principalsByName, name);
+               key.starts_with(principalPrefix) && principal != nullptr) {
+        const bool isOperator = principal->role() == operatorRole;
+        operatorCount -= isOperator ? 1 : 0;
+        dropKeys(isOperator ? key_role::Operator : key_role::Target, name);
+        principalsByName.erase(name);
+    }
+    parts.erase(key);
+}
+
+void cell_configuration::addKeys(
+    key_role role, const std::string &name,
+    const google::protobuf::RepeatedPtrField<messages::access_key> &keys)
+{
+    for (const auto &key : keys) {
+        keysById[key.id()] = {{role, name, key.id()}, key};
+    }
+}
+
+void cell_configuration::dropKeys(key_role role, const std::string &name)
+{
+    std::erase_if(keysById, [&](const auto &entry) {
+        return entry.second.owner.role == role && entry.second.owner.name == name;
+    });
+}
+
+messages::configuration cell_configuration::toMessage() const
+{
+    messages::configuration whole;
+    whole.set_cell(cellName);
+    for (const auto &[key, value] : parts) {
+        if (key.starts_with(teamPrefix)) {
+            whole.add_teams()->ParseFromString(value);
+        } else if (key.starts_with(queuePrefix)) {
+            whole.add_queues()->ParseFromString(value);
+        } else if (key.starts_with(servicePrefix)) {
+            whole.add_services()->ParseFromString(value);
+        } else if (key.starts_with(principalPrefix)) {
+            whole.add_principals()->ParseFromString(value);
+        }
+    }
+    return whole;
+}
+
+std::map<std::string, std::string> partsOf(const messages::configuration &whole)
+{
+    std::map<std::string, std::string> parts;
+    const auto addAll = [&](std::string_view prefix, const auto &list) {
+        for (const auto &part : list) {
+            parts[std::string {prefix} + part.name()] = part.SerializeAsString();
+        }
+    };
+    parts[std::string {cellPart}] = whole.cell();
+    addAll(teamPrefix, whole.teams());
+    addAll(queuePrefix, whole.queues());
+    addAll(servicePrefix, whole.services());
+    addAll(principalPrefix, whole.principals());
+    return parts;
+}
+
+std::vector<messages::configuration_item>
+differenceOf(const std::map<std::string, std::string> &from,
+             const std::map<std::string, std::string> &to)
+{
+    std::vector<messages::configuration_item> items;
+    for (const auto &[key, value] : to) {
+        const auto old = from.find(key);
+        if (old == from.end() || old->second != value) {
+            auto &item = items.emplace_back();
+            item.set_key(key);
+            item.set_value(value);
+        }
+    }
+    for (const auto &[key, value] : from) {
+        if (!to.contains(key)) {
+            auto &item = items.emplace_back();
+            item.set_key(key);
+            item.set_removed(true);
+        }
+    }
+    return items;
+}
+
+std::string digestOf(const std::map<std::string, std::string> &parts)
+{
+    std::string all;
+    for (const auto &[key, value] : parts) {
+        all += std::to_string(key.size()) + ":" + key + std::to_string(value.size()) + ":" + value;
+    }
+    return toHex(contentDigest(all));
+}
+
+std::string summaryOf(const std::vector<messages::configuration_item> &items)
+{
+    const auto describe = [&](bool removed) {
+        std::string names;
+        std::size_t count = 0;
+        for (const auto &item : items) {
+            if (item.removed() != removed) {
+                continue;
+            }
+            if (++count <= namesInSummary) {
+                names += (names.empty() ? "" : ", ") + item.key();
+            }
+        }
+        if (count > namesInSummary) {
+            names += ", ...";
+        }
+        return std::to_string(count) + (names.empty() ? "" : " (" + names + ")");
+    };
+    return describe(false) + " set, " + describe(true) + " removed";
+}
+
+std::vector<configuration_problem> validateConfiguration(const messages::configuration &whole)
+{
+    problem_list list;
+    list.require(isName(whole.cell()), "cell", "the name of the cell");
+    std::set<std::string> teams;
+    std::set<std::string> queues;
+    std::set<std::string> services;
+    std::set<std::string> principals;
+    std::set<std::string> keys;
+    for (int i = 0; i < whole.teams_size(); ++i) {
+        const auto &team = whole.teams(i);
+        const auto path = indexed("teams", i);
+        list.requireUniqueName(path, team.name(), &teams);
+        list.require(team.share() > 0, path + ".share", "a number above 0");
+        list.require(!isNegative(team.upper_limit()), path + ".upper_limit", "no negative number");
+        list.requireKeys(path, team.keys(), &keys);
+    }
+    for (int i = 0; i < whole.queues_size(); ++i) {
+        const auto &queue = whole.queues(i);
+        const auto path = indexed("queues", i);
+        list.requireUniqueName(path, queue.name(), &queues);
+        list.require(!queue.open_to_all() || teams.contains(queue.team()), path + ".team",
+                     "the team that an open queue's work is charged to");
+        list.require(queue.max_waiting() >= 0, path + ".max_waiting", "0 or more");
+    }
+    for (int i = 0; i < whole.services_size(); ++i) {
+        const auto &service = whole.services(i);
+        const auto path = indexed("services", i);
+        list.requireUniqueName(path, service.name(), &services);
+        list.require(queues.contains(service.queue()), path + ".queue", "the name of a queue");
+        list.require(!isNegative(service.task()), path + ".task", "no negative number");
+        list.require(service.deadline_ms() >= 0, path + ".deadline_ms", "0 or more");
+    }
+    for (int i = 0; i < whole.principals_size(); ++i) {
+        const auto &principal = whole.principals(i);
+        const auto path = indexed("principals", i);
+        list.requireUniqueName(path, principal.name(), &principals);
+        list.require(principal.role() == operatorRole || principal.role() == targetRole,
+                     path + ".role", "operator or target");
+        list.requireKeys(path, principal.keys(), &keys);
+    }
+    return list.problems;
+}
+
+} // namespace filbert
--- /dev/null
+++ b/modules/filbert_controller/commit_effects.cpp
@@ -0,0 +1,275 @@
+#include "commit_effects.h"
+
+#include "leadership.h"
+
+#include <algorithm>
+
+namespace filbert {
+
+namespace {
+
+void answerDone(controller_state &state, const reply_address &to)
+{
+    messages::envelope envelope;
+    envelope.set_done(true);
+    reply(state, to, std::move(envelope));
+}
+
+void afterConfiguration(controller_state &state, const messages::configuration_change &change,
+                        const apply_outcome &outcome, const reply_address &to)
+{
+    log_line {"configuration_change"}
+        .with("author", change.author())
+        .with("version", outcome.version)
+        .with("digest", outcome.digest)
+        .with("outcome", errorRow(outcome.error).name)
+        .with("summary", change.summary());
+    if (outcome.error != error_kind::None) {
+        refuse(state, to, outcome.error, outcome.detail);
+        return;
+    }
+    takeConfiguration(state);
+    messages::envelope envelope;
+    auto *answer = envelope.mutable_applied();
+    answer->set_version(outcome.version);
+    answer->set_digest(outcome.digest);
+    answer->set_summary(outcome.isRepeated ? outcome.detail : change.summary());
+    reply(state, to, std::move(envelope));
+}
+
+void afterTarget(controller_state &state, const messages::target_registration &registration,
+                 const apply_outcome &outcome, const reply_address &to, time_point now)
+{
+    if (outcome.error != error_kind::None) {
+        refuse(state, to, outcome.error, outcome.detail);
+        return;
+    }
+    const auto &target = state.cell.targets.at(registration.name());
+    auto &live = state.liveness[registration.name()];
+    const bool isNewStart =
+        live.clockMs == 0 || live.isRemovalProposed || live.epoch != registration.epoch();
+    if (isNewStart) {
+        // Nothing starts there before its first heartbeat has told its clock and what it runs.
+        live = {};
+        live.epoch = registration.epoch();
+        live.gateway = to.gateway;
+        live.leaseEnds = now + clockRateMargin(state.settings.targetLease);
+    }
+    setTarget(state.scheduler, viewOf(target), live.isHeard && !live.isLeaving);
+    log_line {"target_announced"}
+        .with("target", registration.name())
+        .with("epoch", registration.epoch())
+        .with("address", registration.address())
+        .with("failure_domain", registration.failure_domain());
+    answerDone(state, to);
+}
+
+void sendStart(controller_state &state, const messages::placement &place)
+{
+    const auto &target = state.cell.targets.at(place.target()).registration;
+    const auto &job = state.cell.jobs.at(place.job_id());
+    messages::envelope envelope;
+    auto *start = envelope.mutable_start();
+    start->set_placement_id(place.id());
+    start->set_target_epoch(place.target_epoch());
+    start->set_start_by(place.start_by());
+    start->set_service(place.service());
+    *start->mutable_task() = place.task();
+    start->set_job_id(place.job_id());
+    start->set_task_index(place.task_index());
+    start->set_job_tasks(static_cast<int>(job.tasks.size()));
+    start->set_payload(job.submission.payload());
+    start->set_target(place.target());
+    start->set_address(target.address());
+    state.outbox.push_back({state.liveness[place.target()].gateway, std::move(envelope)});
+}
+
+void answerDispatch(controller_state &state, const messages::placement &place,
+                    const apply_outcome &outcome, const open_dispatch &open)
+{
+    if (outcome.error != error_kind::None) {
+        refuse(state, open.replyTo, outcome.error, outcome.detail);
+        return;
+    }
+    messages::envelope envelope;
+    auto *answer = envelope.mutable_dispatched();
+    answer->set_placement_id(place.id());
+    answer->set_target(place.target());
+    answer->set_address(state.cell.targets.at(place.target()).registration.address());
+    answer->set_target_epoch(place.target_epoch());
+    answer->set_start_by(place.start_by());
+    reply(state, open.replyTo, std::move(envelope));
+}
+
+void afterPlacement(controller_state &state, const messages::placement &place,
+                    const apply_outcome &outcome, time_point now)
+{
+    const bool isRefused = outcome.error != error_kind::None;
+    if (isRefused) {
+        releaseTask(state.scheduler, place.id(), now);
+    }
+    if (const auto found = state.dispatchOfPlacement.find(place.id());
+        found != state.dispatchOfPlacement.end()) {
+        const auto open = state.dispatches.find(found->second);
+        answerDispatch(state, place, outcome, open->second);
+        state.dispatches.erase(open);
+        state.dispatchOfPlacement.erase(found);
+        return;
+    }
+    if (!isRefused) {
+        sendStart(state, place);
+        return;
+    }
+    const auto job = state.cell.jobs.find(place.job_id());
+    if (outcome.error != error_kind::Conflict && job != state.cell.jobs.end()) {
+        returnTask(state.scheduler, workOf(state, job->second), place.task_index(), now);
+    }
+}
+
+void afterGang(controller_state &state, const messages::gang_placement &gang,
+               const apply_outcome &outcome, time_point now)
+{
+    for (const auto &place : gang.placements()) {
+        afterPlacement(state, place, outcome, now);
+    }
+}
+
+void afterEnds(controller_state &state, const apply_outcome &outcome, time_point now)
+{
+    for (const auto &ended : outcome.ended) {
+        const auto &placement = ended.placement;
+        state.ending.erase(placement.id);
+        if (ended.result == messages::SUCCEEDED || ended.result == messages::FAILED) {
+            noteResult(state.scheduler, placement.id, ended.result == messages::SUCCEEDED, now);
+        }
+        releaseTask(state.scheduler, placement.id, now);
+        const auto job = state.cell.jobs.find(placement.jobId);
+        if (job == state.cell.jobs.end()) {
+            continue;
+        }
+        if (!job->second.holdReason.empty()) {
+            dropWork(state.scheduler, placement.jobId);
+        } else if (ended.isTaskWaitingAgain) {
+            auto item = workOf(state, job->second);
+            item.failures = ended.result == messages::FAILED ? 1 : 0;
+            item.avoid = {job->second.failedTargets.begin(), job->second.failedTargets.end()};
+            returnTask(state.scheduler, std::move(item), placement.taskIndex, now);
+        }
+    }
+}
+
+void requeueJob(controller_state &state, std::uint64_t id, time_point now)
+{
+    const auto &job = state.cell.jobs.at(id);
+    for (std::size_t i = 0; i < job.tasks.size(); ++i) {
+        if (job.tasks[i].state == task_state::Waiting) {
+            returnTask(state.scheduler, workOf(state, job), static_cast<std::int32_t>(i), now);
+        }
+    }
+}
+
+void answerJob(controller_state &state, const apply_outcome &outcome, const reply_address &to)
+{
+    messages::envelope envelope;
+    auto *answer = envelope.mutable_job();
+    answer->set_created(!outcome.isRepeated);
+    answer->mutable_job()->set_id(outcome.jobId);
+    const auto job = state.cell.jobs.find(outcome.jobId);
+    if (job != state.cell.jobs.end()) {
+        answer->mutable_job()->set_team(job->second.submission.team());
+        answer->mutable_job()->set_state(hasEnded(job->second) ? "ended" : "waiting");
+    }
+    reply(state, to, std::move(envelope));
+}
+
+void afterSubmission(controller_state &state, const apply_outcome &outcome, const reply_address &to,
+                     time_point now)
+{
+    if (outcome.error != error_kind::None) {
+        refuse(state, to, outcome.error, outcome.detail);
+        return;
+    }
+    if (!outcome.isRepeated) {
+        requeueJob(state, outcome.jobId, now);
+    }
+    answerJob(state, outcome, to);
+}
+
+void afterJobChange(controller_state &state, const messages::job_change &change,
+                    const apply_outcome &outcome, const reply_address &to, time_point now)
+{
+    if (outcome.error != error_kind::None) {
+        refuse(state, to, outcome.error, outcome.detail);
+        return;
+    }
+    dropWork(state.scheduler, change.id());
+    if (change.action() == messages::RELEASE) {
+        requeueJob(state, change.id(), now);
+    }
+    answerJob(state, outcome, to);
+}
+
+void afterCommand(controller_state &state, const messages::command &command,
+                  const apply_outcome &outcome, const reply_address &to, time_point now)
+{
+    using body = messages::command::BodyCase;
+    switch (command.body_case()) {
+    case body::kConfiguration:
+        afterConfiguration(state, command.configuration(), outcome, to);
+        break;
+    case body::kTarget:
+        afterTarget(state, command.target(), outcome, to, now);
+        break;
+    case body::kPlace:
+        afterPlacement(state, command.place(), outcome, now);
+        break;
+    case body::kPlaceGang:
+        afterGang(state, command.place_gang(), outcome, now);
+        break;
+    case body::kSubmit:
+        afterSubmission(state, outcome, to, now);
+        break;
+    case body::kChange:
+        afterJobChange(state, command.change(), outcome, to, now);
+        break;
+    case body::kEnd:
+        state.ending.erase(command.end().placement_id());
+        afterEnds(state, outcome, now);
+        answerDone(state, to);
+        break;
+    case body::kRemoveTarget:
+        afterEnds(state, outcome, now);
+        state.liveness.erase(command.remove_target());
+        break;
+    case body::kNote:
+    case body::BODY_NOT_SET:
+        answerDone(state, to);
+        break;
+    }
+}
+
+} // namespace
+
+void applyEntry(controller_state &state, const messages::log_entry &entry, time_point now)
+{
+    if (entry.kind() != messages::COMMANDS) {
+        return;
+    }
+    messages::command_batch batch;
+    FILBERT_INVARIANT(batch.ParseFromString(entry.payload()), "a committed entry can be read");
+    std::vector<reply_address> replies;
+    if (const auto found = state.inFlight.find(entry.index()); found != state.inFlight.end()) {
+        replies = std::move(found->second);
+        state.inFlight.erase(found);
+    }
+    replies.resize(static_cast<std::size_t>(batch.commands_size()));
+    for (int i = 0; i < batch.commands_size(); ++i) {
+        const auto outcome = applyCommand(state.cell, batch.commands(i), batch.wall_ms());
+        if (state.isLeading) {
+            afterCommand(state, batch.commands(i), outcome, replies[static_cast<std::size_t>(i)],
+                         now);
+        }
+    }
+}
+
+} // namespace filbert
--- /dev/null
+++ b/modules/filbert_controller/controller.cpp
@@ -0,0 +1,267 @@
+#include "controller.h"
+
+#include "commit_effects.h"
+#include "leadership.h"
+#include "operations.h"
+#include "target_leases.h"
+#include "work_intake.h"
+
+#include <utility>
+
+namespace filbert {
+
+namespace {
+
+constexpr std::size_t commandsPerEntry = 2'000;
+
+bool needsLeader(const messages::envelope &envelope)
+{
+    return envelope.body_case() != messages::envelope::kReplication;
+}
+
+} // namespace
+
+controller::controller(const controller_settings &settings, const replication_settings &replication,
+                       const stored_state &stored, std::uint64_t seed, log_store &store,
+                       controller_outbox &outbox, time_point now)
+    : store {store}
+    , outbox {outbox}
+{
+    state.settings = settings;
+    state.log = makeReplicatedLog(stored, replication, seed, now);
+    if (stored.snapshot.index() > 0) {
+        FILBERT_INVARIANT(!restoreCell(stored.snapshotData, &state.cell), "a snapshot can be read");
+    }
+}
+
+void controller::takeMessage(const std::string &peer, const messages::envelope &envelope,
+                             time_point now)
+{
+    if (!needsLeader(envelope)) {
+        stepMessage(state.log, envelope.replication(), now, &state.effects);
+        return;
+    }
+    const reply_address from {peer, envelope.exchange()};
+    if (!state.isLeading || !hasLease(state.log, now)) {
+        messages::envelope answer;
+        auto *notLeader = answer.mutable_not_leader();
+        const auto *leader = findMember(state.log.members, state.log.leader);
+        if (leader != nullptr && leader->identity() != state.log.self) {
+            notLeader->set_leader(leader->identity());
+            notLeader->set_address(leader->address());
+        }
+        reply(state, from, std::move(answer));
+        return;
+    }
+    takeRequest(from, envelope, now);
+}
+
+void controller::takeRequest(const reply_address &from, const messages::envelope &envelope,
+                             time_point now)
+{
+    using body = messages::envelope::BodyCase;
+    const bool addsWork = envelope.body_case() == body::kDispatch
+        || envelope.body_case() == body::kSubmit || envelope.body_case() == body::kApply;
+    if (addsWork && state.isDiskFull) {
+        refuse(state, from, error_kind::DiskFull, "");
+        return;
+    }
+    switch (envelope.body_case()) {
+    case body::kHello:
+        takeHello(state, from, envelope.hello(), now);
+        break;
+    case body::kDispatch:
+        takeDispatch(state, from, envelope.dispatch(), now);
+        break;
+    case body::kEnd:
+        takeEnd(state, from, envelope.end());
+        break;
+    case body::kAnnounce:
+        takeAnnouncement(state, from, envelope.announce());
+        break;
+    case body::kHeartbeat:
+        takeHeartbeat(state, from, envelope.heartbeat(), now);
+        break;
+    case body::kSubmit:
+        takeSubmission(state, from, envelope.submit());
+        break;
+    case body::kChange:
+        takeJobChange(state, from, envelope.change());
+        break;
+    case body::kQuery:
+        takeJobQuery(state, from, envelope.query(), now);
+        break;
+    case body::kApply:
+        takeApply(state, from, envelope.apply());
+        break;
+    case body::kStatus:
+        takeStatus(state, from, envelope.status(), now);
+        break;
+    case body::kMember:
+        takeMemberChange(state, from, envelope.member(), now);
+        break;
+    default:
+        refuse(state, from, error_kind::Malformed, "a message that controllers do not take");
+    }
+}
+
+void controller::takeTime(time_point now)
+{
+    stepTime(state.log, now, &state.effects);
+    if (state.isLeading && hasLease(state.log, now)) {
+        expireTargets(state, now);
+        reviewQuarantines(state.scheduler, now);
+    }
+}
+
+void controller::takeLeadership(time_point now)
+{
+    if (state.isLeading && state.log.role != replica_role::Leader) {
+        stopLeading(state);
+    }
+    // Everything proposed before must be applied, or the view would lack what is under way.
+    const bool isSettled = isReadyLeader(state.log) && state.log.applied == lastIndex(state.log);
+    if (!state.isLeading && isSettled && !state.isStopping) {
+        startLeading(state, now);
+    }
+}
+
+void controller::proposePending(time_point now, std::int64_t wallMs)
+{
+    if (!state.isLeading) {
+        return;
+    }
+    if (hasLease(state.log, now)) {
+        runScheduler(state, now);
+    }
+    std::size_t taken = 0;
+    while (taken < state.pending.size()) {
+        messages::command_batch batch;
+        batch.set_wall_ms(wallMs);
+        std::vector<reply_address> replies;
+        for (; taken < state.pending.size() && replies.size() < commandsPerEntry; ++taken) {
+            *batch.add_commands() = std::move(state.pending[taken].command);
+            replies.push_back(state.pending[taken].replyTo);
+        }
+        if (propose(state.log, {batch.SerializeAsString()}, now, &state.effects)) {
+            // Neither queued nor sent. The scheduler holds room for it, so start over.
+            for (const auto &to : replies) {
+                refuse(state, to, error_kind::NoLeader, "");
+            }
+            stopLeading(state);
+            return;
+        }
+        state.inFlight[lastIndex(state.log)] = std::move(replies);
+    }
+    state.pending.clear();
+}
+
+void controller::sendAll(std::vector<messages::replication_message> *messages)
+{
+    for (const auto &message : std::exchange(*messages, {})) {
+        const auto *member = findMember(state.log.members, message.to());
+        if (member != nullptr) {
+            outbox.sendToMember(*member, message);
+            continue;
+        }
+        messages::member unknown; // this one may not have the membership yet: answer by identity
+        unknown.set_identity(message.to());
+        outbox.sendToMember(unknown, message);
+    }
+}
+
+std::error_code controller::persist(time_point now)
+{
+    auto &effects = state.effects;
+    if (effects.mustInstall) {
+        const auto error = store.saveSnapshot(state.log.snapshot, *state.log.snapshotData);
+        if (error) {
+            return error;
+        }
+    }
+    if (!effects.mustPersist) {
+        return {};
+    }
+    if (const auto error = store.append(state.log.term, state.log.votedFor, effects.persist)) {
+        return error;
+    }
+    effects.mustPersist = false;
+    effects.persist.clear();
+    stepPersisted(state.log, lastIndex(state.log), now, &effects);
+    return {};
+}
+
+void controller::install()
+{
+    state.effects.mustInstall = false;
+    FILBERT_INVARIANT(!restoreCell(*state.log.snapshotData, &state.cell), "a snapshot can be read");
+    log_line {"snapshot_installed"}.with("index", state.log.snapshot.index());
+}
+
+void controller::applyCommitted(time_point now)
+{
+    for (const auto &entry : std::exchange(state.effects.committed, {})) {
+        applyEntry(state, entry, now);
+        state.log.digestIndex = entry.index();
+        state.log.digest = state.cell.digest;
+    }
+}
+
+std::error_code controller::compact()
+{
+    const auto since = state.log.applied - state.log.snapshot.index();
+    if (since == 0
+        || (since < state.settings.snapshotEntries
+            && store.logBytes() < state.settings.snapshotBytes)) {
+        return {};
+    }
+    compactLog(state.log, state.log.applied, snapshotOf(state.cell));
+    const auto error = store.saveSnapshot(state.log.snapshot, *state.log.snapshotData);
+    log_line {"snapshot_taken"}
+        .with("index", state.log.snapshot.index())
+        .with("bytes", state.log.snapshotData->size());
+    return error == error_kind::DiskFull ? std::error_code {} : error;
+}
+
+std::error_code controller::flush(time_point now, std::int64_t wallMs)
+{
+    takeLeadership(now);
+    proposePending(now, wallMs);
+    auto &effects = state.effects;
+    while (effects.mustPersist || effects.mustInstall || !effects.early.empty()
+           || !effects.send.empty() || !effects.committed.empty()) {
+        sendAll(&effects.early);
+        const auto error = persist(now);
+        if (error == error_kind::DiskFull) {
+            // Nothing was written, so nothing may be said; the entries are tried again later.
+            if (!std::exchange(state.isDiskFull, true)) {
+                log_line {"disk_full", log_line::severity::Error}.with("role",
+                                                                       roleName(state.log.role));
+            }
+            effects.send.clear();
+            break;
+        }
+        if (error) {
+            return error;
+        }
+        state.isDiskFull = false;
+        sendAll(&effects.send);
+        if (effects.mustInstall) {
+            install();
+        }
+        applyCommitted(now);
+    }
+    takeLeadership(now);
+    for (const auto &message : std::exchange(state.outbox, {})) {
+        outbox.sendToGateway(message.gateway, message.envelope);
+    }
+    return compact();
+}
+
+void controller::prepareToStop(time_point now)
+{
+    state.isStopping = true;
+    handOver(state.log, now, &state.effects);
+}
+
+} // namespace filbert
--- /dev/null
+++ b/modules/filbert_controller/target_leases.cpp
@@ -0,0 +1,168 @@
+#include "target_leases.h"
+
+#include "leadership.h"
+
+#include <algorithm>
+
+namespace filbert {
+
+namespace {
+
+constexpr int maxTargetServices = 64;
+
+bool isSensible(const messages::target_registration &registration)
+{
+    const auto capacity = amountsOf(registration.capacity());
+    return !registration.name().empty() && isEndpoint(registration.address())
+        && fitsWithin({}, capacity) && capacity.slots > 0 && registration.services_size() > 0
+        && registration.services_size() <= maxTargetServices && registration.epoch() > 0;
+}
+
+/** Ends what the target does not run any more, with as much as is certain about it. */
+void settlePlacements(controller_state &state, const target_record &target,
+                      const messages::target_heartbeat &heartbeat)
+{
+    std::unordered_set<std::uint64_t> reported;
+    for (const auto &task : heartbeat.running()) {
+        reported.insert(task.placement_id());
+    }
+    for (const auto &task : heartbeat.finished()) {
+        reported.insert(task.placement_id());
+        const auto found = state.cell.placements.find(task.placement_id());
+        if (found == state.cell.placements.end()) {
+            continue;
+        }
+        messages::placement_end end;
+        end.set_placement_id(task.placement_id());
+        // Of a keyed request the answer went with its gateway: it ran, but what it said is lost.
+        const bool isAnswerLost = !found->second.idempotencyKey.empty();
+        end.set_result(isAnswerLost           ? messages::UNKNOWN
+                           : task.succeeded() ? messages::SUCCEEDED
+                                              : messages::FAILED);
+        end.set_reason(task.detail());
+        const bool isSynchronous = found->second.jobId == 0;
+        if (!isSynchronous || found->second.startBy < heartbeat.clock_ms()) {
+            proposeEnd(state, std::move(end)); // else its gateway has time to bring the answer
+        }
+    }
+    for (const auto id : target.placements) {
+        const auto &placement = state.cell.placements.at(id);
+        const bool isOfEarlierStart = placement.targetEpoch < heartbeat.epoch();
+        if (reported.contains(id)
+            || (!isOfEarlierStart && placement.startBy >= heartbeat.clock_ms())) {
+            continue;
+        }
+        messages::placement_end end;
+        end.set_placement_id(id);
+        // A target reports what ran until that is acknowledged; so this start never came.
+        end.set_result(isOfEarlierStart ? messages::UNKNOWN : messages::NOT_RUN);
+        end.set_reason(isOfEarlierStart ? "the target restarted" : "the start came too late");
+        proposeEnd(state, std::move(end));
+    }
+}
+
+/** Throttles batch work where what runs uses more than the target has. */
+void throttleOvercommitted(controller_state &state, const target_record &target,
+                           const messages::target_heartbeat &heartbeat,
+                           messages::heartbeat_reply *answer)
+{
+    resource_amounts used;
+    for (const auto &task : heartbeat.running()) {
+        used += amountsOf(task.used());
+    }
+    const auto capacity = amountsOf(target.registration.capacity());
+    for (const auto &task : heartbeat.running()) {
+        if (used.milliCores <= capacity.milliCores && used.memoryMb <= capacity.memoryMb) {
+            return;
+        }
+        const auto found = state.scheduler.running.find(task.placement_id());
+        if (found != state.scheduler.running.end() && found->second.kind == work_class::Batch
+            && found->second.isIdempotent) {
+            used -= amountsOf(task.used());
+            answer->add_stop(task.placement_id());
+        }
+    }
+}
+
+} // namespace
+
+void takeAnnouncement(controller_state &state, const reply_address &from,
+                      const messages::target_registration &registration)
+{
+    if (!isSensible(registration)) {
+        refuse(state, from, error_kind::Malformed,
+               "name, address (IP:port), epoch, services and a capacity with slots are needed");
+        return;
+    }
+    messages::command command;
+    *command.mutable_target() = registration;
+    proposeCommand(state, std::move(command), from);
+}
+
+void takeHeartbeat(controller_state &state, const reply_address &from,
+                   const messages::target_heartbeat &heartbeat, time_point now)
+{
+    messages::envelope envelope;
+    auto *answer = envelope.mutable_heartbeat_reply();
+    const auto found = state.cell.targets.find(heartbeat.name());
+    if (found == state.cell.targets.end()
+        || found->second.registration.epoch() != heartbeat.epoch()) {
+        answer->set_announce_again(true);
+        reply(state, from, std::move(envelope));
+        return;
+    }
+    const auto &target = found->second;
+    auto &live = state.liveness[heartbeat.name()];
+    if (live.isRemovalProposed) {
+        // Its tasks are being given up; a renewal now would let them go on beside their successors.
+        answer->set_announce_again(true);
+        reply(state, from, std::move(envelope));
+        return;
+    }
+    if (heartbeat.clock_ms() < live.clockMs) {
+        refuse(state, from, error_kind::Malformed, "the target's clock must not go back");
+        return;
+    }
+    const auto lease = state.settings.targetLease;
+    live.gateway = from.gateway;
+    live.clockMs = heartbeat.clock_ms();
+    live.leaseEnds = now + clockRateMargin(lease);
+    if (!live.isHeard || live.isLeaving != heartbeat.leaving()) {
+        live.isHeard = true;
+        live.isLeaving = heartbeat.leaving();
+        setTarget(state.scheduler, viewOf(target), !live.isLeaving);
+    }
+    settlePlacements(state, target, heartbeat);
+    for (const auto &task : heartbeat.running()) {
+        if (state.cell.placements.contains(task.placement_id())) {
+            noteUsage(state.scheduler, task.placement_id(), amountsOf(task.used()));
+        } else {
+            answer->add_stop(task.placement_id());
+        }
+    }
+    for (const auto &task : heartbeat.finished()) {
+        if (!state.cell.placements.contains(task.placement_id())) {
+            answer->add_acknowledged(task.placement_id());
+        }
+    }
+    throttleOvercommitted(state, target, heartbeat, answer);
+    answer->set_lease_until(heartbeat.clock_ms() + lease.count);
+    reply(state, from, std::move(envelope));
+}
+
+void expireTargets(controller_state &state, time_point now)
+{
+    for (auto &[name, live] : state.liveness) {
+        if (live.isRemovalProposed || now < live.leaseEnds || !state.cell.targets.contains(name)) {
+            continue;
+        }
+        live.isRemovalProposed = true;
+        log_line {"target_lost", log_line::severity::Warning}.with("target", name);
+        dropTarget(state.scheduler, name);
+        messages::command command;
+        command.set_remove_target(name);
+        proposeCommand(state, std::move(command));
+    }
+}
+
+} // namespace filbert
--- /dev/null
+++ b/modules/filbert_controller/work_intake.cpp
@@ -0,0 +1,262 @@
+#include "work_intake.h"
+
+#include "leadership.h"
+
+#include <algorithm>
+
+namespace filbert {
+
+namespace {
+
+constexpr std::uint64_t requestTicketBit = 1ULL << 63;
+constexpr milliseconds retryWhenFull {1'000};
+constexpr int maxTasksOfJob = 100'000;
+
+bool isAnswered(controller_state &state, const reply_address &from,
+                const messages::dispatch_request &request)
+{
+    if (request.idempotency_key().empty()) {
+        return false;
+    }
+    const auto name =
+        idempotencyName(request.team(), "service/" + request.service(), request.idempotency_key());
+    const auto found = state.cell.idempotency.find(name);
+    if (found == state.cell.idempotency.end()) {
+        return false;
+    }
+    const auto &record = found->second;
+    if (record.request_digest() != request.request_digest()) {
+        refuse(state, from, error_kind::KeyReused, "");
+    } else if (record.placement_id() != 0) {
+        refuse(state, from, error_kind::OutcomeUnknown, "the first request is still under way",
+               retryWhenFull);
+    } else if (record.result() == messages::UNKNOWN) {
+        refuse(state, from, error_kind::OutcomeUnknown, "");
+    } else {
+        messages::envelope envelope;
+        *envelope.mutable_dispatched()->mutable_stored() = record;
+        reply(state, from, std::move(envelope));
+    }
+    return true;
+}
+
+messages::placement placementOf(const controller_state &state, const placement_decision &decision,
+                                const running_task &task)
+{
+    const auto &target = state.scheduler.index.targets[decision.target];
+    const auto &live = state.liveness.at(target.name);
+    messages::placement place;
+    place.set_id(decision.placement);
+    place.set_target(target.name);
+    place.set_target_epoch(state.cell.targets.at(target.name).registration.epoch());
+    place.set_team(task.team);
+    place.set_service(task.service);
+    *place.mutable_task() = messageOf(task.need);
+    place.set_start_by(live.clockMs + state.settings.targetLease.count);
+    place.set_idempotent(task.isIdempotent);
+    return place;
+}
+
+void proposePlacement(controller_state &state, const placement_decision &decision)
+{
+    const auto &task = state.scheduler.running.at(decision.placement);
+    messages::command command;
+    auto *place = command.mutable_place();
+    *place = placementOf(state, decision, task);
+    const auto open = state.dispatches.find(decision.ticket);
+    if (open != state.dispatches.end()) {
+        const auto &request = open->second.request;
+        place->set_idempotency_key(request.idempotency_key());
+        place->set_request_digest(request.request_digest());
+        state.dispatchOfPlacement[decision.placement] = decision.ticket;
+    } else {
+        place->set_job_id(decision.ticket);
+        place->set_task_index(decision.task);
+    }
+    proposeCommand(state, std::move(command));
+}
+
+void proposeGang(controller_state &state, const std::vector<placement_decision> &decisions)
+{
+    messages::command command;
+    for (const auto &decision : decisions) {
+        const auto &task = state.scheduler.running.at(decision.placement);
+        auto *place = command.mutable_place_gang()->add_placements();
+        *place = placementOf(state, decision, task);
+        place->set_job_id(decision.ticket);
+        place->set_task_index(decision.task);
+    }
+    proposeCommand(state, std::move(command));
+}
+
+void sendStop(controller_state &state, std::uint64_t placement, const char *action)
+{
+    const auto found = state.cell.placements.find(placement);
+    if (found == state.cell.placements.end()) {
+        return;
+    }
+    const auto live = state.liveness.find(found->second.target);
+    if (live == state.liveness.end()) {
+        return;
+    }
+    messages::envelope envelope;
+    auto *stop = envelope.mutable_stop();
+    stop->set_placement_id(placement);
+    stop->set_target(found->second.target);
+    stop->set_address(state.cell.targets.at(found->second.target).registration.address());
+    stop->set_action(action);
+    state.outbox.push_back({live->second.gateway, std::move(envelope)});
+}
+
+} // namespace
+
+void takeDispatch(controller_state &state, const reply_address &from,
+                  const messages::dispatch_request &request, time_point now)
+{
+    const auto &configuration = state.cell.configuration;
+    const auto *service = configuration.service(request.service());
+    if (service == nullptr) {
+        refuse(state, from, error_kind::NotFound, "no service " + request.service());
+        return;
+    }
+    const auto *queue = configuration.queue(service->queue());
+    const bool isOpen = queue != nullptr && queue->open_to_all() && queue->team() == request.team()
+        && request.key_id().empty();
+    if (!isOpen && !configuration.hasTeamKey(request.team(), request.key_id())) {
+        refuse(state, from, error_kind::Unauthorized, "");
+        return;
+    }
+    if (isAnswered(state, from, request)) {
+        return;
+    }
+    work_item item;
+    item.ticket = requestTicketBit | ++state.nextTicket;
+    item.kind = queue != nullptr && queue->policy() == messages::URGENT ? work_class::Urgent
+                                                                        : work_class::Batch;
+    item.team = request.team();
+    item.service = request.service();
+    item.queue = service->queue();
+    item.declared = taskNeedOf(service->task());
+    item.tasks = {0};
+    item.avoid = {request.avoid().begin(), request.avoid().end()};
+    item.giveUpAt = now + milliseconds {request.wait_ms()};
+    const auto ticket = item.ticket;
+    if (const auto error = addWork(state.scheduler, std::move(item), now)) {
+        refuse(state, from, kindOf(error), "", retryWhenFull);
+        return;
+    }
+    state.dispatches.emplace(ticket, open_dispatch {from, request});
+}
+
+void takeEnd(controller_state &state, const reply_address &from, const messages::placement_end &end)
+{
+    const auto found = state.cell.placements.find(end.placement_id());
+    if (found == state.cell.placements.end()) {
+        messages::envelope done;
+        done.set_done(true);
+        reply(state, from, std::move(done));
+        return;
+    }
+    auto copy = end;
+    proposeEnd(state, std::move(copy), from);
+}
+
+void takeSubmission(controller_state &state, const reply_address &from,
+                    const messages::job_submission &submission)
+{
+    const auto &configuration = state.cell.configuration;
+    const auto *queue = configuration.queue(submission.queue());
+    const auto *team = configuration.team(submission.team());
+    if (queue == nullptr || configuration.service(submission.service()) == nullptr
+        || team == nullptr) {
+        refuse(state, from, error_kind::NotFound, "no such queue, service or team");
+        return;
+    }
+    const auto need = taskNeedOf(submission.task());
+    if (submission.tasks() < 0 || submission.tasks() > maxTasksOfJob || !fitsWithin({}, need)) {
+        refuse(state, from, error_kind::Malformed, "tasks and sizes must be within bounds");
+        return;
+    }
+    const auto bound = queue->max_waiting() > 0 ? static_cast<std::size_t>(queue->max_waiting())
+                                                : state.settings.policy.maxJobsWaiting;
+    const auto known = state.scheduler.teams.find(submission.team());
+    if (known != state.scheduler.teams.end()) {
+        const auto &counts = known->second.waitingCount;
+        if (counts[0] + counts[1] + counts[2] >= bound) {
+            refuse(state, from, error_kind::Overloaded, "too many jobs of the team wait",
+                   retryWhenFull);
+            return;
+        }
+    }
+    auto gangNeed = need;
+    if (queue->policy() == messages::GANG) {
+        const auto count = static_cast<std::int64_t>(std::max(submission.tasks(), 1));
+        gangNeed = {need.milliCores * count, need.memoryMb * count, need.accelerators * count,
+                    count};
+    }
+    if (!fitsWithin(gangNeed, limitOf(*team))) {
+        refuse(state, from, error_kind::LimitReached, "the job alone exceeds the team's limit");
+        return;
+    }
+    messages::command command;
+    *command.mutable_submit() = submission;
+    proposeCommand(state, std::move(command), from);
+}
+
+void takeJobChange(controller_state &state, const reply_address &from,
+                   const messages::job_change &change)
+{
+    if (!state.cell.jobs.contains(change.id())) {
+        refuse(state, from, error_kind::NotFound, "no such job");
+        return;
+    }
+    if (change.action() != messages::RELEASE) {
+        dropWork(state.scheduler, change.id()); // at once: nothing of it starts any more
+    }
+    if (change.action() == messages::CANCEL) {
+        for (const auto &task : state.cell.jobs.at(change.id()).tasks) {
+            if (task.placement != 0) {
+                sendStop(state, task.placement, "stop");
+            }
+        }
+    }
+    messages::command command;
+    *command.mutable_change() = change;
+    proposeCommand(state, std::move(command), from);
+}
+
+void runScheduler(controller_state &state, time_point now)
+{
+    if (state.isDiskFull || state.pending.size() >= state.settings.pendingCommands
+        || lastIndex(state.log) - state.log.commit >= state.log.settings.maxUncommitted) {
+        return;
+    }
+    const auto result = schedule(state.scheduler, now);
+    for (std::size_t i = 0; i < result.placements.size();) {
+        const auto &first = result.placements[i];
+        std::vector<placement_decision> same;
+        const bool isGang = state.scheduler.running.at(first.placement).kind == work_class::Gang;
+        while (isGang && i < result.placements.size()
+               && result.placements[i].ticket == first.ticket) {
+            same.push_back(result.placements[i++]);
+        }
+        if (isGang) {
+            proposeGang(state, same);
+        } else {
+            proposePlacement(state, first);
+            ++i;
+        }
+    }
+    for (const auto &refusal : result.refusals) {
+        const auto open = state.dispatches.find(refusal.ticket);
+        if (open != state.dispatches.end()) {
+            refuse(state, open->second.replyTo, refusal.kind, "", retryWhenFull);
+            state.dispatches.erase(open);
+        }
+    }
+    for (const auto &stop : result.stops) {
+        sendStop(state, stop.placement, "checkpoint");
+    }
+}
+
+} // namespace filbert
--- /dev/null
+++ b/modules/filbert_controller/work_intake.h
@@ -0,0 +1,26 @@
+#pragma once
+
+#include "controller_state.h"
+
+namespace filbert {
+
+/** A gateway asks for room for a synchronous request. */
+void takeDispatch(controller_state &state, const reply_address &from,
+                  const messages::dispatch_request &request, time_point now);
+
+/** A gateway says how a synchronous request or a start order ended. */
+void takeEnd(controller_state &state, const reply_address &from,
+             const messages::placement_end &end);
+
+/** A job is handed in; answered once it is durable. */
+void takeSubmission(controller_state &state, const reply_address &from,
+                    const messages::job_submission &submission);
+
+/** A job is cancelled, held or released. */
+void takeJobChange(controller_state &state, const reply_address &from,
+                   const messages::job_change &change);
+
+/** Lets the scheduler decide and turns its decisions into commands. */
+void runScheduler(controller_state &state, time_point now);
+
+} // namespace filbert
--- /dev/null
+++ b/modules/filbert_core/clock.h
@@ -0,0 +1,77 @@
+#pragma once
+
+#include <compare>
+#include <cstdint>
+
+namespace filbert {
+
+/** A span of time, in whole milliseconds. */
+struct milliseconds
+{
+    std::int64_t count = 0;
+
+    constexpr auto operator<=>(const milliseconds &) const = default;
+};
+
+constexpr milliseconds operator+(milliseconds a, milliseconds b)
+{
+    return {a.count + b.count};
+}
+
+constexpr milliseconds operator-(milliseconds a, milliseconds b)
+{
+    return {a.count - b.count};
+}
+
+constexpr milliseconds operator*(milliseconds a, std::int64_t factor)
+{
+    return {a.count * factor};
+}
+
+/** A point on one clock, in milliseconds since that clock's own start.
+
+    Points of different hosts' clocks are never compared with each other: only their rates are
+    trusted, within clockRateMargin().
+*/
+struct time_point
+{
+    std::int64_t ms = 0;
+
+    constexpr auto operator<=>(const time_point &) const = default;
+};
+
+constexpr time_point operator+(time_point t, milliseconds d)
+{
+    return {t.ms + d.count};
+}
+
+constexpr time_point operator-(time_point t, milliseconds d)
+{
+    return {t.ms - d.count};
+}
+
+constexpr milliseconds operator-(time_point a, time_point b)
+{
+    return {a.ms - b.ms};
+}
+
+/** Stretches a lease by the most that two hosts' clock rates may differ (5 %).
+
+    Whoever grants a lease waits this long before it takes the lease for ended; whoever holds it
+    counts the bare length.
+
+    @param lease  what was promised, in milliseconds
+    @return the time to wait, in milliseconds
+*/
+constexpr milliseconds clockRateMargin(milliseconds lease)
+{
+    return {lease.count + lease.count / 20 + 1};
+}
+
+/** The host's monotonic clock. @return milliseconds since an arbitrary start of this host */
+time_point monotonicNow();
+
+/** The host's wall clock, for the audit trail only. @return milliseconds since 1970, UTC */
+std::int64_t wallClockMs();
+
+} // namespace filbert
--- /dev/null
+++ b/modules/filbert_gateway/configuration_lease.cpp
@@ -0,0 +1,57 @@
+#include "configuration_lease.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace filbert {
+
+messages::gateway_hello makeHello(const configuration_lease &lease, const std::string &gateway)
+{
+    messages::gateway_hello hello;
+    hello.set_gateway(gateway);
+    hello.set_version(lease.configuration.version());
+    hello.set_digest(lease.configuration.digest());
+    return hello;
+}
+
+bool takeGrant(configuration_lease &lease, const messages::configuration_grant &grant,
+               time_point sentAt)
+{
+    const auto held = lease.configuration.version();
+    if (grant.version() < held) {
+        return false; // versions never fall
+    }
+    const bool isDelta = grant.from_version() != 0;
+    if (isDelta && grant.from_version() != held) {
+        return false;
+    }
+    if (!isDelta || grant.version() != held) {
+        auto next = isDelta ? lease.configuration : cell_configuration {};
+        next.applyItems(grant.items(), grant.version());
+        if (next.digest() != grant.digest() && grant.version() != 0) {
+            log_line {"configuration_digest_differs", log_line::severity::Error}
+                .with("version", grant.version())
+                .with("from_version", grant.from_version());
+            lease.configuration.clear(); // the next hello gets the whole
+            lease.until = {};
+            return false;
+        }
+        if (grant.version() != held) {
+            log_line {"configuration_in_force"}
+                .with("version", grant.version())
+                .with("items", grant.items_size());
+        }
+        lease.configuration = std::move(next);
+    }
+    lease.until = std::max(lease.until, sentAt + milliseconds {grant.lease_ms()});
+    lease.gateways = std::max(1, grant.gateways());
+    lease.members = grant.members();
+    return true;
+}
+
+bool isInForce(const configuration_lease &lease, time_point now)
+{
+    return lease.configuration.version() > 0 && now < lease.until;
+}
+
+} // namespace filbert
--- /dev/null
+++ b/modules/filbert_gateway/controller_links.cpp
@@ -0,0 +1,153 @@
+#include "controller_links.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace filbert {
+
+namespace {
+
+constexpr milliseconds retryPause {50};
+constexpr milliseconds answerPatience {1'000};
+constexpr milliseconds switchPause {200};
+constexpr int messageFormat = 1;
+
+} // namespace
+
+controller_links::controller_links(const std::string &name,
+                                   const std::vector<std::string> &addresses,
+                                   controller_transport &transport)
+    : name {name}
+    , addresses {addresses}
+    , transport {transport}
+{
+    FILBERT_INVARIANT(!addresses.empty(), "at least one controller is named");
+}
+
+void controller_links::request(messages::envelope &&envelope, milliseconds timeout,
+                               resend_rule rule, time_point now, handler onAnswer)
+{
+    const auto id = ++lastExchange;
+    envelope.set_exchange(id);
+    envelope.set_format(messageFormat);
+    envelope.set_from(name);
+    auto &added = open[id];
+    added.envelope = std::move(envelope);
+    added.onAnswer = std::move(onAnswer);
+    added.deadline = now + timeout;
+    added.rule = rule;
+    trySend(added, now);
+}
+
+void controller_links::trySend(exchange &which, time_point now)
+{
+    which.sentAt = now;
+    which.isUnanswered = transport.send(leader(), which.envelope);
+    which.silentSends += which.isUnanswered ? 1 : 0;
+    which.retryAt = now + retryPause;
+    if (!which.isUnanswered && now - lastSwitch >= switchPause) {
+        lastSwitch = now;
+        tryNext();
+    }
+}
+
+void controller_links::tryNext()
+{
+    current = (current + 1) % addresses.size();
+}
+
+void controller_links::point(const std::string &address)
+{
+    const auto found = std::find(addresses.begin(), addresses.end(), address);
+    if (found == addresses.end()) {
+        addresses.push_back(address);
+        current = addresses.size() - 1;
+        return;
+    }
+    current = static_cast<std::size_t>(found - addresses.begin());
+}
+
+void controller_links::takeAnswer(const std::string &address, const messages::envelope &envelope,
+                                  time_point now)
+{
+    const auto found = open.find(envelope.exchange());
+    if (found == open.end()) {
+        return;
+    }
+    if (envelope.body_case() == messages::envelope::kNotLeader) {
+        auto &which = found->second;
+        which.isUnanswered = false;
+        --which.silentSends;
+        which.retryAt = now + retryPause;
+        const auto &hint = envelope.not_leader().address();
+        if (!hint.empty() && hint != address) {
+            point(hint);
+            which.retryAt = now;
+        } else if (address == leader() && now - lastSwitch >= switchPause) {
+            lastSwitch = now;
+            tryNext();
+        }
+        return;
+    }
+    lastAnswer = now;
+    const auto answered = std::move(found->second);
+    open.erase(found);
+    answered.onAnswer({}, envelope);
+}
+
+void controller_links::takeTime(time_point now)
+{
+    std::vector<std::uint64_t> late;
+    bool isLeaderSilent = false;
+    for (auto &[id, which] : open) {
+        if (now >= which.deadline) {
+            late.push_back(id);
+        } else if (!which.isUnanswered && now >= which.retryAt) {
+            trySend(which, now);
+        } else if (which.isUnanswered && now - which.sentAt >= answerPatience
+                   && lastAnswer < which.sentAt) {
+            // Nothing at all has come since: it may be cut off, or lead no more.
+            isLeaderSilent = true;
+            if (which.rule == resend_rule::WhenUnanswered) {
+                which.isUnanswered = false;
+                which.retryAt = now;
+            }
+        }
+    }
+    if (isLeaderSilent && now - lastSwitch >= answerPatience) {
+        lastSwitch = now;
+        tryNext();
+    }
+    for (const auto id : late) {
+        const auto which = std::move(open.at(id));
+        open.erase(id);
+        which.onAnswer(which.silentSends > 0 ? error_kind::Timeout : error_kind::NoLeader, {});
+    }
+}
+
+bool controller_links::isIdle() const
+{
+    return std::all_of(open.begin(), open.end(),
+                       [](const auto &each) { return each.second.envelope.has_hello(); });
+}
+
+void controller_links::setMembers(const messages::membership &members)
+{
+    for (const auto &member : members.members()) {
+        if (std::find(addresses.begin(), addresses.end(), member.address()) == addresses.end()) {
+            addresses.push_back(member.address());
+        }
+    }
+    if (members.members_size() == 0) {
+        return;
+    }
+    const auto kept = leader();
+    std::erase_if(addresses, [&](const auto &address) {
+        return address != kept
+            && std::none_of(members.members().begin(), members.members().end(),
+                            [&](const auto &member) { return member.address() == address; });
+    });
+    point(kept);
+}
+
+} // namespace filbert
--- /dev/null
+++ b/modules/filbert_gateway/gateway.h
@@ -0,0 +1,92 @@
+#pragma once
+
+#include "configuration_lease.h"
+#include "controller_links.h"
+#include "filbert_transport/http_types.h"
+#include "gateway_metrics.h"
+
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace filbert {
+
+/** Answers callers. */
+class caller_port
+{
+public:
+    virtual ~caller_port() = default;
+    virtual void respond(std::uint64_t request, http_answer &&answer) = 0;
+};
+
+/** One order or request to a target. */
+struct target_call
+{
+    std::string address; // IP:port
+    std::string path;
+    std::vector<http_header> headers;
+    std::string body;
+    milliseconds timeout;
+    bool needsNewConnection = false;
+};
+
+/** Calls targets; each call ends with one call of its handler. */
+class target_port
+{
+public:
+    using handler = std::function<void(std::error_code, http_answer &&)>;
+
+    virtual ~target_port() = default;
+    virtual void call(target_call &&call, handler onAnswer) = 0;
+
+    /** Divides a target's connections over the gateways. @param gateways how many there are */
+    virtual void setGateways(int gateways) = 0;
+};
+
+/** Settings of a gateway. */
+struct gateway_settings
+{
+    std::string name;
+    messages::access_key bootstrapOperator; // counts while no operator is configured
+    milliseconds helloPeriod {500};
+    milliseconds defaultDeadline {10'000};
+    milliseconds longestDeadline {120'000};
+    double retryBudget = 0.1; // retries for each first try
+};
+
+/** An entry host's role: callers, targets and operators on one side, the leader on the other.
+
+    It keeps no durable state. It reads no clock: the program around it passes the time.
+*/
+class gateway
+{
+public:
+    /** All references outlive the gateway. */
+    gateway(const gateway_settings &settings, controller_links &links, caller_port &callers,
+            target_port &targets, gateway_metrics &metrics);
+    ~gateway();
+    gateway(const gateway &) = delete;
+    gateway &operator=(const gateway &) = delete;
+
+    /** A whole request came in. */
+    void takeRequest(http_request &&request, time_point now);
+
+    /** A controller sent something that is no answer: an order for a target. */
+    void takeOrder(const messages::envelope &envelope, time_point now);
+
+    /** Lets time pass; call it every 10 to 50 ms. */
+    void takeTime(time_point now);
+
+    /** Stops to be ready for the balancer; goes on serving what comes. */
+    void startStopping(time_point now);
+
+    /** @return whether the balancer may send callers here */
+    bool isReady(time_point now) const;
+
+    struct parts; // for the routes, see gateway_parts.h
+
+private:
+    std::unique_ptr<parts> self;
+};
+
+} // namespace filbert
--- /dev/null
+++ b/modules/filbert_gateway/target_routes.cpp
@@ -0,0 +1,99 @@
+#include "target_routes.h"
+
+#include "gateway_parts.h"
+
+#include <utility>
+
+namespace filbert {
+
+namespace {
+
+constexpr milliseconds orderPatience {4'000};
+constexpr milliseconds endPatience {10'000};
+constexpr int statusOk = 200;
+constexpr int refusedByTarget = 412;
+
+/** Checks the key and reads the body; answers by itself where that fails. */
+bool readFromTarget(gateway::parts &parts, const http_request &request,
+                    google::protobuf::Message *body)
+{
+    key_owner owner;
+    if (const auto error = authenticate(parts, request, key_role::Target, &owner)) {
+        parts.answerProblem(request.id, kindOf(error), "");
+        return false;
+    }
+    std::string detail;
+    if (readJson(request.body, body, &detail)) {
+        parts.answerProblem(request.id, error_kind::Malformed, detail);
+        return false;
+    }
+    return true;
+}
+
+} // namespace
+
+void announceTarget(gateway::parts &parts, http_request &&request, const std::string &name)
+{
+    messages::envelope envelope;
+    if (!readFromTarget(parts, request, envelope.mutable_announce())) {
+        return;
+    }
+    envelope.mutable_announce()->set_name(name);
+    static const messages::target_registration accepted;
+    parts.relay(request.id, std::move(envelope), statusOk, resend_rule::WhenUnanswered,
+                [](const messages::envelope &answer) -> const google::protobuf::Message * {
+                    return answer.done() ? &accepted : nullptr;
+                });
+}
+
+void takeTargetHeartbeat(gateway::parts &parts, http_request &&request, const std::string &name)
+{
+    messages::envelope envelope;
+    if (!readFromTarget(parts, request, envelope.mutable_heartbeat())) {
+        return;
+    }
+    envelope.mutable_heartbeat()->set_name(name);
+    parts.relay(request.id, std::move(envelope), statusOk, resend_rule::Never,
+                [](const messages::envelope &answer) -> const google::protobuf::Message * {
+                    return answer.has_heartbeat_reply() ? &answer.heartbeat_reply() : nullptr;
+                });
+}
+
+void sendStartOrder(gateway::parts &parts, const messages::start_order &order)
+{
+    target_call call;
+    call.address = order.address();
+    call.path = "/v1/tasks";
+    call.headers = {{"content-type", "application/json"}};
+    call.body = writeJson(order);
+    call.timeout = orderPatience;
+    parts.targets.call(
+        std::move(call),
+        [&parts, id = order.placement_id()](std::error_code error, http_answer &&answer) {
+            const bool isNotRun = error == error_kind::ConnectionFailed
+                || (!error && answer.status == refusedByTarget);
+            if (!isNotRun) {
+                return; // started, or its heartbeats will tell
+            }
+            messages::envelope envelope;
+            auto *end = envelope.mutable_end();
+            end->set_placement_id(id);
+            end->set_result(messages::NOT_RUN);
+            end->set_reason(error ? "no connection" : "the target refused");
+            parts.links.request(std::move(envelope), endPatience, resend_rule::WhenUnanswered,
+                                parts.now, [](std::error_code, const auto &) {});
+        });
+}
+
+void sendStopOrder(gateway::parts &parts, const messages::stop_order &order)
+{
+    target_call call;
+    call.address = order.address();
+    call.path = "/v1/tasks/stop";
+    call.headers = {{"content-type", "application/json"}};
+    call.body = writeJson(order);
+    call.timeout = orderPatience;
+    parts.targets.call(std::move(call), [](std::error_code, http_answer &&) {});
+}
+
+} // namespace filbert
--- /dev/null
+++ b/modules/filbert_policy/placement_pass.cpp
@@ -0,0 +1,429 @@
+#include "placement_pass.h"
+
+#include <algorithm>
+#include <limits>
+
+namespace filbert {
+
+namespace {
+
+constexpr milliseconds preemptionPause {2'000};
+constexpr milliseconds unknownRunTime {3'600'000};
+
+bool usesClasses(const scheduler_state &state)
+{
+    return state.settings.kind == policy_kind::Filbert;
+}
+
+std::uint64_t releasesOf(const scheduler_state &state, const std::string &service)
+{
+    const auto pool = state.index.pools.find(service);
+    return pool == state.index.pools.end() ? 0 : pool->second.releases;
+}
+
+/** Whether work that is not urgent would take the last room of a pool that urgent work uses. */
+bool leavesUrgentReserve(const scheduler_state &state, const target_view &target,
+                         const resource_amounts &need)
+{
+    if (!usesClasses(state)) {
+        return true;
+    }
+    return std::all_of(target.services.begin(), target.services.end(), [&](const auto &service) {
+        if (!state.urgentServices.contains(service)) {
+            return true;
+        }
+        const auto &pool = state.index.pools.at(service);
+        const auto part = 1 - state.settings.urgentReserve;
+        const auto isWithin = [&](std::int64_t used, std::int64_t more, std::int64_t capacity) {
+            return static_cast<double>(used + more) <= static_cast<double>(capacity) * part;
+        };
+        return isWithin(pool.used.milliCores, need.milliCores, pool.capacity.milliCores)
+            && isWithin(pool.used.slots, need.slots, pool.capacity.slots);
+    });
+}
+
+std::int64_t chooseTarget(const scheduler_state &state, const work_item &item)
+{
+    if (state.settings.kind == policy_kind::Filbert) {
+        return findTarget(state.index, item.service, item.need, item.avoid);
+    }
+    return findFirstTarget(state.index, item.service, item.need);
+}
+
+void take(scheduler_state &state, const work_item &item, std::int32_t task, std::uint32_t target,
+          time_point now, schedule_result *result)
+{
+    const auto placement = state.nextPlacement++;
+    auto &team = state.teams[item.team];
+    settleHistory(state, team, now);
+    running_task running {target,
+                          item.ticket,
+                          task,
+                          item.kind,
+                          item.team,
+                          item.service,
+                          item.team + "/" + (item.name.empty() ? item.service : item.name),
+                          item.need,
+                          now,
+                          item.isIdempotent};
+    noteRunning(state, placement, std::move(running));
+    result->placements.push_back({placement, item.ticket, task, target});
+}
+
+void preemptFor(scheduler_state &state, work_item &item, time_point now, schedule_result *result)
+{
+    if (!usesClasses(state)
+        || (item.preemptedAt.ms != 0 && now - item.preemptedAt < preemptionPause)) {
+        return;
+    }
+    std::vector<std::uint64_t> best;
+    std::int64_t bestLoss = std::numeric_limits<std::int64_t>::max();
+    std::size_t looked = 0;
+    const auto count = state.index.targets.size();
+    for (std::size_t i = 0; i < count && looked < state.settings.preemptionTargets; ++i) {
+        const auto number = (i + static_cast<std::size_t>(item.ticket)) % count;
+        const auto &target = state.index.targets[number];
+        const bool offers = std::find(target.services.begin(), target.services.end(), item.service)
+            != target.services.end();
+        if (!target.isEligible || !offers) {
+            continue;
+        }
+        ++looked;
+        std::vector<std::pair<std::int64_t, std::uint64_t>> victims; // by time lost
+        for (const auto placement : state.runningOnTarget[number]) {
+            const auto &task = state.running.at(placement);
+            if (task.kind == work_class::Batch && task.isIdempotent && !task.isStopping) {
+                victims.emplace_back((now - task.since).count, placement);
+            }
+        }
+        std::sort(victims.begin(), victims.end());
+        auto room = roomOf(target);
+        std::int64_t loss = 0;
+        std::vector<std::uint64_t> chosen;
+        for (const auto &[lost, placement] : victims) {
+            if (fitsWithin(item.need, room)) {
+                break;
+            }
+            room += state.running.at(placement).need;
+            loss += lost;
+            chosen.push_back(placement);
+        }
+        if (fitsWithin(item.need, room) && !chosen.empty() && loss < bestLoss) {
+            bestLoss = loss;
+            best = std::move(chosen);
+        }
+    }
+    for (const auto placement : best) {
+        state.running.at(placement).isStopping = true;
+        result->stops.push_back({placement});
+        item.preemptedAt = now;
+    }
+}
+
+bool placeOne(scheduler_state &state, work_item &item, time_point now, schedule_result *result)
+{
+    const auto target = chooseTarget(state, item);
+    if (target < 0) {
+        if (item.kind == work_class::Urgent) {
+            preemptFor(state, item, now, result);
+        }
+        return false;
+    }
+    const auto number = static_cast<std::uint32_t>(target);
+    if (item.kind != work_class::Urgent
+        && !leavesUrgentReserve(state, state.index.targets[number], item.need)) {
+        return false;
+    }
+    const auto task = item.tasks.back();
+    item.tasks.pop_back();
+    take(state, item, task, number, now, result);
+    return true;
+}
+
+milliseconds expectedEnd(const scheduler_state &state, std::uint32_t target, time_point now)
+{
+    milliseconds latest;
+    for (const auto placement : state.runningOnTarget[target]) {
+        const auto &task = state.running.at(placement);
+        const auto known = state.learned.find(task.learnName);
+        const bool isKnown = known != state.learned.end() && known->second.runTime.count > 0;
+        const auto runTime = isKnown ? known->second.runTime : unknownRunTime;
+        latest = std::max(latest, runTime - (now - task.since));
+    }
+    return latest;
+}
+
+/** Reserves, at once or not at all, the targets that will be empty soonest and hold the gang. */
+void reserveFor(scheduler_state &state, const work_item &item, time_point now)
+{
+    std::vector<std::pair<std::int64_t, std::uint32_t>> candidates;
+    for (std::uint32_t i = 0; i < state.index.targets.size(); ++i) {
+        const auto &target = state.index.targets[i];
+        const bool offers = std::find(target.services.begin(), target.services.end(), item.service)
+            != target.services.end();
+        if (target.isEligible && target.reservedFor == 0 && offers
+            && fitsWithin(item.need, target.capacity)) {
+            candidates.emplace_back(expectedEnd(state, i, now).count, i);
+        }
+    }
+    std::sort(candidates.begin(), candidates.end());
+    std::size_t held = 0;
+    std::vector<std::uint32_t> chosen;
+    for (const auto &[end, number] : candidates) {
+        auto room = state.index.targets[number].capacity;
+        while (held < item.tasks.size() && fitsWithin(item.need, room)) {
+            room -= item.need;
+            ++held;
+        }
+        chosen.push_back(number);
+        if (held >= item.tasks.size()) {
+            break;
+        }
+    }
+    if (held < item.tasks.size()) {
+        return;
+    }
+    for (const auto number : chosen) {
+        setReserved(state.index, number, item.ticket);
+    }
+    state.reservations[item.ticket] = std::move(chosen);
+}
+
+bool placeGang(scheduler_state &state, work_item &item, time_point now, schedule_result *result)
+{
+    const auto reserved = state.reservations.find(item.ticket);
+    if (reserved != state.reservations.end()) {
+        for (const auto number : reserved->second) {
+            setReserved(state.index, number, 0);
+        }
+    }
+    std::vector<std::uint32_t> chosen;
+    for (std::size_t i = 0; i < item.tasks.size(); ++i) {
+        const auto target = chooseTarget(state, item);
+        const bool isGood = target >= 0
+            && leavesUrgentReserve(state, state.index.targets[static_cast<std::size_t>(target)],
+                                   item.need);
+        if (!isGood) {
+            break;
+        }
+        chosen.push_back(static_cast<std::uint32_t>(target));
+        addUse(state.index, chosen.back(), item.service, item.need);
+    }
+    for (const auto number : chosen) {
+        undoUse(state.index, number, item.service, item.need);
+    }
+    if (chosen.size() < item.tasks.size()) {
+        if (reserved != state.reservations.end()) {
+            for (const auto number : reserved->second) {
+                setReserved(state.index, number, item.ticket);
+            }
+        } else if (usesClasses(state) && now - item.since >= state.settings.reserveGangAfter) {
+            reserveFor(state, item, now);
+        }
+        return false;
+    }
+    state.reservations.erase(item.ticket);
+    for (std::size_t i = 0; i < chosen.size(); ++i) {
+        take(state, item, item.tasks[i], chosen[i], now, result);
+    }
+    item.tasks.clear();
+    return true;
+}
+
+/** Whether it is of any use to try a piece of work now. */
+bool isWorthTrying(const scheduler_state &state, const work_item &item, time_point now)
+{
+    if (item.notBefore > now || item.tasks.empty()) {
+        return false;
+    }
+    const bool mayReserve = item.kind == work_class::Gang && usesClasses(state)
+        && now - item.since >= state.settings.reserveGangAfter
+        && !state.reservations.contains(item.ticket);
+    return !item.isBlocked || mayReserve || item.blockedAt != releasesOf(state, item.service);
+}
+
+bool isWithinLimit(const scheduler_state &state, const work_item &item)
+{
+    const auto &team = state.teams.at(item.team);
+    auto need = item.need;
+    if (item.kind == work_class::Gang) {
+        const auto count = static_cast<std::int64_t>(item.tasks.size());
+        need = {need.milliCores * count, need.memoryMb * count, need.accelerators * count, count};
+    }
+    return fitsWithin(team.used + need, team.limit);
+}
+
+void removeEnded(const scheduler_state &state, std::deque<std::uint64_t> *queue)
+{
+    while (!queue->empty() && !state.waiting.contains(queue->front())) {
+        queue->pop_front();
+    }
+}
+
+void finishItem(scheduler_state &state, std::uint64_t ticket)
+{
+    const auto &item = state.waiting.at(ticket);
+    if (item.tasks.empty()) {
+        --state.teams[item.team].waitingCount[static_cast<std::size_t>(item.kind)];
+        state.waiting.erase(ticket);
+    }
+}
+
+/** Tries the first pieces of work of one team. @return whether something was started */
+bool placeFrom(scheduler_state &state, team_view &team, const std::vector<work_class> &classes,
+               time_point now, schedule_result *result)
+{
+    for (const auto kind : classes) {
+        auto &queue = team.waiting[static_cast<std::size_t>(kind)];
+        removeEnded(state, &queue);
+        std::size_t looked = 0;
+        for (std::size_t i = 0; i < queue.size() && looked < state.settings.jobsLookedAt; ++i) {
+            const auto ticket = queue[i];
+            const auto found = state.waiting.find(ticket);
+            if (found == state.waiting.end()) {
+                continue;
+            }
+            auto &item = found->second;
+            ++looked;
+            if (!isWorthTrying(state, item, now) || !isWithinLimit(state, item)) {
+                continue;
+            }
+            const bool isPlaced = kind == work_class::Gang ? placeGang(state, item, now, result)
+                                                           : placeOne(state, item, now, result);
+            if (isPlaced) {
+                finishItem(state, ticket);
+                return true;
+            }
+            item.isBlocked = true;
+            item.blockedAt = releasesOf(state, item.service);
+        }
+    }
+    return false;
+}
+
+time_point oldestWaiting(const scheduler_state &state, const team_view &team,
+                         const std::vector<work_class> &classes)
+{
+    time_point oldest {std::numeric_limits<std::int64_t>::max()};
+    for (const auto kind : classes) {
+        for (const auto ticket : team.waiting[static_cast<std::size_t>(kind)]) {
+            const auto found = state.waiting.find(ticket);
+            if (found != state.waiting.end()) {
+                oldest = std::min(oldest, found->second.since);
+                break;
+            }
+        }
+    }
+    return oldest;
+}
+
+/** What a pass keeps for each team that has work. */
+struct contender
+{
+    team_view *team = nullptr;
+    double use = 0;
+    time_point oldest;
+    bool isExhausted = false;
+};
+
+bool comesBefore(const contender &a, const contender &b)
+{
+    return a.use != b.use ? a.use < b.use : a.oldest < b.oldest;
+}
+
+} // namespace
+
+void expireUrgent(scheduler_state &state, time_point now, schedule_result *result)
+{
+    while (!state.giveUps.empty() && state.giveUps.begin()->first <= now) {
+        const auto ticket = state.giveUps.begin()->second;
+        state.giveUps.erase(state.giveUps.begin());
+        const auto found = state.waiting.find(ticket);
+        if (found == state.waiting.end()) {
+            continue;
+        }
+        const bool isLimit = !isWithinLimit(state, found->second);
+        result->refusals.push_back(
+            {ticket, isLimit ? error_kind::LimitReached : error_kind::NoCapacity});
+        dropWork(state, ticket);
+    }
+}
+
+void runPass(scheduler_state &state, const std::vector<work_class> &classes, time_point now,
+             schedule_result *result)
+{
+    std::vector<contender> contenders;
+    for (auto &[name, team] : state.teams) {
+        const bool hasWork = std::any_of(classes.begin(), classes.end(), [&](auto kind) {
+            return team.waitingCount[static_cast<std::size_t>(kind)] > 0;
+        });
+        if (hasWork) {
+            contenders.push_back(
+                {&team, weightedUse(state, team, now), oldestWaiting(state, team, classes)});
+        }
+    }
+    while (true) {
+        contender *best = nullptr;
+        for (auto &each : contenders) {
+            if (!each.isExhausted && (best == nullptr || comesBefore(each, *best))) {
+                best = &each;
+            }
+        }
+        if (best == nullptr) {
+            return;
+        }
+        if (placeFrom(state, *best->team, classes, now, result)) {
+            best->use = weightedUse(state, *best->team, now);
+            best->oldest = oldestWaiting(state, *best->team, classes);
+        } else {
+            best->isExhausted = true;
+        }
+    }
+}
+
+void dropReservation(scheduler_state &state, std::uint64_t ticket)
+{
+    const auto found = state.reservations.find(ticket);
+    if (found == state.reservations.end()) {
+        return;
+    }
+    for (const auto number : found->second) {
+        setReserved(state.index, number, 0);
+    }
+    state.reservations.erase(found);
+}
+
+void dropReservationsOf(scheduler_state &state, std::uint32_t target)
+{
+    const auto ticket = state.index.targets[target].reservedFor;
+    if (ticket != 0) {
+        dropReservation(state, ticket);
+    }
+}
+
+std::string missingResource(const scheduler_state &state, const work_item &item)
+{
+    resource_amounts most;
+    for (const auto &target : state.index.targets) {
+        if (std::find(target.services.begin(), target.services.end(), item.service)
+            != target.services.end()) {
+            most = largerOf(most, target.capacity);
+        }
+    }
+    const auto &need = item.need;
+    if (need.accelerators > most.accelerators) {
+        return "accelerators " + std::to_string(need.accelerators) + ", the largest target has "
+            + std::to_string(most.accelerators);
+    }
+    if (need.milliCores > most.milliCores) {
+        return "milli_cores " + std::to_string(need.milliCores) + ", the largest target has "
+            + std::to_string(most.milliCores);
+    }
+    if (need.memoryMb > most.memoryMb) {
+        return "memory_mb " + std::to_string(need.memoryMb) + ", the largest target has "
+            + std::to_string(most.memoryMb);
+    }
+    return "no single target has all of it together";
+}
+
+} // namespace filbert
--- /dev/null
+++ b/modules/filbert_policy/resource_amounts.h
@@ -0,0 +1,108 @@
+#pragma once
+
+#include "filbert_messages/filbert_messages.h"
+
+#include <algorithm>
+#include <cstdint>
+#include <limits>
+
+namespace filbert {
+
+/** An amount of each resource: milli-cores, mebibytes, whole accelerators, running tasks. */
+struct resource_amounts
+{
+    std::int64_t milliCores = 0;
+    std::int64_t memoryMb = 0;
+    std::int64_t accelerators = 0;
+    std::int64_t slots = 0;
+
+    bool operator==(const resource_amounts &) const = default;
+
+    resource_amounts &operator+=(const resource_amounts &other)
+    {
+        milliCores += other.milliCores;
+        memoryMb += other.memoryMb;
+        accelerators += other.accelerators;
+        slots += other.slots;
+        return *this;
+    }
+
+    resource_amounts &operator-=(const resource_amounts &other)
+    {
+        milliCores -= other.milliCores;
+        memoryMb -= other.memoryMb;
+        accelerators -= other.accelerators;
+        slots -= other.slots;
+        return *this;
+    }
+};
+
+inline resource_amounts operator+(resource_amounts a, const resource_amounts &b)
+{
+    return a += b;
+}
+
+inline resource_amounts operator-(resource_amounts a, const resource_amounts &b)
+{
+    return a -= b;
+}
+
+/** @return whether a need is within what there is, in every resource */
+inline bool fitsWithin(const resource_amounts &need, const resource_amounts &room)
+{
+    return need.milliCores <= room.milliCores && need.memoryMb <= room.memoryMb
+        && need.accelerators <= room.accelerators && need.slots <= room.slots;
+}
+
+/** @return the larger of two amounts, in each resource */
+inline resource_amounts largerOf(const resource_amounts &a, const resource_amounts &b)
+{
+    return {std::max(a.milliCores, b.milliCores), std::max(a.memoryMb, b.memoryMb),
+            std::max(a.accelerators, b.accelerators), std::max(a.slots, b.slots)};
+}
+
+/** The largest part of any resource's total (dominant resource fairness, Ghodsi et al. 2011). */
+inline double dominantShare(const resource_amounts &used, const resource_amounts &total)
+{
+    const auto part = [](std::int64_t u, std::int64_t t) {
+        return t > 0 ? static_cast<double>(u) / static_cast<double>(t) : 0.0;
+    };
+    return std::max({part(used.milliCores, total.milliCores), part(used.memoryMb, total.memoryMb),
+                     part(used.accelerators, total.accelerators), part(used.slots, total.slots)});
+}
+
+/** @return the amounts of a message; a task takes one slot even where none is stated */
+inline resource_amounts amountsOf(const messages::resources &message)
+{
+    return {message.milli_cores(), message.memory_mb(), message.accelerators(), message.slots()};
+}
+
+/** @return the need of one task, which takes exactly one slot */
+inline resource_amounts taskNeedOf(const messages::resources &message)
+{
+    return {message.milli_cores(), message.memory_mb(), message.accelerators(), 1};
+}
+
+/** @return a team's limit; what is not stated is not limited */
+inline resource_amounts limitOf(const messages::team &team)
+{
+    constexpr auto none = std::numeric_limits<std::int64_t>::max() / 4;
+    const auto &limit = team.upper_limit();
+    return {limit.has_milli_cores() ? limit.milli_cores() : none,
+            limit.has_memory_mb() ? limit.memory_mb() : none,
+            limit.has_accelerators() ? limit.accelerators() : none,
+            limit.has_slots() ? limit.slots() : none};
+}
+
+/** @param amounts any @return the same as a message */
+inline messages::resources messageOf(const resource_amounts &amounts)
+{
+    messages::resources message;
+    message.set_milli_cores(static_cast<std::int32_t>(amounts.milliCores));
+    message.set_memory_mb(static_cast<std::int32_t>(amounts.memoryMb));
+    message.set_accelerators(static_cast<std::int32_t>(amounts.accelerators));
+    message.set_slots(static_cast<std::int32_t>(amounts.slots));
+    return message;
+}
+
+} // namespace filbert
--- /dev/null
+++ b/modules/filbert_policy/scheduler.cpp
@@ -0,0 +1,358 @@
+#include "scheduler.h"
+
+#include "placement_pass.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace filbert {
+
+namespace {
+
+constexpr double seenDecay = 0.9;
+
+std::string learnName(const work_item &item)
+{
+    return item.team + "/" + (item.name.empty() ? item.service : item.name);
+}
+
+void refreshEligibility(scheduler_state &state, const std::string &name)
+{
+    const auto found = state.index.byName.find(name);
+    if (found == state.index.byName.end()) {
+        return;
+    }
+    const auto &health = state.health[name];
+    setEligible(state.index, found->second, health.isHeard && !health.isQuarantined);
+}
+
+std::size_t waitingBound(const scheduler_state &state, work_class kind)
+{
+    return kind == work_class::Urgent ? state.settings.maxUrgentWaiting
+                                      : state.settings.maxJobsWaiting;
+}
+
+milliseconds backoffAfter(const scheduler_state &state, int failures)
+{
+    constexpr int maxDoublings = 16;
+    const auto &settings = state.settings;
+    const auto doublings = std::min(std::max(failures - 1, 0), maxDoublings);
+    return std::min(settings.retryBackoffMax, settings.retryBackoff * (1LL << doublings));
+}
+
+void enqueue(scheduler_state &state, work_item &&item)
+{
+    auto &team = state.teams[item.team];
+    const auto kind = static_cast<std::size_t>(item.kind);
+    team.waiting[kind].push_back(item.ticket);
+    ++team.waitingCount[kind];
+    if (item.giveUpAt.ms != 0) {
+        state.giveUps.emplace(item.giveUpAt, item.ticket);
+    }
+    const auto ticket = item.ticket;
+    state.waiting.insert_or_assign(ticket, std::move(item));
+}
+
+void quarantine(scheduler_state &state, const std::string &name, target_health &health,
+                time_point now)
+{
+    const auto &settings = state.settings;
+    health.nextQuarantine = health.nextQuarantine.count == 0
+        ? settings.quarantineFirst
+        : std::min(settings.quarantineMax, health.nextQuarantine * 2);
+    health.quarantinedUntil = now + health.nextQuarantine;
+    health.isQuarantined = true;
+    log_line {"target_quarantined", log_line::severity::Warning}
+        .with("target", name)
+        .with("distinct_jobs", health.failedJobs.size())
+        .with("until_ms", health.nextQuarantine.count);
+    refreshEligibility(state, name);
+}
+
+} // namespace
+
+void setTeam(scheduler_state &state, const std::string &name, double share,
+             const resource_amounts &limit)
+{
+    auto &team = state.teams[name];
+    team.name = name;
+    team.share = share > 0 ? share : 1;
+    team.limit = limit;
+}
+
+void setUrgentServices(scheduler_state &state, std::set<std::string> services)
+{
+    state.urgentServices = std::move(services);
+}
+
+void setTarget(scheduler_state &state, target_view view, bool isHeard)
+{
+    const auto name = view.name;
+    auto &health = state.health[name];
+    health.isHeard = isHeard;
+    view.isEligible = isHeard && !health.isQuarantined;
+    const auto found = state.index.byName.find(name);
+    if (found != state.index.byName.end()) {
+        view.isProbing = state.index.targets[found->second].isProbing;
+    }
+    const auto number = upsertTarget(state.index, view);
+    if (state.runningOnTarget.size() <= number) {
+        state.runningOnTarget.resize(number + 1);
+    }
+}
+
+void dropTarget(scheduler_state &state, const std::string &name)
+{
+    const auto found = state.index.byName.find(name);
+    if (found == state.index.byName.end()) {
+        return;
+    }
+    dropReservationsOf(state, found->second);
+    removeTarget(state.index, found->second);
+    state.health[name].isHeard = false;
+}
+
+std::error_code addWork(scheduler_state &state, work_item &&item, time_point now)
+{
+    auto &team = state.teams[item.team];
+    const auto kind = static_cast<std::size_t>(item.kind);
+    if (team.waitingCount[kind] >= waitingBound(state, item.kind)) {
+        return error_kind::Overloaded;
+    }
+    if (!fitsWithin(item.declared, team.limit)) {
+        return error_kind::LimitReached;
+    }
+    const auto known = state.learned.find(learnName(item));
+    item.need = item.declared;
+    if (known != state.learned.end()) {
+        const auto learned = largerOf(item.declared, known->second.seen);
+        const bool isPossible =
+            fitsWithin(learned, team.limit) && couldEverFit(state.index, item.service, learned);
+        item.need = isPossible ? learned : item.declared;
+    }
+    const bool isHopeless = item.kind == work_class::Urgent
+        && state.index.pools.contains(item.service)
+        && state.index.pools.at(item.service).targets > 0
+        && findTarget(state.index, item.service, item.need, {}) < 0
+        && !couldEverFit(state.index, item.service, item.need);
+    if (isHopeless) {
+        return error_kind::NeverFits;
+    }
+    item.since = now;
+    enqueue(state, std::move(item));
+    return {};
+}
+
+void returnTask(scheduler_state &state, work_item &&item, std::int32_t task, time_point now)
+{
+    const auto found = state.waiting.find(item.ticket);
+    if (found != state.waiting.end()) {
+        auto &known = found->second;
+        known.tasks.push_back(task);
+        known.failures += item.failures;
+        known.notBefore = now + backoffAfter(state, known.failures);
+        return;
+    }
+    item.tasks = {task};
+    item.need = item.declared;
+    item.since = now;
+    if (item.failures > 0) {
+        item.notBefore = now + backoffAfter(state, item.failures);
+    }
+    enqueue(state, std::move(item));
+}
+
+void dropWork(scheduler_state &state, std::uint64_t ticket)
+{
+    const auto found = state.waiting.find(ticket);
+    if (found == state.waiting.end()) {
+        return;
+    }
+    // Its ticket stays in the team's queue and is passed over there.
+    --state.teams[found->second.team].waitingCount[static_cast<std::size_t>(found->second.kind)];
+    state.waiting.erase(found);
+    dropReservation(state, ticket);
+}
+
+void noteRunning(scheduler_state &state, std::uint64_t placement, running_task &&task)
+{
+    addUse(state.index, task.target, task.service, task.need);
+    state.teams[task.team].used += task.need;
+    state.runningOnTarget[task.target].insert(placement);
+    state.running.emplace(placement, std::move(task));
+}
+
+void releaseTask(scheduler_state &state, std::uint64_t placement, time_point now)
+{
+    const auto found = state.running.find(placement);
+    if (found == state.running.end()) {
+        return;
+    }
+    const auto task = std::move(found->second);
+    state.running.erase(found);
+    auto &team = state.teams[task.team];
+    settleHistory(state, team, now);
+    team.used -= task.need;
+    FILBERT_INVARIANT(fitsWithin({}, team.used), "no team gives back more than it held");
+    state.runningOnTarget[task.target].erase(placement);
+    dropUse(state.index, task.target, task.service, task.need);
+}
+
+void noteResult(scheduler_state &state, std::uint64_t placement, bool succeeded, time_point now)
+{
+    const auto found = state.running.find(placement);
+    if (found == state.running.end()) {
+        return;
+    }
+    const auto &task = found->second;
+    auto &target = state.index.targets[task.target];
+    auto &health = state.health[target.name];
+    if (succeeded) {
+        auto &known = state.learned[task.learnName];
+        const auto took = now - task.since;
+        known.runTime = known.runTime.count == 0
+            ? took
+            : milliseconds {(known.runTime.count * 3 + took.count) / 4};
+        known.seen.milliCores =
+            static_cast<std::int64_t>(static_cast<double>(known.seen.milliCores) * seenDecay);
+        known.seen.memoryMb =
+            static_cast<std::int64_t>(static_cast<double>(known.seen.memoryMb) * seenDecay);
+        health.failedJobs.clear();
+        health.nextQuarantine = {};
+        setProbing(state.index, task.target, false);
+        return;
+    }
+    health.failedJobs.insert(task.ticket);
+    if (!health.isQuarantined
+        && (health.failedJobs.size() >= state.settings.quarantineJobs || target.isProbing)) {
+        quarantine(state, target.name, health, now);
+    }
+}
+
+void reviewQuarantines(scheduler_state &state, time_point now)
+{
+    for (auto &[name, health] : state.health) {
+        if (!health.isQuarantined || now < health.quarantinedUntil) {
+            continue;
+        }
+        health.isQuarantined = false;
+        const auto found = state.index.byName.find(name);
+        if (found != state.index.byName.end()) {
+            setProbing(state.index, found->second, true);
+        }
+        log_line {"target_probed"}.with("target", name);
+        refreshEligibility(state, name);
+    }
+}
+
+void noteUsage(scheduler_state &state, std::uint64_t placement, const resource_amounts &used)
+{
+    const auto found = state.running.find(placement);
+    if (found == state.running.end()) {
+        return;
+    }
+    const auto &capacity = state.index.targets[found->second.target].capacity;
+    const auto isNonsense = !fitsWithin({}, used) || !fitsWithin(used, capacity);
+    if (isNonsense) {
+        return;
+    }
+    auto &known = state.learned[found->second.learnName];
+    known.seen = largerOf(known.seen, used);
+    known.seen.slots = 1;
+}
+
+void settleHistory(const scheduler_state &state, team_view &team, time_point now)
+{
+    const auto passed = static_cast<double>((now - team.historyAt).count);
+    if (passed <= 0) {
+        return;
+    }
+    const auto halfLife = static_cast<double>(state.settings.historyHalfLife.count);
+    const double kept = std::exp2(-passed / halfLife);
+    const double current = dominantShare(team.used, state.index.totalCapacity);
+    team.history = team.history * kept + current * (1 - kept);
+    team.historyAt = now;
+}
+
+double weightedUse(const scheduler_state &state, team_view &team, time_point now)
+{
+    const auto &settings = state.settings;
+    switch (settings.kind) {
+    case policy_kind::WeightedFair:
+        return static_cast<double>(team.used.slots) / team.share;
+    case policy_kind::DominantShare:
+        return dominantShare(team.used, state.index.totalCapacity) / team.share;
+    case policy_kind::FirstComeFirstFit:
+    case policy_kind::StrictPriority:
+        return 0; // the oldest head decides alone
+    case policy_kind::Filbert:
+        break;
+    }
+    settleHistory(state, team, now);
+    const double current = dominantShare(team.used, state.index.totalCapacity);
+    return (current * (1 - settings.historyWeight) + team.history * settings.historyWeight)
+        / team.share;
+}
+
+wait_reason explainWaiting(const scheduler_state &state, std::uint64_t ticket, time_point now)
+{
+    const auto found = state.waiting.find(ticket);
+    if (found == state.waiting.end()) {
+        return {"it does not wait", 0, {}};
+    }
+    const auto &item = found->second;
+    const auto &team = state.teams.at(item.team);
+    wait_reason reason;
+    reason.waited = now - item.since;
+    for (const auto other : team.waiting[static_cast<std::size_t>(item.kind)]) {
+        reason.position += state.waiting.contains(other) ? 1 : 0;
+        if (other == ticket) {
+            break;
+        }
+    }
+    const auto pool = state.index.pools.find(item.service);
+    if (pool == state.index.pools.end() || pool->second.targets == 0) {
+        reason.text = "no target offers service " + item.service + " at present";
+    } else if (!couldEverFit(state.index, item.service, item.need)) {
+        reason.text = "no target could ever hold one task: " + missingResource(state, item);
+    } else if (!fitsWithin(team.used + item.need, team.limit)) {
+        reason.text = "team " + item.team + " is at its upper limit";
+    } else if (item.notBefore > now) {
+        reason.text = "it failed and is tried again in "
+            + std::to_string((item.notBefore - now).count) + " ms";
+    } else if (state.reservations.contains(ticket)) {
+        reason.text = "targets are reserved for it and are running empty";
+    } else if (item.kind == work_class::Gang) {
+        reason.text =
+            "room for all " + std::to_string(item.tasks.size()) + " tasks at once is waited for";
+    } else {
+        reason.text = "targets are full; teams below their share come first";
+    }
+    return reason;
+}
+
+std::size_t countWaiting(const scheduler_state &state, work_class kind)
+{
+    std::size_t count = 0;
+    for (const auto &[name, team] : state.teams) {
+        count += team.waitingCount[static_cast<std::size_t>(kind)];
+    }
+    return count;
+}
+
+schedule_result schedule(scheduler_state &state, time_point now)
+{
+    schedule_result result;
+    expireUrgent(state, now, &result);
+    const auto kind = state.settings.kind;
+    if (kind == policy_kind::Filbert || kind == policy_kind::StrictPriority) {
+        runPass(state, {work_class::Urgent}, now, &result);
+        runPass(state, {work_class::Gang}, now, &result);
+        runPass(state, {work_class::Batch}, now, &result);
+    } else {
+        runPass(state, {work_class::Urgent, work_class::Gang, work_class::Batch}, now, &result);
+    }
+    return result;
+}
+
+} // namespace filbert
--- /dev/null
+++ b/modules/filbert_policy/target_index.cpp
@@ -0,0 +1,257 @@
+#include "target_index.h"
+
+#include "filbert_core/filbert_core.h"
+
+#include <algorithm>
+
+namespace filbert {
+
+namespace {
+
+constexpr std::int64_t coresPerAcceleratorKey = 1LL << 32;
+
+std::int64_t acceleratorKey(const target_view &target)
+{
+    const auto room = roomOf(target);
+    return room.accelerators * coresPerAcceleratorKey + std::max<std::int64_t>(room.milliCores, 0);
+}
+
+bool isOpen(const target_view &target)
+{
+    return target.isEligible && target.reservedFor == 0 && roomOf(target).slots > 0
+        && !(target.isProbing && target.used.slots > 0);
+}
+
+/** Takes a target out of the ordered sets, or puts it in, as its present state says. */
+void enlist(target_index &index, std::uint32_t number, bool isIn)
+{
+    const auto &target = index.targets[number];
+    if (!isOpen(target)) {
+        return;
+    }
+    for (const auto &service : target.services) {
+        auto &domain = index.pools[service].domains[target.failureDomain];
+        const bool hasAccelerators = target.capacity.accelerators > 0;
+        auto &set = hasAccelerators ? domain.byAccelerators : domain.byCores;
+        const auto key = hasAccelerators ? acceleratorKey(target) : roomOf(target).milliCores;
+        if (isIn) {
+            set.emplace(key, number);
+        } else {
+            set.erase({key, number});
+        }
+    }
+}
+
+void countCapacity(target_index &index, const target_view &target, bool isAdded)
+{
+    if (!target.isEligible) {
+        return;
+    }
+    for (const auto &service : target.services) {
+        auto &pool = index.pools[service];
+        if (isAdded) {
+            pool.capacity += target.capacity;
+            pool.used += target.used;
+            ++pool.targets;
+            ++pool.releases;
+        } else {
+            pool.capacity -= target.capacity;
+            pool.used -= target.used;
+            --pool.targets;
+        }
+    }
+    if (isAdded) {
+        index.totalCapacity += target.capacity;
+    } else {
+        index.totalCapacity -= target.capacity;
+    }
+}
+
+/** Changes one target with all sums and sets kept right around the change. */
+template <typename Change>
+void changeTarget(target_index &index, std::uint32_t number, const Change &change)
+{
+    auto &target = index.targets[number];
+    enlist(index, number, false);
+    countCapacity(index, target, false);
+    change(target);
+    countCapacity(index, target, true);
+    enlist(index, number, true);
+}
+
+/** The cheap path of changeTarget() for a change of use alone. */
+void changeUse(target_index &index, std::uint32_t number, const std::string &service,
+               const resource_amounts &more, const resource_amounts &less, std::int64_t tasks,
+               bool isRelease)
+{
+    auto &target = index.targets[number];
+    enlist(index, number, false);
+    target.used += more;
+    target.used -= less;
+    FILBERT_INVARIANT(fitsWithin({}, target.used), "no target gives back more than it held");
+    enlist(index, number, true);
+    for (const auto &offered : target.services) {
+        auto &pool = index.pools[offered];
+        if (target.isEligible) {
+            pool.used += more;
+            pool.used -= less;
+        }
+        pool.releases += isRelease ? 1 : 0;
+        if (offered == service) {
+            pool.domains[target.failureDomain].running += tasks;
+        }
+    }
+}
+
+bool isUsable(const target_view &target, const resource_amounts &need,
+              const std::vector<std::string> &avoid)
+{
+    return fitsWithin(need, roomOf(target))
+        && std::find(avoid.begin(), avoid.end(), target.name) == avoid.end();
+}
+
+std::int64_t firstUsable(const target_index &index,
+                         const std::set<std::pair<std::int64_t, std::uint32_t>> &set,
+                         std::int64_t key, const resource_amounts &need,
+                         const std::vector<std::string> &avoid)
+{
+    for (auto at = set.lower_bound({key, 0}); at != set.end(); ++at) {
+        if (isUsable(index.targets[at->second], need, avoid)) {
+            return at->second;
+        }
+    }
+    return -1;
+}
+
+std::int64_t findInDomain(const target_index &index, const domain_pool &domain,
+                          const resource_amounts &need, const std::vector<std::string> &avoid)
+{
+    if (need.accelerators == 0) {
+        const auto found = firstUsable(index, domain.byCores, need.milliCores, need, avoid);
+        if (found >= 0) {
+            return found;
+        }
+        return firstUsable(index, domain.byAccelerators, 0, need, avoid);
+    }
+    const auto key = need.accelerators * coresPerAcceleratorKey + need.milliCores;
+    return firstUsable(index, domain.byAccelerators, key, need, avoid);
+}
+
+} // namespace
+
+resource_amounts roomOf(const target_view &target)
+{
+    return target.capacity - target.used;
+}
+
+std::uint32_t upsertTarget(target_index &index, const target_view &view)
+{
+    const auto found = index.byName.find(view.name);
+    if (found == index.byName.end()) {
+        const auto number = static_cast<std::uint32_t>(index.targets.size());
+        index.targets.push_back(view);
+        index.byName.emplace(view.name, number);
+        countCapacity(index, view, true);
+        enlist(index, number, true);
+        return number;
+    }
+    changeTarget(index, found->second, [&](target_view &target) {
+        const auto used = target.used;
+        const auto reservedFor = target.reservedFor;
+        target = view;
+        target.used = used;
+        target.reservedFor = reservedFor;
+    });
+    return found->second;
+}
+
+void removeTarget(target_index &index, std::uint32_t target)
+{
+    setEligible(index, target, false);
+    index.byName.erase(index.targets[target].name);
+    index.targets[target] = {};
+}
+
+void addUse(target_index &index, std::uint32_t target, const std::string &service,
+            const resource_amounts &need)
+{
+    changeUse(index, target, service, need, {}, 1, false);
+}
+
+void dropUse(target_index &index, std::uint32_t target, const std::string &service,
+             const resource_amounts &need)
+{
+    changeUse(index, target, service, {}, need, -1, true);
+}
+
+void undoUse(target_index &index, std::uint32_t target, const std::string &service,
+             const resource_amounts &need)
+{
+    changeUse(index, target, service, {}, need, -1, false);
+}
+
+void setEligible(target_index &index, std::uint32_t target, bool isEligible)
+{
+    if (index.targets[target].isEligible != isEligible) {
+        changeTarget(index, target, [&](target_view &view) { view.isEligible = isEligible; });
+    }
+}
+
+void setProbing(target_index &index, std::uint32_t target, bool isProbing)
+{
+    if (index.targets[target].isProbing != isProbing) {
+        changeTarget(index, target, [&](target_view &view) { view.isProbing = isProbing; });
+    }
+}
+
+void setReserved(target_index &index, std::uint32_t target, std::uint64_t ticket)
+{
+    changeTarget(index, target, [&](target_view &view) { view.reservedFor = ticket; });
+}
+
+std::int64_t findTarget(const target_index &index, const std::string &service,
+                        const resource_amounts &need, const std::vector<std::string> &avoid)
+{
+    const auto pool = index.pools.find(service);
+    if (pool == index.pools.end()) {
+        return -1;
+    }
+    std::vector<const domain_pool *> domains;
+    domains.reserve(pool->second.domains.size());
+    for (const auto &[name, domain] : pool->second.domains) {
+        domains.push_back(&domain);
+    }
+    std::stable_sort(domains.begin(), domains.end(),
+                     [](const auto *a, const auto *b) { return a->running < b->running; });
+    for (const auto *domain : domains) {
+        const auto found = findInDomain(index, *domain, need, avoid);
+        if (found >= 0) {
+            return found;
+        }
+    }
+    return -1;
+}
+
+std::int64_t findFirstTarget(const target_index &index, const std::string &service,
+                             const resource_amounts &need)
+{
+    const auto found =
+        std::find_if(index.targets.begin(), index.targets.end(), [&](const auto &target) {
+            return isOpen(target) && fitsWithin(need, roomOf(target))
+                && std::find(target.services.begin(), target.services.end(), service)
+                != target.services.end();
+        });
+    return found == index.targets.end() ? -1 : found - index.targets.begin();
+}
+
+bool couldEverFit(const target_index &index, const std::string &service,
+                  const resource_amounts &need)
+{
+    return std::any_of(index.targets.begin(), index.targets.end(), [&](const auto &target) {
+        return fitsWithin(need, target.capacity)
+            && std::find(target.services.begin(), target.services.end(), service)
+            != target.services.end();
+    });
+}
+
+} // namespace filbert
--- /dev/null
+++ b/modules/filbert_replication/elections.cpp
@@ -0,0 +1,228 @@
+#include "elections.h"
+
+#include "log_access.h"
+#include "replication_sender.h"
+
+#include <algorithm>
+#include <iterator>
+
+namespace filbert {
+
+namespace {
+
+/** A small generator with its state in the member's state (SplitMix64, Steele et al. 2014). */
+std::uint64_t nextRandom(replicated_log_state &state)
+{
+    std::uint64_t z = (state.randomState += 0x9e3779b97f4a7c15);
+    z = (z ^ (z >> 30)) * 0xbf58476d1ce4e5b9;
+    z = (z ^ (z >> 27)) * 0x94d049bb133111eb;
+    return z ^ (z >> 31);
+}
+
+bool hasQuorum(const replicated_log_state &state)
+{
+    int voters = 0;
+    int granted = 0;
+    for (const auto &member : state.members.members()) {
+        if (member.learner()) {
+            continue;
+        }
+        ++voters;
+        const auto vote = state.votes.find(member.identity());
+        granted += vote != state.votes.end() && vote->second ? 1 : 0;
+    }
+    return granted * 2 > voters;
+}
+
+void askForVotes(const replicated_log_state &state, bool isPreVote, bool isHandOver,
+                 replication_effects *effects)
+{
+    for (const auto &member : state.members.members()) {
+        if (member.identity() == state.self || member.learner()) {
+            continue;
+        }
+        messages::replication_message message;
+        message.set_from(state.self);
+        message.set_to(member.identity());
+        auto *request = message.mutable_vote();
+        request->set_term(isPreVote ? state.term + 1 : state.term);
+        request->set_pre_vote(isPreVote);
+        request->set_last_index(lastIndex(state));
+        request->set_last_term(lastTerm(state));
+        request->set_hand_over(isHandOver);
+        effects->send.push_back(message);
+    }
+}
+
+void becomeLeader(replicated_log_state &state, time_point now, replication_effects *effects)
+{
+    state.role = replica_role::Leader;
+    state.leader = state.self;
+    state.followers.clear();
+    state.round = 0;
+    state.roundsSent.clear();
+    state.leaseUntil = {};
+    state.lastQuorum = now;
+    state.handOverUntil.reset();
+    for (const auto &member : state.members.members()) {
+        if (member.identity() != state.self) {
+            state.followers[member.identity()].next = lastIndex(state) + 1;
+        }
+    }
+    effects->hasRoleChanged = true;
+    // An entry of the own term commits those of earlier ones (Raft, section 5.4.2).
+    appendOwn(state, messages::NOOP, {}, effects);
+    sendHeartbeats(state, now, effects);
+}
+
+bool hasHeardLeader(const replicated_log_state &state, time_point now)
+{
+    return now - state.lastHeard < state.settings.electionTimeout;
+}
+
+} // namespace
+
+bool isVoter(const replicated_log_state &state, const std::string &identity)
+{
+    const auto *member = findMember(state.members, identity);
+    return member != nullptr && !member->learner();
+}
+
+bool isSoleVoter(const replicated_log_state &state)
+{
+    return isVoter(state, state.self)
+        && std::none_of(
+               state.members.members().begin(), state.members.members().end(),
+               [&](const auto &each) { return !each.learner() && each.identity() != state.self; });
+}
+
+void resetElection(replicated_log_state &state, time_point now)
+{
+    const auto timeout = state.settings.electionTimeout;
+    const auto extra =
+        static_cast<std::int64_t>(nextRandom(state) % static_cast<std::uint64_t>(timeout.count));
+    state.electionAt = now + timeout + milliseconds {extra};
+}
+
+void becomeFollower(replicated_log_state &state, std::uint64_t term, const std::string &leader,
+                    time_point now, replication_effects *effects)
+{
+    FILBERT_INVARIANT(term >= state.term, "the term never falls");
+    if (term > state.term) {
+        state.term = term;
+        state.votedFor.clear();
+        effects->mustPersist = true;
+    }
+    effects->hasRoleChanged |= state.role != replica_role::Follower || state.leader != leader;
+    if (state.role == replica_role::Leader) {
+        // Its own lease may outlast its step down; it must not help to elect another before.
+        state.lastHeard = now;
+    }
+    state.role = replica_role::Follower;
+    state.leader = leader;
+    state.handOverUntil.reset();
+    state.votes.clear();
+    resetElection(state, now);
+}
+
+void startPreVote(replicated_log_state &state, time_point now, replication_effects *effects)
+{
+    resetElection(state, now);
+    if (!isVoter(state, state.self)) {
+        return;
+    }
+    if (isSoleVoter(state)) {
+        startElection(state, now, false, effects);
+        return;
+    }
+    state.role = replica_role::PreCandidate;
+    state.leader.clear();
+    state.votes = {{state.self, true}};
+    askForVotes(state, true, false, effects);
+}
+
+void startElection(replicated_log_state &state, time_point now, bool isHandOver,
+                   replication_effects *effects)
+{
+    if (!isVoter(state, state.self)) {
+        return;
+    }
+    ++state.term;
+    state.role = replica_role::Candidate;
+    state.votedFor = state.self;
+    state.leader.clear();
+    state.votes = {{state.self, true}};
+    effects->mustPersist = true;
+    resetElection(state, now);
+    if (hasQuorum(state)) {
+        becomeLeader(state, now, effects);
+        // The new term is not on the disk yet, so nothing may leave before the sync.
+        std::move(effects->early.begin(), effects->early.end(), std::back_inserter(effects->send));
+        effects->early.clear();
+        return;
+    }
+    askForVotes(state, false, isHandOver, effects);
+}
+
+bool isVoteToIgnore(const replicated_log_state &state, const messages::replication_message &message,
+                    time_point now)
+{
+    if (message.body_case() != messages::replication_message::kVote || message.vote().hand_over()) {
+        return false;
+    }
+    return state.role == replica_role::Leader || hasHeardLeader(state, now);
+}
+
+void takeVoteRequest(replicated_log_state &state, const std::string &from,
+                     const messages::vote_request &request, time_point now,
+                     replication_effects *effects)
+{
+    const bool isUpToDate = request.last_term() > lastTerm(state)
+        || (request.last_term() == lastTerm(state) && request.last_index() >= lastIndex(state));
+    const bool isLeaderAlive =
+        !request.hand_over() && (state.role == replica_role::Leader || hasHeardLeader(state, now));
+    messages::replication_message answer;
+    answer.set_from(state.self);
+    answer.set_to(from);
+    auto *reply = answer.mutable_vote_reply();
+    reply->set_pre_vote(request.pre_vote());
+    if (request.pre_vote()) {
+        reply->set_granted(request.term() > state.term && isUpToDate && !isLeaderAlive);
+        reply->set_term(reply->granted() ? request.term() : state.term);
+        effects->send.push_back(answer);
+        return;
+    }
+    const bool isFree = state.votedFor.empty() || state.votedFor == from;
+    if (request.term() == state.term && isFree && isUpToDate && !isLeaderAlive) {
+        reply->set_granted(true);
+        state.votedFor = from;
+        effects->mustPersist = true;
+        resetElection(state, now);
+    }
+    reply->set_term(state.term);
+    effects->send.push_back(answer);
+}
+
+void takeVoteReply(replicated_log_state &state, const std::string &from,
+                   const messages::vote_reply &reply, time_point now, replication_effects *effects)
+{
+    if (reply.pre_vote()) {
+        if (state.role != replica_role::PreCandidate || reply.term() != state.term + 1) {
+            return;
+        }
+        state.votes[from] = reply.granted();
+        if (hasQuorum(state)) {
+            startElection(state, now, false, effects);
+        }
+        return;
+    }
+    if (state.role != replica_role::Candidate || reply.term() != state.term) {
+        return;
+    }
+    state.votes[from] = reply.granted();
+    if (hasQuorum(state)) {
+        becomeLeader(state, now, effects);
+    }
+}
+
+} // namespace filbert
--- /dev/null
+++ b/modules/filbert_replication/filbert_replication.h
@@ -0,0 +1,9 @@
+#pragma once
+
+/** @file
+    The replicated log: elections, replication, snapshots, membership, leases, as pure steps.
+
+    Depends on: filbert_core, filbert_messages, filbert_storage (types only).
+*/
+
+#include "replicated_log.h"
--- /dev/null
+++ b/modules/filbert_replication/log_access.cpp
@@ -0,0 +1,190 @@
+#include "log_access.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace filbert {
+
+namespace {
+
+void takeMembership(replicated_log_state &state, const messages::log_entry &entry)
+{
+    if (entry.kind() != messages::MEMBERSHIP) {
+        return;
+    }
+    FILBERT_INVARIANT(state.members.ParseFromString(entry.payload()), "a membership can be read");
+    state.membersIndex = entry.index();
+    std::erase_if(state.followers, [&](const auto &each) {
+        return findMember(state.members, each.first) == nullptr;
+    });
+    if (state.role != replica_role::Leader) {
+        return;
+    }
+    for (const auto &member : state.members.members()) {
+        if (member.identity() != state.self && !state.followers.contains(member.identity())) {
+            state.followers[member.identity()].next = entry.index();
+        }
+    }
+}
+
+void truncateFrom(replicated_log_state &state, std::uint64_t index)
+{
+    FILBERT_INVARIANT(index > state.commit, "a committed entry never changes");
+    while (!state.entries.empty() && state.entries.back().index() >= index) {
+        state.entries.pop_back();
+    }
+    state.durable = std::min(state.durable, lastIndex(state));
+    if (state.membersIndex >= index) {
+        restoreMembers(state);
+    }
+}
+
+} // namespace
+
+const messages::log_entry &entryAt(const replicated_log_state &state, std::uint64_t index)
+{
+    FILBERT_INVARIANT(index > state.snapshot.index() && index <= lastIndex(state),
+                      "the entry is held");
+    return state.entries[index - state.snapshot.index() - 1];
+}
+
+std::uint64_t lastIndex(const replicated_log_state &state)
+{
+    return state.snapshot.index() + state.entries.size();
+}
+
+std::uint64_t lastTerm(const replicated_log_state &state)
+{
+    return state.entries.empty() ? state.snapshot.term() : state.entries.back().term();
+}
+
+std::optional<std::uint64_t> termAt(const replicated_log_state &state, std::uint64_t index)
+{
+    if (index == state.snapshot.index()) {
+        return state.snapshot.term();
+    }
+    if (index < state.snapshot.index() || index > lastIndex(state)) {
+        return std::nullopt;
+    }
+    return entryAt(state, index).term();
+}
+
+const messages::member *findMember(const messages::membership &members, const std::string &identity)
+{
+    for (const auto &member : members.members()) {
+        if (member.identity() == identity) {
+            return &member;
+        }
+    }
+    return nullptr;
+}
+
+void appendOwn(replicated_log_state &state, messages::entry_kind kind, std::string payload,
+               replication_effects *effects)
+{
+    messages::log_entry entry;
+    entry.set_index(lastIndex(state) + 1);
+    entry.set_term(state.term);
+    entry.set_kind(kind);
+    entry.set_payload(std::move(payload));
+    state.entries.push_back(entry);
+    effects->persist.push_back(entry);
+    effects->mustPersist = true;
+    takeMembership(state, entry);
+}
+
+void appendFromLeader(replicated_log_state &state, const messages::log_entry &entry,
+                      replication_effects *effects)
+{
+    if (entry.index() <= state.snapshot.index()) {
+        return;
+    }
+    const auto held = termAt(state, entry.index());
+    if (held == entry.term()) {
+        return;
+    }
+    if (held) {
+        truncateFrom(state, entry.index());
+        std::erase_if(effects->persist,
+                      [&](const auto &each) { return each.index() >= entry.index(); });
+    }
+    FILBERT_INVARIANT(entry.index() == lastIndex(state) + 1, "the log has no gaps");
+    state.entries.push_back(entry);
+    effects->persist.push_back(entry);
+    effects->mustPersist = true;
+    takeMembership(state, entry);
+}
+
+void commitTo(replicated_log_state &state, std::uint64_t index, replication_effects *effects)
+{
+    const auto target = std::min(index, lastIndex(state));
+    FILBERT_INVARIANT(target >= state.commit, "the commit index never falls");
+    state.commit = target;
+    while (state.applied < state.commit) {
+        ++state.applied;
+        effects->committed.push_back(entryAt(state, state.applied));
+    }
+}
+
+std::uint64_t conflictHint(const replicated_log_state &state, std::uint64_t index)
+{
+    auto hint = std::min(index > 0 ? index - 1 : 0, lastIndex(state));
+    const auto term = termAt(state, std::min(index, lastIndex(state)));
+    while (hint > state.commit && term && termAt(state, hint) == term) {
+        --hint;
+    }
+    return hint;
+}
+
+void installIncoming(replicated_log_state &state, replication_effects *effects)
+{
+    const bool hasRightTail =
+        termAt(state, state.incomingHeader.index()) == state.incomingHeader.term();
+    if (hasRightTail) {
+        // What follows may have been counted by a quorum and must stay (Raft, section 7).
+        while (!state.entries.empty()
+               && state.entries.front().index() <= state.incomingHeader.index()) {
+            state.entries.pop_front();
+        }
+    } else {
+        state.entries.clear();
+        state.durable = state.incomingHeader.index();
+        effects->persist.clear();
+    }
+    state.snapshot = state.incomingHeader;
+    state.snapshotData = std::make_shared<const std::string>(std::move(state.incoming));
+    state.incoming.clear();
+    state.incomingHeader.Clear();
+    state.commit = state.snapshot.index();
+    state.applied = state.snapshot.index();
+    state.digestIndex = 0;
+    effects->committed.clear();
+    effects->mustPersist = true;
+    effects->mustInstall = true;
+    restoreMembers(state);
+}
+
+void restoreMembers(replicated_log_state &state)
+{
+    state.members = state.snapshot.members();
+    state.membersIndex = state.snapshot.index();
+    for (const auto &entry : state.entries) {
+        takeMembership(state, entry);
+    }
+}
+
+messages::membership membersAt(const replicated_log_state &state, std::uint64_t index)
+{
+    auto members = state.snapshot.members();
+    for (const auto &entry : state.entries) {
+        if (entry.index() > index) {
+            break;
+        }
+        if (entry.kind() == messages::MEMBERSHIP) {
+            members.ParseFromString(entry.payload());
+        }
+    }
+    return members;
+}
+
+} // namespace filbert
--- /dev/null
+++ b/modules/filbert_replication/replicated_log.cpp
@@ -0,0 +1,489 @@
+#include "replicated_log.h"
+
+#include "elections.h"
+#include "log_access.h"
+#include "replication_sender.h"
+
+#include <algorithm>
+
+namespace filbert {
+
+namespace {
+
+constexpr std::uint64_t learnerCatchUpEntries = 64;
+
+void promoteCaughtUpLearner(replicated_log_state &state, time_point now,
+                            replication_effects *effects)
+{
+    if (state.membersIndex > state.commit || !isReadyLeader(state)) {
+        return;
+    }
+    for (int i = 0; i < state.members.members_size(); ++i) {
+        const auto &member = state.members.members(i);
+        const auto progress = state.followers.find(member.identity());
+        if (!member.learner() || progress == state.followers.end()
+            || progress->second.match + learnerCatchUpEntries < lastIndex(state)
+            || progress->second.match == 0) {
+            continue;
+        }
+        auto next = state.members;
+        next.mutable_members(i)->set_learner(false);
+        appendOwn(state, messages::MEMBERSHIP, next.SerializeAsString(), effects);
+        replicate(state, now, effects);
+        return;
+    }
+}
+
+void advanceCommit(replicated_log_state &state, time_point now, replication_effects *effects)
+{
+    std::vector<std::uint64_t> matches;
+    for (const auto &member : state.members.members()) {
+        if (member.learner()) {
+            continue;
+        }
+        const auto found = state.followers.find(member.identity());
+        const bool isSelf = member.identity() == state.self;
+        matches.push_back(isSelf ? state.durable
+                                 : (found == state.followers.end() ? 0 : found->second.match));
+    }
+    if (matches.empty()) {
+        return;
+    }
+    std::sort(matches.begin(), matches.end(), std::greater<> {});
+    const auto agreed = matches[matches.size() / 2];
+    // Only an entry of the own term is committed by counting (Raft, section 5.4.2).
+    if (agreed <= state.commit || termAt(state, agreed) != state.term) {
+        return;
+    }
+    commitTo(state, agreed, effects);
+    promoteCaughtUpLearner(state, now, effects);
+    const auto *self = findMember(state.members, state.self);
+    if (self == nullptr && state.membersIndex <= state.commit) {
+        becomeFollower(state, state.term, {}, now, effects); // it was removed
+    }
+}
+
+void takeQuorumRound(replicated_log_state &state)
+{
+    std::vector<std::uint64_t> rounds;
+    for (const auto &member : state.members.members()) {
+        if (member.learner()) {
+            continue;
+        }
+        const auto found = state.followers.find(member.identity());
+        const bool isSelf = member.identity() == state.self;
+        rounds.push_back(isSelf ? state.round
+                                : (found == state.followers.end() ? 0 : found->second.ackedRound));
+    }
+    if (rounds.empty()) {
+        return;
+    }
+    std::sort(rounds.begin(), rounds.end(), std::greater<> {});
+    const auto sent = state.roundsSent.find(rounds[rounds.size() / 2]);
+    if (sent == state.roundsSent.end()) {
+        return;
+    }
+    // Followers refuse to vote for an election timeout after hearing a leader; their clocks may run
+    // fast by the margin that clockRateMargin() adds.
+    const auto timeout = state.settings.electionTimeout;
+    const auto span = timeout - (clockRateMargin(timeout) - timeout);
+    state.leaseUntil = std::max(state.leaseUntil, sent->second + span);
+    state.lastQuorum = std::max(state.lastQuorum, sent->second);
+    state.roundsSent.erase(state.roundsSent.begin(), sent);
+}
+
+void takeAppendReply(replicated_log_state &state, const std::string &from,
+                     const messages::append_reply &reply, time_point now,
+                     replication_effects *effects)
+{
+    const auto found = state.followers.find(from);
+    if (state.role != replica_role::Leader || reply.term() != state.term
+        || found == state.followers.end()) {
+        return;
+    }
+    auto &progress = found->second;
+    progress.ackedRound = std::max(progress.ackedRound, reply.round());
+    progress.isWaiting = false;
+    takeQuorumRound(state);
+    if (reply.accepted()) {
+        FILBERT_INVARIANT(reply.match() <= lastIndex(state),
+                          "a follower holds no entry that its leader lacks");
+        progress.match = std::max(progress.match, reply.match());
+        progress.next = std::max(progress.next, progress.match + 1);
+        progress.isProbing = false;
+        progress.isTakingSnapshot = false;
+    } else {
+        progress.isProbing = true;
+        progress.next = std::max(progress.match + 1, std::min(progress.next, reply.match() + 1));
+    }
+    advanceCommit(state, now, effects);
+    if (state.role != replica_role::Leader) {
+        return;
+    }
+    promoteCaughtUpLearner(state, now, effects);
+    continueHandOver(state, from, effects);
+    if (progress.next <= lastIndex(state)) {
+        sendAppend(state, from, progress, now, effects);
+    }
+}
+
+void takeSnapshotReply(replicated_log_state &state, const std::string &from,
+                       const messages::snapshot_reply &reply, time_point now,
+                       replication_effects *effects)
+{
+    const auto found = state.followers.find(from);
+    if (state.role != replica_role::Leader || reply.term() != state.term
+        || found == state.followers.end()) {
+        return;
+    }
+    auto &progress = found->second;
+    progress.ackedRound = std::max(progress.ackedRound, reply.round());
+    takeQuorumRound(state);
+    if (!progress.isTakingSnapshot || reply.index() != state.snapshot.index()) {
+        return;
+    }
+    progress.snapshotOffset = reply.offset();
+    progress.isWaiting = false;
+    sendAppend(state, from, progress, now, effects);
+}
+
+bool acceptLeader(replicated_log_state &state, std::uint64_t term, const std::string &from,
+                  time_point now, replication_effects *effects)
+{
+    if (term < state.term) {
+        return false;
+    }
+    FILBERT_INVARIANT(!(state.role == replica_role::Leader && term == state.term),
+                      "a term has one leader");
+    if (term > state.term || state.role != replica_role::Follower || state.leader != from) {
+        FILBERT_INVARIANT(term > state.term || state.leader.empty() || state.leader == from,
+                          "a term has one leader");
+        becomeFollower(state, term, from, now, effects);
+    }
+    state.lastHeard = now;
+    resetElection(state, now);
+    return true;
+}
+
+void compareDigest(const replicated_log_state &state, const messages::append_request &request)
+{
+    if (request.digest_index() == 0 || request.digest_index() != state.digestIndex) {
+        return;
+    }
+    if (request.digest() != state.digest) {
+        log_line {"state_digest_differs", log_line::severity::Error}
+            .with("index", state.digestIndex)
+            .with("own", state.digest)
+            .with("leader", request.digest());
+    }
+    FILBERT_INVARIANT(request.digest() == state.digest,
+                      "the applied state is the same at the same index");
+}
+
+void takeAppend(replicated_log_state &state, const std::string &from,
+                const messages::append_request &request, time_point now,
+                replication_effects *effects)
+{
+    messages::replication_message answer;
+    auto *reply = answer.mutable_append_reply();
+    reply->set_round(request.round());
+    answer.set_to(from);
+    answer.set_from(state.self);
+    if (!acceptLeader(state, request.term(), from, now, effects)) {
+        reply->set_term(state.term);
+        effects->send.push_back(answer);
+        return;
+    }
+    reply->set_term(state.term);
+    compareDigest(state, request);
+    const auto held = termAt(state, request.previous_index());
+    const bool isBehindSnapshot = request.previous_index() < state.snapshot.index();
+    if (!isBehindSnapshot && held != request.previous_term()) {
+        reply->set_match(conflictHint(state, request.previous_index()));
+        effects->send.push_back(answer);
+        return;
+    }
+    for (const auto &entry : request.entries()) {
+        appendFromLeader(state, entry, effects);
+    }
+    const auto known =
+        request.previous_index() + static_cast<std::uint64_t>(request.entries_size());
+    if (std::min(request.commit(), known) > state.commit) {
+        commitTo(state, std::min(request.commit(), known), effects);
+    }
+    reply->set_accepted(true);
+    reply->set_match(std::max(known, state.snapshot.index()));
+    effects->send.push_back(answer);
+}
+
+void takeSnapshotChunk(replicated_log_state &state, const std::string &from,
+                       const messages::snapshot_chunk &chunk, time_point now,
+                       replication_effects *effects)
+{
+    messages::replication_message answer;
+    answer.set_to(from);
+    answer.set_from(state.self);
+    if (!acceptLeader(state, chunk.term(), from, now, effects)) {
+        answer.mutable_append_reply()->set_term(state.term);
+        effects->send.push_back(answer);
+        return;
+    }
+    if (chunk.header().index() <= state.commit) {
+        auto *reply = answer.mutable_append_reply();
+        reply->set_term(state.term);
+        reply->set_accepted(true);
+        reply->set_match(state.commit);
+        reply->set_round(chunk.round());
+        effects->send.push_back(answer);
+        return;
+    }
+    if (state.incomingHeader.index() != chunk.header().index()
+        || state.incomingHeader.term() != chunk.header().term()) {
+        state.incomingHeader = chunk.header();
+        state.incoming.clear();
+    }
+    if (chunk.offset() == state.incoming.size()) {
+        state.incoming += chunk.data();
+        if (chunk.last()) {
+            installIncoming(state, effects);
+            auto *reply = answer.mutable_append_reply();
+            reply->set_term(state.term);
+            reply->set_accepted(true);
+            reply->set_match(state.snapshot.index());
+            reply->set_round(chunk.round());
+            effects->send.push_back(answer);
+            return;
+        }
+    }
+    auto *reply = answer.mutable_snapshot_reply();
+    reply->set_term(state.term);
+    reply->set_index(chunk.header().index());
+    reply->set_offset(state.incoming.size());
+    reply->set_round(chunk.round());
+    effects->send.push_back(answer);
+}
+
+std::uint64_t termOf(const messages::replication_message &message)
+{
+    using body = messages::replication_message::BodyCase;
+    switch (message.body_case()) {
+    case body::kVote:
+        // A pre-vote asks about a term that nobody is in yet.
+        return message.vote().pre_vote() ? 0 : message.vote().term();
+    case body::kVoteReply:
+        return message.vote_reply().pre_vote() && message.vote_reply().granted()
+            ? 0
+            : message.vote_reply().term();
+    case body::kAppendReply:
+        return message.append_reply().term();
+    case body::kSnapshotReply:
+        return message.snapshot_reply().term();
+    default:
+        return 0; // leaders' messages are weighed by acceptLeader()
+    }
+}
+
+} // namespace
+
+std::string_view roleName(replica_role role)
+{
+    constexpr std::string_view names[] = {"follower", "pre_candidate", "candidate", "leader"};
+    return names[static_cast<std::size_t>(role)];
+}
+
+replicated_log_state makeReplicatedLog(const stored_state &stored,
+                                       const replication_settings &settings, std::uint64_t seed,
+                                       time_point now)
+{
+    replicated_log_state state;
+    state.self = stored.identity;
+    state.settings = settings;
+    state.randomState = seed | 1;
+    state.term = stored.term;
+    state.votedFor = stored.votedFor;
+    state.snapshot = stored.snapshot;
+    state.snapshotData = std::make_shared<const std::string>(stored.snapshotData);
+    state.members = stored.snapshot.members();
+    state.membersIndex = stored.snapshot.index();
+    state.commit = stored.snapshot.index();
+    state.applied = stored.snapshot.index();
+    state.entries.assign(stored.entries.begin(), stored.entries.end());
+    state.durable = lastIndex(state);
+    restoreMembers(state);
+    // A restarted member has forgotten when it last heard a leader whose lease may still run.
+    state.lastHeard = now;
+    resetElection(state, now);
+    return state;
+}
+
+void stepTime(replicated_log_state &state, time_point now, replication_effects *effects)
+{
+    if (state.role == replica_role::Leader) {
+        if (now - state.lastQuorum >= state.settings.electionTimeout && !isSoleVoter(state)) {
+            becomeFollower(state, state.term, {}, now, effects);
+            return;
+        }
+        if (isSoleVoter(state)) {
+            state.lastQuorum = now;
+            state.leaseUntil = now + state.settings.electionTimeout;
+        }
+        if (now >= state.heartbeatAt) {
+            sendHeartbeats(state, now, effects);
+        }
+        if (state.handOverUntil && now >= *state.handOverUntil) {
+            // The request may still arrive late and outdo the lease, so this term cannot go on.
+            becomeFollower(state, state.term, {}, now, effects);
+        }
+        return;
+    }
+    if (now >= state.electionAt) {
+        startPreVote(state, now, effects);
+    }
+}
+
+void stepMessage(replicated_log_state &state, const messages::replication_message &message,
+                 time_point now, replication_effects *effects)
+{
+    if (message.to() != state.self) {
+        return;
+    }
+    const auto &from = message.from();
+    if (termOf(message) > state.term && !isVoteToIgnore(state, message, now)) {
+        becomeFollower(state, termOf(message), {}, now, effects);
+    }
+    using body = messages::replication_message::BodyCase;
+    switch (message.body_case()) {
+    case body::kVote:
+        takeVoteRequest(state, from, message.vote(), now, effects);
+        break;
+    case body::kVoteReply:
+        takeVoteReply(state, from, message.vote_reply(), now, effects);
+        break;
+    case body::kAppend:
+        takeAppend(state, from, message.append(), now, effects);
+        break;
+    case body::kAppendReply:
+        takeAppendReply(state, from, message.append_reply(), now, effects);
+        break;
+    case body::kSnapshot:
+        takeSnapshotChunk(state, from, message.snapshot(), now, effects);
+        break;
+    case body::kSnapshotReply:
+        takeSnapshotReply(state, from, message.snapshot_reply(), now, effects);
+        break;
+    case body::kHandOver:
+        if (message.hand_over().term() == state.term && from == state.leader) {
+            startElection(state, now, true, effects);
+        }
+        break;
+    case body::BODY_NOT_SET:
+        break;
+    }
+}
+
+void stepPersisted(replicated_log_state &state, std::uint64_t index, time_point now,
+                   replication_effects *effects)
+{
+    state.durable = std::max(state.durable, std::min(index, lastIndex(state)));
+    if (state.role == replica_role::Leader) {
+        advanceCommit(state, now, effects);
+    }
+}
+
+std::error_code propose(replicated_log_state &state, const std::vector<std::string> &payloads,
+                        time_point now, replication_effects *effects)
+{
+    if (state.role != replica_role::Leader || state.handOverUntil) {
+        return error_kind::NoLeader;
+    }
+    if (lastIndex(state) - state.commit + payloads.size() > state.settings.maxUncommitted) {
+        return error_kind::Overloaded;
+    }
+    for (const auto &payload : payloads) {
+        appendOwn(state, messages::COMMANDS, payload, effects);
+    }
+    replicate(state, now, effects);
+    return {};
+}
+
+std::error_code changeMembership(replicated_log_state &state, bool add,
+                                 const messages::member &which, time_point now,
+                                 replication_effects *effects)
+{
+    if (!isReadyLeader(state)) {
+        return error_kind::NoLeader;
+    }
+    if (state.membersIndex > state.commit) {
+        return error_kind::Conflict;
+    }
+    const bool isKnown = findMember(state.members, which.identity()) != nullptr;
+    if (isKnown == add) {
+        return add ? error_kind::Conflict : error_kind::NotFound;
+    }
+    auto next = state.members;
+    if (add) {
+        auto *added = next.add_members();
+        *added = which;
+        added->set_learner(true);
+    } else {
+        auto *list = next.mutable_members();
+        list->erase(std::remove_if(list->begin(), list->end(),
+                                   [&](const messages::member &each) {
+                                       return each.identity() == which.identity();
+                                   }),
+                    list->end());
+        const bool hasVoter = std::any_of(list->begin(), list->end(),
+                                          [](const auto &each) { return !each.learner(); });
+        if (!hasVoter) {
+            return error_kind::Conflict;
+        }
+    }
+    appendOwn(state, messages::MEMBERSHIP, next.SerializeAsString(), effects);
+    replicate(state, now, effects);
+    return {};
+}
+
+void compactLog(replicated_log_state &state, std::uint64_t index, std::string data)
+{
+    FILBERT_INVARIANT(index <= state.applied, "a snapshot holds only what was applied");
+    if (index <= state.snapshot.index()) {
+        return;
+    }
+    messages::snapshot_header header;
+    header.set_index(index);
+    header.set_term(*termAt(state, index));
+    *header.mutable_members() = membersAt(state, index);
+    while (!state.entries.empty() && state.entries.front().index() <= index) {
+        state.entries.pop_front();
+    }
+    state.snapshot = header;
+    state.snapshotData = std::make_shared<const std::string>(std::move(data));
+    for (auto &[name, progress] : state.followers) {
+        progress.snapshotOffset = 0;
+    }
+}
+
+bool hasLease(const replicated_log_state &state, time_point now)
+{
+    return state.role == replica_role::Leader && now < state.leaseUntil && !state.handOverUntil;
+}
+
+bool isReadyLeader(const replicated_log_state &state)
+{
+    return state.role == replica_role::Leader && !state.handOverUntil
+        && termAt(state, state.applied) == state.term;
+}
+
+messages::log_entry makeFirstEntry(const messages::member &self)
+{
+    messages::membership members;
+    *members.add_members() = self;
+    messages::log_entry entry;
+    entry.set_index(1);
+    entry.set_term(1);
+    entry.set_kind(messages::MEMBERSHIP);
+    entry.set_payload(members.SerializeAsString());
+    return entry;
+}
+
+} // namespace filbert
--- /dev/null
+++ b/modules/filbert_storage/log_store.cpp
@@ -0,0 +1,331 @@
+#include "log_store.h"
+
+#include "filbert_core/filbert_core.h"
+
+#include <algorithm>
+#include <charconv>
+#include <cstring>
+#include <xxhash.h>
+
+namespace filbert {
+
+namespace {
+
+constexpr std::string_view formatLine = "filbert-data 1\n";
+constexpr std::string_view identityFile = "identity";
+constexpr std::string_view segmentPrefix = "log-";
+constexpr std::string_view snapshotPrefix = "snapshot-";
+constexpr std::string_view temporaryFile = "snapshot.tmp";
+constexpr std::uint32_t frameMagic = 0x66'62'6c'31; // "fbl1"
+constexpr std::uint64_t segmentBytes = 16 << 20;
+constexpr std::uint32_t maxFrameBytes = 1 << 30;
+
+/** In front of each frame's payload, in the host's byte order (little endian on all of ours). */
+struct frame_header
+{
+    std::uint32_t magic = frameMagic;
+    std::uint32_t length = 0;
+    std::uint64_t number = 0;
+    std::uint64_t checksum = 0; // of the payload, seeded with the number
+};
+
+std::string makeFrame(std::uint64_t number, std::string_view payload)
+{
+    frame_header header;
+    header.length = static_cast<std::uint32_t>(payload.size());
+    header.number = number;
+    header.checksum = XXH64(payload.data(), payload.size(), number);
+    std::string frame(sizeof header, '\0');
+    std::memcpy(frame.data(), &header, sizeof header);
+    frame.append(payload);
+    return frame;
+}
+
+/** @return the payload of a whole and right frame at an offset, else nothing */
+bool readFrame(std::string_view content, std::size_t offset, frame_header *header,
+               std::string_view *payload)
+{
+    if (content.size() - offset < sizeof *header) {
+        return false;
+    }
+    std::memcpy(header, content.data() + offset, sizeof *header);
+    if (header->magic != frameMagic || header->length > maxFrameBytes
+        || content.size() - offset - sizeof *header < header->length) {
+        return false;
+    }
+    *payload = content.substr(offset + sizeof *header, header->length);
+    return XXH64(payload->data(), payload->size(), header->number) == header->checksum;
+}
+
+bool hasFrameAfter(std::string_view content, std::size_t offset)
+{
+    std::uint32_t magic = frameMagic;
+    const std::string_view mark {reinterpret_cast<const char *>(&magic), sizeof magic};
+    frame_header header;
+    std::string_view payload;
+    for (auto at = content.find(mark, offset + 1); at != std::string_view::npos;
+         at = content.find(mark, at + 1)) {
+        if (readFrame(content, at, &header, &payload)) {
+            return true;
+        }
+    }
+    return false;
+}
+
+std::string numberedName(std::string_view prefix, std::uint64_t number)
+{
+    std::string digits = std::to_string(number);
+    constexpr std::size_t width = 20;
+    return std::string {prefix} + std::string(width - digits.size(), '0') + digits;
+}
+
+bool readNumber(const std::string &name, std::string_view prefix, std::uint64_t *number)
+{
+    if (!name.starts_with(prefix)) {
+        return false;
+    }
+    const char *end = name.data() + name.size();
+    const auto parsed = std::from_chars(name.data() + prefix.size(), end, *number);
+    return parsed.ec == std::errc {} && parsed.ptr == end;
+}
+
+std::error_code damaged(storage_damage *damage, const std::string &file, std::uint64_t offset,
+                        std::string what)
+{
+    *damage = {file, offset, std::move(what)};
+    return error_kind::StorageDamaged;
+}
+
+void takeEntry(stored_state *state, const messages::log_entry &entry)
+{
+    auto &entries = state->entries;
+    while (!entries.empty() && entries.back().index() >= entry.index()) {
+        entries.pop_back();
+    }
+    if (entry.index() > state->snapshot.index()) {
+        entries.push_back(entry);
+    }
+}
+
+} // namespace
+
+log_store::log_store(file_system &files)
+    : files {files}
+{
+}
+
+std::error_code log_store::initialise(const std::string &identity)
+{
+    const std::string name {identityFile};
+    std::string content;
+    if (!files.read(name, &content) && !content.empty()) {
+        return error_kind::Conflict;
+    }
+    const std::string text = std::string {formatLine} + identity + "\n";
+    if (const auto error = files.append(name, text)) {
+        return error;
+    }
+    if (const auto error = files.syncFile(name)) {
+        return error;
+    }
+    return files.syncFolder();
+}
+
+std::error_code log_store::open(stored_state *state, storage_damage *damage)
+{
+    std::string content;
+    if (files.read(std::string {identityFile}, &content)) {
+        return error_kind::NotFound;
+    }
+    if (!content.starts_with(formatLine) || !content.ends_with('\n')) {
+        return damaged(damage, std::string {identityFile}, 0, "unknown format of the data folder");
+    }
+    state->identity = content.substr(formatLine.size());
+    state->identity.pop_back();
+    if (const auto error = readSnapshot(state, damage)) {
+        return error;
+    }
+    for (const auto &name : files.list()) {
+        std::uint64_t number = 0;
+        if (readNumber(name, segmentPrefix, &number)) {
+            segments.push_back({name, number, 0, 0});
+        }
+    }
+    std::sort(segments.begin(), segments.end(),
+              [](const segment &a, const segment &b) { return a.number < b.number; });
+    for (std::size_t i = 0; i < segments.size(); ++i) {
+        if (const auto error = readSegment(segments[i], i + 1 == segments.size(), state, damage)) {
+            return error;
+        }
+    }
+    const auto &entries = state->entries;
+    if (!entries.empty() && entries.front().index() != state->snapshot.index() + 1) {
+        return damaged(damage, segments.front().name, 0, "entries after the snapshot are missing");
+    }
+    term = state->term;
+    votedFor = state->votedFor;
+    return {};
+}
+
+std::error_code log_store::readSegment(segment &which, bool isLast, stored_state *state,
+                                       storage_damage *damage)
+{
+    std::string content;
+    if (const auto error = files.read(which.name, &content)) {
+        return error;
+    }
+    std::size_t offset = 0;
+    while (offset < content.size()) {
+        frame_header header;
+        std::string_view payload;
+        const bool isRight = readFrame(content, offset, &header, &payload);
+        if (!isRight && (!isLast || hasFrameAfter(content, offset))) {
+            return damaged(damage, which.name, offset, "bad checksum before good frames");
+        }
+        if (!isRight) {
+            state->truncatedBytes = content.size() - offset;
+            if (const auto error = files.truncate(which.name, offset)) {
+                return error;
+            }
+            if (const auto error = files.syncFile(which.name)) {
+                return error;
+            }
+            break;
+        }
+        if (nextFrame != 1 && header.number != nextFrame) {
+            return damaged(damage, which.name, offset, "a frame is missing");
+        }
+        messages::stored_frame frame;
+        if (!frame.ParseFromArray(payload.data(), static_cast<int>(payload.size()))) {
+            return damaged(damage, which.name, offset, "a frame cannot be read");
+        }
+        nextFrame = header.number + 1;
+        state->term = frame.term();
+        state->votedFor = frame.voted_for();
+        for (const auto &entry : frame.entries()) {
+            takeEntry(state, entry);
+            which.lastIndex = std::max(which.lastIndex, entry.index());
+        }
+        offset += sizeof header + header.length;
+    }
+    which.bytes = offset;
+    return {};
+}
+
+std::error_code log_store::readSnapshot(stored_state *state, storage_damage *damage)
+{
+    std::uint64_t newest = 0;
+    for (const auto &name : files.list()) {
+        std::uint64_t number = 0;
+        if (readNumber(name, snapshotPrefix, &number)) {
+            newest = std::max(newest, number);
+        }
+    }
+    if (newest == 0) {
+        return {};
+    }
+    const auto name = numberedName(snapshotPrefix, newest);
+    std::string content;
+    if (const auto error = files.read(name, &content)) {
+        return error;
+    }
+    frame_header header;
+    std::string_view payload;
+    if (!readFrame(content, 0, &header, &payload)) {
+        return damaged(damage, name, 0, "bad checksum of the header");
+    }
+    if (!state->snapshot.ParseFromArray(payload.data(), static_cast<int>(payload.size()))) {
+        return damaged(damage, name, 0, "the header cannot be read");
+    }
+    const auto offset = sizeof header + header.length;
+    if (!readFrame(content, offset, &header, &payload)) {
+        return damaged(damage, name, offset, "bad checksum of the state");
+    }
+    state->snapshotData.assign(payload);
+    return {};
+}
+
+std::error_code log_store::startSegment()
+{
+    const auto number = segments.empty() ? 1 : segments.back().number + 1;
+    segments.push_back({numberedName(segmentPrefix, number), number, 0, 0});
+    return {};
+}
+
+std::error_code log_store::append(std::uint64_t newTerm, const std::string &newVote,
+                                  const std::vector<messages::log_entry> &entries)
+{
+    const bool isNew = segments.empty() || segments.back().bytes >= segmentBytes;
+    if (isNew) {
+        startSegment();
+    }
+    auto &current = segments.back();
+    messages::stored_frame message;
+    message.set_term(newTerm);
+    message.set_voted_for(newVote);
+    for (const auto &entry : entries) {
+        *message.add_entries() = entry;
+    }
+    const auto frame = makeFrame(nextFrame, message.SerializeAsString());
+    if (const auto error = files.append(current.name, frame)) {
+        // What was written of the frame is taken back, so that a later frame does not follow it.
+        const bool isUndone = !files.truncate(current.name, current.bytes);
+        return error == error_kind::DiskFull && isUndone ? error : error_kind::StorageFailed;
+    }
+    if (files.syncFile(current.name) || (isNew && files.syncFolder())) {
+        return error_kind::StorageFailed; // what a failed sync left on the disk is unknown
+    }
+    ++nextFrame;
+    current.bytes += frame.size();
+    term = newTerm;
+    votedFor = newVote;
+    for (const auto &entry : entries) {
+        current.lastIndex = std::max(current.lastIndex, entry.index());
+    }
+    return {};
+}
+
+std::error_code log_store::saveSnapshot(const messages::snapshot_header &header,
+                                        const std::string &data)
+{
+    const std::string temporary {temporaryFile};
+    files.remove(temporary);
+    const auto content = makeFrame(1, header.SerializeAsString()) + makeFrame(2, data);
+    if (const auto error = files.append(temporary, content)) {
+        files.remove(temporary);
+        return error;
+    }
+    if (files.syncFile(temporary)
+        || files.rename(temporary, numberedName(snapshotPrefix, header.index()))
+        || files.syncFolder()) {
+        return error_kind::StorageFailed;
+    }
+    return removeCoveredSegments(header.index());
+}
+
+std::error_code log_store::removeCoveredSegments(std::uint64_t index)
+{
+    for (const auto &name : files.list()) {
+        std::uint64_t number = 0;
+        if (readNumber(name, snapshotPrefix, &number) && number < index) {
+            files.remove(name);
+        }
+    }
+    // The newest segment stays: it holds the term and the vote.
+    while (segments.size() > 1 && segments.front().lastIndex <= index) {
+        files.remove(segments.front().name);
+        segments.erase(segments.begin());
+    }
+    return files.syncFolder() ? std::error_code {error_kind::StorageFailed} : std::error_code {};
+}
+
+std::uint64_t log_store::logBytes() const
+{
+    std::uint64_t bytes = 0;
+    for (const auto &each : segments) {
+        bytes += each.bytes;
+    }
+    return bytes;
+}
+
+} // namespace filbert
--- /dev/null
+++ b/modules/filbert_transport/filbert_transport.h
@@ -0,0 +1,14 @@
+#pragma once
+
+/** @file
+    The one loop of a program and what waits on it: HTTP server and client, ZeroMQ sockets, timers,
+    signals. No decision of the product is made here.
+
+    Depends on: filbert_core, filbert_messages, libwebsockets, ZeroMQ.
+*/
+
+#include "event_loop.h"
+#include "http_client.h"
+#include "http_server.h"
+#include "http_types.h"
+#include "message_socket.h"
