--- /dev/null
+++ b/programs/filbert_controller.cpp
@@ -0,0 +1,261 @@
+/** @file filbert-controller: one member of the replicated log; its leader decides placements. */
+
+#include "filbert_controller/filbert_controller.h"
+#include "filbert_controller/controller_metrics.h"
+#include "filbert_transport/filbert_transport.h"
+
+#include <gflags/gflags.h>
+#include <iostream>
+#include <map>
+#include <memory>
+
+DEFINE_string(name, "", "name of this controller, for logs");
+DEFINE_string(data_folder, "", "folder of this controller's own files");
+DEFINE_string(listen, "127.0.0.1:7100", "IP:port for messages of gateways and other controllers");
+DEFINE_string(http, "127.0.0.1:7101", "IP:port for /healthz, /readyz and /metrics");
+DEFINE_string(initialise, "",
+              "make the data folder and end: 'first' for the first controller of a new cell, "
+              "'member' for one that is added later");
+DEFINE_int32(election_timeout_ms, 600, "shortest time without a leader before an election");
+DEFINE_int32(heartbeat_ms, 100, "time between a leader's heartbeats");
+DEFINE_int32(snapshot_entries, 50'000, "log entries between snapshots");
+DEFINE_int32(target_lease_ms, 4'000, "how long a target may run work without being heard");
+DEFINE_int32(stop_ms, 5'000, "longest time that a planned stop may take");
+
+namespace filbert {
+
+namespace {
+
+constexpr std::size_t identityBytes = 8;
+constexpr milliseconds tickPeriod {10};
+constexpr int exitWrongSettings = 2;
+constexpr int exitStorage = 3;
+
+/** Carries a controller's messages over ZeroMQ. */
+class socket_outbox : public controller_outbox
+{
+public:
+    using handler = std::function<void(const std::string &peer, std::string &&message)>;
+
+    socket_outbox(event_loop &loop, zmq::context_t &context, const std::string &identity,
+                  const std::string &endpoint, handler onMessage)
+        : loop {loop}
+        , context {context}
+        , identity {identity}
+        , onMessage {std::move(onMessage)}
+        , server {loop, context, endpoint, {}, this->onMessage}
+    {
+    }
+
+    void sendToMember(const messages::member &member,
+                      const messages::replication_message &message) override
+    {
+        messages::envelope envelope;
+        *envelope.mutable_replication() = message;
+        envelope.set_from(identity);
+        const auto bytes = envelope.SerializeAsString();
+        if (member.address().empty()) {
+            server.send(member.identity(), bytes);
+            return;
+        }
+        auto &client = clients[member.address()];
+        if (!client) {
+            client = std::make_unique<message_client>(
+                loop, context, identity, member.address(), curve_keys {},
+                [this, peer = member.identity()](std::string &&text) {
+                    onMessage(peer, std::move(text));
+                });
+        }
+        client->send(bytes); // a lost message is sent again by the protocol above
+    }
+
+    void sendToGateway(const std::string &gateway, const messages::envelope &envelope) override
+    {
+        server.send(gateway, envelope.SerializeAsString());
+    }
+
+private:
+    event_loop &loop;
+    zmq::context_t &context;
+    std::string identity;
+    handler onMessage;
+    message_server server;
+    std::map<std::string, std::unique_ptr<message_client>> clients;
+};
+
+int initialise(log_store &store)
+{
+    const auto identity = FLAGS_name + "-" + randomHex(identityBytes);
+    if (const auto error = store.initialise(identity)) {
+        log_line {"initialise_failed", log_line::severity::Error}.with("error", error.message());
+        return exitStorage;
+    }
+    stored_state stored;
+    storage_damage damage;
+    if (store.open(&stored, &damage)) {
+        return exitStorage;
+    }
+    if (FLAGS_initialise == "first") {
+        messages::member self;
+        self.set_identity(identity);
+        self.set_name(FLAGS_name);
+        self.set_address("tcp://" + FLAGS_listen);
+        if (store.append(1, "", {makeFirstEntry(self)})) {
+            return exitStorage;
+        }
+    }
+    std::cout << identity << "\n";
+    return 0;
+}
+
+bool areSettingsRight(std::vector<std::string> problems)
+{
+    settings_check check {std::move(problems)};
+    check.require(!FLAGS_name.empty(), "--name: expected a name");
+    check.require(!FLAGS_data_folder.empty(), "--data_folder: expected a path");
+    check.requireEndpoint("listen", FLAGS_listen);
+    check.requireEndpoint("http", FLAGS_http);
+    check.require(FLAGS_initialise.empty() || FLAGS_initialise == "first"
+                      || FLAGS_initialise == "member",
+                  "--initialise: expected 'first' or 'member'");
+    check.require(FLAGS_heartbeat_ms >= 10 && FLAGS_election_timeout_ms >= 4 * FLAGS_heartbeat_ms,
+                  "--election_timeout_ms: expected at least 4 times --heartbeat_ms (10 or more)");
+    check.require(FLAGS_snapshot_entries > 0, "--snapshot_entries: expected a number above 0");
+    check.require(FLAGS_target_lease_ms >= 1'000, "--target_lease_ms: expected at least 1000");
+    return check.isAllRight();
+}
+
+void answerHealth(http_server &server, const http_request &request, const controller &running,
+                  const std::string &identity)
+{
+    http_answer answer;
+    answer.contentType = "text/plain";
+    const auto &log = running.view().log;
+    if (request.path == "/metrics") {
+        answer.body = controllerMetricsText(running.view());
+    } else if (request.path == "/healthz" || request.path == "/readyz") {
+        const bool hasLeader = !log.leader.empty();
+        answer.status = request.path == "/healthz" || hasLeader ? 200 : 503;
+        answer.body = "identity " + identity + "\nrole " + std::string {roleName(log.role)}
+            + "\nleader " + log.leader + "\nterm " + std::to_string(log.term) + "\ncommit "
+            + std::to_string(log.commit) + "\nmembers " + std::to_string(log.members.members_size())
+            + "\n";
+    } else {
+        answer = problemAnswer(error_kind::NotFound, request.path);
+    }
+    server.respond(request.id, std::move(answer));
+}
+
+int run(log_store &store, const stored_state &stored)
+{
+    event_loop loop;
+    zmq::context_t context {1};
+    controller_settings settings;
+    settings.snapshotEntries = static_cast<std::uint64_t>(FLAGS_snapshot_entries);
+    settings.targetLease = {FLAGS_target_lease_ms};
+    replication_settings replication;
+    replication.electionTimeout = {FLAGS_election_timeout_ms};
+    replication.heartbeat = {FLAGS_heartbeat_ms};
+    std::unique_ptr<controller> running;
+    socket_outbox outbox {loop, context, stored.identity, "tcp://" + FLAGS_listen,
+                          [&](const std::string &peer, std::string &&text) {
+                              messages::envelope envelope;
+                              if (running && envelope.ParseFromString(text)) {
+                                  running->takeMessage(peer, envelope, monotonicNow());
+                              }
+                          }};
+    const auto seed = std::hash<std::string> {}(stored.identity);
+    running = std::make_unique<controller>(settings, replication, stored, seed, store, outbox,
+                                           monotonicNow());
+    const auto colon = FLAGS_http.rfind(':');
+    std::unique_ptr<http_server> server;
+    server = std::make_unique<http_server>(
+        loop, FLAGS_http.substr(0, colon), std::stoi(FLAGS_http.substr(colon + 1)), http_limits {},
+        tls_files {},
+        [&](http_request &&request) { answerHealth(*server, request, *running, stored.identity); });
+    if (!server->isListening()) {
+        log_line {"listen_failed", log_line::severity::Error}.with("address", FLAGS_http);
+        return exitWrongSettings;
+    }
+    int exitCode = 0;
+    time_point stopBy;
+    loop.every(tickPeriod, [&] {
+        running->takeTime(monotonicNow());
+        const bool isDone = running->isReadyToStop() || monotonicNow() >= stopBy;
+        if (stopBy.ms != 0 && isDone) {
+            loop.stop();
+        }
+    });
+    loop.onWake([&] {
+        if (const auto error = running->flush(monotonicNow(), wallClockMs())) {
+            log_line {"storage_failed", log_line::severity::Error}.with("error", error.message());
+            exitCode = exitStorage;
+            loop.stop();
+        }
+        return false;
+    });
+    loop.onStopSignal([&](int count) {
+        log_line {"stop_signal"}.with("count", count);
+        if (count > 1) {
+            loop.stop();
+            return;
+        }
+        stopBy = monotonicNow() + milliseconds {FLAGS_stop_ms};
+        running->prepareToStop(monotonicNow());
+    });
+    log_line {"started"}.with("name", FLAGS_name).with("identity", stored.identity);
+    loop.run();
+    log_line {"stopped"}.with("name", FLAGS_name).with("exit_code", exitCode);
+    server.reset();
+    return exitCode;
+}
+
+} // namespace
+
+} // namespace filbert
+
+int main(int argc, char **argv)
+{
+    using namespace filbert;
+    auto problems = readSettings(&argc, &argv, "One controller of a filbertramp cell.");
+    startLog(argv[0]);
+    if (!areSettingsRight(std::move(problems))) {
+        return exitWrongSettings;
+    }
+    logSettings({"name", "data_folder", "listen", "http", "election_timeout_ms", "heartbeat_ms",
+                 "snapshot_entries", "target_lease_ms", "stop_ms"});
+    std::error_code error;
+    const auto files = openDataFolder(FLAGS_data_folder, &error);
+    if (!files) {
+        log_line {"data_folder_failed", log_line::severity::Error}
+            .with("folder", FLAGS_data_folder)
+            .with("error", error.message());
+        return exitStorage;
+    }
+    log_store store {*files};
+    if (!FLAGS_initialise.empty()) {
+        return initialise(store);
+    }
+    stored_state stored;
+    storage_damage damage;
+    const auto started = monotonicNow();
+    error = store.open(&stored, &damage);
+    if (error) {
+        log_line {"open_failed", log_line::severity::Error}
+            .with("error",
+                  error == error_kind::NotFound
+                      ? "the data folder is not initialised, see --initialise"
+                      : error.message())
+            .with("file", damage.file)
+            .with("offset", damage.offset)
+            .with("what", damage.what);
+        return exitStorage;
+    }
+    log_line {"opened"}
+        .with("identity", stored.identity)
+        .with("snapshot_index", stored.snapshot.index())
+        .with("entries", stored.entries.size())
+        .with("truncated_bytes", stored.truncatedBytes)
+        .with("took_ms", (monotonicNow() - started).count);
+    return run(store, stored);
+}
--- /dev/null
+++ b/programs/filbert_gateway.cpp
@@ -0,0 +1,244 @@
+/** @file filbert-gateway: the entry host's process, between callers, targets and controllers. */
+
+#include "filbert_gateway/filbert_gateway.h"
+#include "filbert_transport/filbert_transport.h"
+
+#include <gflags/gflags.h>
+#include <map>
+#include <memory>
+#include <unistd.h>
+
+DEFINE_string(name, "", "name of this gateway, unique in the cell");
+DEFINE_string(http, "127.0.0.1:7000", "IP:port for callers, targets, operators and the balancer");
+DEFINE_string(controllers, "127.0.0.1:7100", "IP:port of some controllers, comma-separated");
+DEFINE_string(bootstrap_operator_key, "",
+              "ID:SALT:HASH of a key that may apply the first configuration; ignored as soon as an "
+              "operator is configured");
+DEFINE_string(tls_certificate, "", "certificate chain file; empty = plain HTTP, loopback only");
+DEFINE_string(tls_private_key, "", "private key file");
+DEFINE_int32(target_connections, 64, "connections that a target offers to all gateways together");
+DEFINE_int32(drain_ms, 2'000, "time for the balancer to move on before the gateway stops");
+DEFINE_int32(stop_ms, 30'000, "longest time for requests in flight at a planned stop");
+DEFINE_int32(max_body_bytes, 1 << 20, "largest body of a request");
+
+namespace filbert {
+
+namespace {
+
+constexpr milliseconds tickPeriod {10};
+constexpr milliseconds certificatePeriod {10'000};
+constexpr int exitWrongSettings = 2;
+constexpr std::size_t bootstrapParts = 3;
+
+/** Messages to controllers over ZeroMQ. */
+class socket_transport : public controller_transport
+{
+public:
+    using handler = std::function<void(const std::string &address, const messages::envelope &)>;
+
+    socket_transport(event_loop &loop, zmq::context_t &context, const std::string &name,
+                     handler onMessage)
+        : loop {loop}
+        , context {context}
+        , name {name}
+        , onMessage {std::move(onMessage)}
+    {
+    }
+
+    bool send(const std::string &address, const messages::envelope &envelope) override
+    {
+        auto &client = clients[address];
+        if (!client) {
+            client = std::make_unique<message_client>(loop, context, name, address, curve_keys {},
+                                                      [this, address](std::string &&text) {
+                                                          messages::envelope answer;
+                                                          if (answer.ParseFromString(text)) {
+                                                              onMessage(address, answer);
+                                                          }
+                                                      });
+        }
+        return client->send(envelope.SerializeAsString());
+    }
+
+private:
+    event_loop &loop;
+    zmq::context_t &context;
+    std::string name;
+    handler onMessage;
+    std::map<std::string, std::unique_ptr<message_client>> clients;
+};
+
+/** Calls of targets over HTTP. */
+class client_targets : public target_port
+{
+public:
+    explicit client_targets(event_loop &loop)
+        : client {loop, FLAGS_target_connections}
+    {
+    }
+
+    void call(target_call &&call, handler onAnswer) override
+    {
+        client.send({std::move(call.address), "POST", std::move(call.path), std::move(call.headers),
+                     std::move(call.body), call.timeout, call.needsNewConnection},
+                    std::move(onAnswer));
+    }
+
+    void setGateways(int gateways) override
+    {
+        client.setConnections(FLAGS_target_connections / gateways);
+    }
+
+    std::size_t openCalls() const { return client.openCalls(); }
+
+private:
+    http_client client;
+};
+
+/** Answers through the HTTP server. */
+class server_callers : public caller_port
+{
+public:
+    void respond(std::uint64_t request, http_answer &&answer) override
+    {
+        server->respond(request, std::move(answer));
+    }
+
+    http_server *server = nullptr;
+};
+
+messages::access_key readBootstrapKey()
+{
+    messages::access_key key;
+    std::string text = FLAGS_bootstrap_operator_key;
+    for (auto &c : text) {
+        c = c == ':' ? ',' : c;
+    }
+    const auto parts = splitList(text);
+    if (parts.size() == bootstrapParts) {
+        key.set_id(parts[0]);
+        key.set_salt(parts[1]);
+        key.set_hash(parts[2]);
+    }
+    return key;
+}
+
+bool areSettingsRight(std::vector<std::string> problems)
+{
+    settings_check check {std::move(problems)};
+    check.require(!FLAGS_name.empty(), "--name: expected a name");
+    check.requireEndpoint("http", FLAGS_http);
+    const auto controllers = splitList(FLAGS_controllers);
+    check.require(!controllers.empty(), "--controllers: expected at least one IP:port");
+    for (const auto &address : controllers) {
+        check.requireEndpoint("controllers", address);
+    }
+    check.require(FLAGS_bootstrap_operator_key.empty() || !readBootstrapKey().id().empty(),
+                  "--bootstrap_operator_key: expected ID:SALT:HASH");
+    check.require(FLAGS_tls_certificate.empty() == FLAGS_tls_private_key.empty(),
+                  "--tls_certificate and --tls_private_key: expected both or neither");
+    check.require(!FLAGS_tls_certificate.empty() || FLAGS_http.starts_with("127."),
+                  "--tls_certificate: expected, since --http is not on loopback");
+    for (const auto &file : {FLAGS_tls_certificate, FLAGS_tls_private_key}) {
+        check.require(file.empty() || access(file.c_str(), R_OK) == 0,
+                      "a TLS file cannot be read: " + file);
+    }
+    check.require(FLAGS_target_connections > 0, "--target_connections: expected a number above 0");
+    check.require(FLAGS_max_body_bytes > 0, "--max_body_bytes: expected a number above 0");
+    return check.isAllRight();
+}
+
+int run()
+{
+    event_loop loop;
+    zmq::context_t context {1};
+    std::unique_ptr<gateway> running;
+    std::unique_ptr<controller_links> links;
+    socket_transport transport {
+        loop, context, FLAGS_name,
+        [&](const std::string &address, const messages::envelope &envelope) {
+            if (envelope.exchange() != 0) {
+                running->takeTime(monotonicNow());
+                links->takeAnswer(address, envelope, monotonicNow());
+            } else {
+                running->takeOrder(envelope, monotonicNow());
+            }
+        }};
+    std::vector<std::string> addresses;
+    for (const auto &address : splitList(FLAGS_controllers)) {
+        addresses.push_back("tcp://" + address);
+    }
+    links = std::make_unique<controller_links>(FLAGS_name, addresses, transport);
+    client_targets targets {loop};
+    server_callers callers;
+    gateway_metrics metrics;
+    gateway_settings settings;
+    settings.name = FLAGS_name;
+    settings.bootstrapOperator = readBootstrapKey();
+    running = std::make_unique<gateway>(settings, *links, callers, targets, metrics);
+    http_limits limits;
+    limits.bodyBytes = static_cast<std::size_t>(FLAGS_max_body_bytes);
+    const auto colon = FLAGS_http.rfind(':');
+    auto server = std::make_unique<http_server>(
+        loop, FLAGS_http.substr(0, colon), std::stoi(FLAGS_http.substr(colon + 1)), limits,
+        tls_files {FLAGS_tls_certificate, FLAGS_tls_private_key},
+        [&](http_request &&request) { running->takeRequest(std::move(request), monotonicNow()); });
+    callers.server = server.get();
+    if (!server->isListening()) {
+        log_line {"listen_failed", log_line::severity::Error}.with("address", FLAGS_http);
+        return exitWrongSettings;
+    }
+    time_point closeAt;
+    time_point stopBy;
+    loop.every(tickPeriod, [&] {
+        const auto now = monotonicNow();
+        running->takeTime(now);
+        if (stopBy.ms == 0 || now < closeAt) {
+            return;
+        }
+        server->closeAfterAnswers();
+        const bool isIdle = server->isIdle() && targets.openCalls() == 0 && links->isIdle();
+        if (isIdle || now >= stopBy) {
+            loop.stop();
+        }
+    });
+    if (!FLAGS_tls_certificate.empty()) {
+        loop.every(certificatePeriod, [&] {
+            if (!server->reloadCertificate()) {
+                log_line {"certificate_reload_failed", log_line::severity::Error};
+            }
+        });
+    }
+    loop.onStopSignal([&](int count) {
+        log_line {"stop_signal"}.with("count", count);
+        if (count > 1) {
+            loop.stop();
+            return;
+        }
+        closeAt = monotonicNow() + milliseconds {FLAGS_drain_ms};
+        stopBy = closeAt + milliseconds {FLAGS_stop_ms};
+        running->startStopping(monotonicNow());
+    });
+    log_line {"started"}.with("name", FLAGS_name).with("http", FLAGS_http);
+    loop.run();
+    log_line {"stopped"}.with("name", FLAGS_name);
+    server.reset();
+    return 0;
+}
+
+} // namespace
+
+} // namespace filbert
+
+int main(int argc, char **argv)
+{
+    using namespace filbert;
+    auto problems = readSettings(&argc, &argv, "One gateway of a filbertramp cell.");
+    startLog(argv[0]);
+    if (!areSettingsRight(std::move(problems))) {
+        return exitWrongSettings;
+    }
+    logSettings({"name", "http", "controllers", "tls_certificate", "target_connections", "drain_ms",
+                 "stop_ms", "max_body_bytes"});
+    return run();
+}
--- /dev/null
+++ b/scripts/cell.sh
@@ -0,0 +1,134 @@
+#!/usr/bin/env bash
+# Functions that start and stop a small cell on loopback; sourced by demo.sh and the fault tests.
+# Needs: bin (folder of the programs), work (folder for files and logs).
+
+declare -A process_of
+
+# Prints free TCP ports of 127.0.0.1, one a line.
+free_ports() {
+    "$bin/filbert-free-ports" "$1"
+}
+
+# start NAME COMMAND...: runs a program in the background and remembers its process id.
+start() {
+    local name=$1
+    shift
+    "$@" >>"$work/$name.out" 2>>"$work/$name.log" &
+    process_of[$name]=$!
+}
+
+# stop_gracefully NAME: asks a program to stop and waits; returns its exit code.
+stop_gracefully() {
+    local id=${process_of[$1]:-}
+    [ -n "$id" ] || return 0
+    unset "process_of[$1]"
+    kill -TERM "$id" 2>/dev/null
+    wait "$id"
+}
+
+# kill_hard NAME: as a power loss would.
+kill_hard() {
+    local id=${process_of[$1]:-}
+    [ -n "$id" ] || return 0
+    unset "process_of[$1]"
+    kill -KILL "$id" 2>/dev/null
+    wait "$id" 2>/dev/null || true
+}
+
+stop_everything() {
+    local name
+    for name in "${!process_of[@]}"; do
+        kill -KILL "${process_of[$name]}" 2>/dev/null || true
+    done
+    wait 2>/dev/null || true
+}
+
+# eventually SECONDS COMMAND...: repeats a command until it succeeds.
+eventually() {
+    local until=$(($(date +%s) + $1))
+    shift
+    until "$@" >/dev/null 2>&1; do
+        [ "$(date +%s)" -lt "$until" ] || return 1
+        sleep 0.1
+    done
+}
+
+# controller_ports NUMBER / http_ports NUMBER: set by plan_ports.
+plan_ports() {
+    local controllers=$1 gateways=$2 targets=$3
+    mapfile -t ports < <(free_ports $((controllers * 2 + gateways + targets)))
+    message_port=() health_port=() gateway_port=() target_port=()
+    local next=0 i
+    for ((i = 1; i <= controllers; i++)); do
+        message_port[i]=${ports[next++]}
+        health_port[i]=${ports[next++]}
+    done
+    for ((i = 1; i <= gateways; i++)); do gateway_port[i]=${ports[next++]}; done
+    for ((i = 1; i <= targets; i++)); do target_port[i]=${ports[next++]}; done
+    controllers_flag=$(printf '127.0.0.1:%s,' "${message_port[@]}")
+    gateways_flag=$(printf '127.0.0.1:%s,' "${gateway_port[@]}")
+}
+
+# start_controller NUMBER: initialises its folder at the first time.
+start_controller() {
+    local folder="$work/c$1"
+    local flags=(--name="c$1" --data_folder="$folder" --listen="127.0.0.1:${message_port[$1]}"
+        --http="127.0.0.1:${health_port[$1]}")
+    if [ ! -e "$folder/identity" ]; then
+        local kind=member
+        [ "$1" = 1 ] && kind=first
+        "$bin/filbert-controller" "${flags[@]}" --initialise=$kind >"$work/c$1.identity" \
+            2>>"$work/c$1.log" || return 1
+    fi
+    start "c$1" "$bin/filbert-controller" "${flags[@]}" ${controller_extra:-}
+}
+
+start_gateway() {
+    start "g$1" "$bin/filbert-gateway" --name="g$1" --http="127.0.0.1:${gateway_port[$1]}" \
+        --controllers="$controllers_flag" --bootstrap_operator_key="$bootstrap_key" --drain_ms=500
+}
+
+# start_target NUMBER SERVICES [FLAGS...]
+start_target() {
+    local number=$1 services=$2
+    shift 2
+    start "t$number" "$bin/filbert-stand-in-target" --name="t$number" \
+        --listen="127.0.0.1:${target_port[$number]}" --gateways="$gateways_flag" \
+        --services="$services" --failure_domain="d$((number % 3 + 1))" \
+        --record="$work/t$number.starts" "$@"
+}
+
+# make_key ID: sets token and stored, as the configuration keeps it.
+make_key() {
+    local made
+    made=$("$bin/filbertctl" keys make "$1")
+    token=$(sed -n 's/^token: //p' <<<"$made")
+    stored=$(sed -n 's/^stored: //p' <<<"$made")
+    bootstrap=$(sed -n 's/^bootstrap: //p' <<<"$made")
+}
+
+ctl() {
+    "$bin/filbertctl" --gateways="$gateways_flag" "$@"
+}
+
+is_voter() {
+    ctl members list 2>/dev/null | grep -q "$(cat "$work/c$1.identity") .* voter"
+}
+
+# start_cell CONTROLLERS GATEWAYS TARGETS: controllers and gateways, one cell; targets are planned.
+start_cell() {
+    plan_ports "$@"
+    make_key root
+    export FILBERT_KEY=$token
+    operator_token=$token operator_stored=$stored bootstrap_key=$bootstrap
+    start_controller 1 || return 1
+    local i
+    for ((i = 1; i <= $2; i++)); do start_gateway "$i"; done
+    eventually 20 ctl members list || return 1
+    for ((i = 2; i <= $1; i++)); do
+        start_controller "$i" || return 1
+        eventually 20 ctl members add "127.0.0.1:${message_port[$i]}" \
+            --identity="$(cat "$work/c$i.identity")" --member_name="c$i" || return 1
+        eventually 20 is_voter "$i" || return 1
+    done
+}
--- /dev/null
+++ b/scripts/test.sh
@@ -0,0 +1,7 @@
+#!/usr/bin/env bash
+# All tests, on a fresh machine too: installs packages, builds, runs. Same verdict every time.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+scripts/install_packages.sh
+scripts/build.sh release
+ctest --test-dir build-release --output-on-failure --timeout 900
