Random run over the whole product in virtual time; storage tests; five faults found and mended

Change: fakes at the interfaces (disk, network, targets, callers, operators) around the real controllers and gateways. It found, and these are mended: a new leader built its view before it had applied what was committed; a lost target's room was forgotten while its tasks were still counted; a target that answered a doubled start with 'refused' made a running task look as if it never ran; a task that a target dropped at its lease's end was taken for never started; stop orders were lost while a target's gateway was unknown.

--- /dev/null
+++ b/extras/planted_faults.sh
@@ -0,0 +1,79 @@
+#!/usr/bin/env bash
+# Plants one fault at a time into a copy of the sources and says which check of the random run
+# catches it. Usage: extras/planted_faults.sh [SEEDS] [STEPS]
+set -uo pipefail
+root=$(cd "$(dirname "$0")/.." && pwd)
+seeds=${1:-40}
+steps=${2:-40000}
+copy=$(mktemp -d)
+trap 'rm -rf "$copy"' EXIT
+git -C "$root" ls-files -z | (cd "$root" && xargs -0 cp --parents -t "$copy")
+cd "$copy"
+cmake -S . -B build -G Ninja -DCMAKE_BUILD_TYPE=Release >/dev/null
+ninja -C build filbert-random-run >/dev/null || exit 1
+missed=0
+
+plant() { # NAME FILE SED-EXPRESSION
+    cp "$2" "$copy/kept"
+    sed -i -E "$3" "$2"
+    if cmp -s "$2" "$copy/kept"; then
+        echo "$1: the place was not found"
+        missed=$((missed + 1))
+        return
+    fi
+    local outcome
+    if ninja -C build filbert-random-run >"$copy/log" 2>&1; then
+        outcome=$(build/bin/filbert-random-run --seed=1 --runs="$seeds" --steps="$steps" 2>&1 \
+            | grep violated | sed 's/ at .*//; s/steps=[0-9]* //' | head -n 1)
+    else
+        outcome="does not build: $(grep -m1 error "$copy/log")"
+        missed=$((missed + 1))
+    fi
+    [ -n "$outcome" ] || { outcome="NOT CAUGHT"; missed=$((missed + 1)); }
+    echo "$1: $outcome"
+    cp "$copy/kept" "$2"
+}
+
+replication=modules/filbert_replication
+plant "the log is not synced" modules/filbert_storage/log_store.cpp \
+    's/if \(files\.syncFile\(current\.name\) \|\| \(isNew/if ((isNew/'
+plant "answers leave before the sync" modules/filbert_controller/controller.cpp \
+    's/^( *)sendAll\(&effects\.early\);/\1sendAll(\&effects.early); sendAll(\&effects.send);/'
+plant "a member votes twice in a term" $replication/elections.cpp \
+    's/const bool isFree = .*/const bool isFree = true;/'
+plant "the vote is not stored" modules/filbert_storage/log_store.cpp \
+    's/message\.set_voted_for\(newVote\);//'
+plant "any candidate gets the vote" $replication/elections.cpp \
+    's/const bool isUpToDate = .*/const bool isUpToDate = true || request.last_term() > lastTerm(state)/'
+plant "votes are given while a leader is heard" $replication/elections.cpp \
+    's/return now - state\.lastHeard < state\.settings\.electionTimeout;/return state.randomState == 0 \&\& now.ms < 0;/'
+plant "a leader serves after its lease" $replication/replicated_log.cpp \
+    's/&& now < state\.leaseUntil && /\&\& now.ms > 0 \&\& /'
+plant "learners count for commits" $replication/replicated_log.cpp \
+    '0,/if \(member\.learner\(\)\) \{/s//if (member.learner() \&\& member.identity().empty()) {/'
+plant "entries of earlier terms commit by counting" $replication/replicated_log.cpp \
+    's/\|\| termAt\(state, agreed\) != state\.term\)/)/'
+plant "half of the voters commit" $replication/replicated_log.cpp \
+    's/matches\[matches\.size\(\) \/ 2\]/matches[(matches.size() - 1) \/ 2]/'
+plant "a lost disk votes under its old identity" extras/random_run/fake_hosts.h \
+    's/identity = name \+ "-" \+ std::to_string\(\+\+lives\);/identity = name + "-1";/'
+plant "a lease is renewed during its target's removal" modules/filbert_controller/target_leases.cpp \
+    's/if \(live\.isRemovalProposed\) \{/if (live.isRemovalProposed \&\& now.ms < 0) {/'
+plant "a new leader takes old leases for ended" modules/filbert_controller/leadership.cpp \
+    's/live\.leaseEnds = now \+ clockRateMargin\(state\.settings\.targetLease\);/live.leaseEnds = now;/'
+plant "a target's lease has no margin" modules/filbert_controller/target_leases.cpp \
+    's/live\.leaseEnds = now \+ clockRateMargin\(lease\);/live.leaseEnds = now + milliseconds {lease.count - 400};/'
+plant "a gateway serves without a lease" modules/filbert_gateway/configuration_lease.cpp \
+    's/return lease\.configuration\.version\(\) > 0 && now < lease\.until;/return lease.configuration.version() > 0 \&\& now.ms > 0;/'
+plant "a lost answer counts as not run" modules/filbert_gateway/service_calls.cpp \
+    's/const bool isNotRun = error == error_kind::ConnectionFailed/const bool isNotRun = error/'
+plant "idempotency records are passed over" modules/filbert_cell/cell_state.cpp \
+    's/const auto name = place\.idempotency_key\(\)\.empty\(\)/const auto name = !place.id() || true/'
+plant "room on a target is not checked" modules/filbert_cell/cell_state.cpp \
+    's/if \(!fitsWithin\(target->second\.used \+ need, capacity\)\)/if (!fitsWithin(need, capacity))/'
+plant "a resent change is taken again" modules/filbert_cell/cell_state.cpp \
+    's/if \(const auto \*earlier = findRequest\(state, change\.request_id\(\)\)\)/if (const auto *earlier = findRequest(state, ""))/'
+plant "the base version is not checked" modules/filbert_cell/cell_state.cpp \
+    's/change\.base_version\(\) != configuration\.version\(\)/change.base_version() < 0/'
+echo "$missed not caught"
+[ $missed -eq 0 ]
--- /dev/null
+++ b/extras/random_run/fake_hosts.h
@@ -0,0 +1,241 @@
+#pragma once
+
+#include "fake_network.h"
+
+#include "filbert_controller/filbert_controller.h"
+#include "filbert_gateway/filbert_gateway.h"
+#include "filbert_storage/tests/fake_file_system.h"
+
+#include <deque>
+#include <memory>
+#include <string>
+
+namespace filbert {
+
+/** A host with a disk and one controller on it, which can lose power, pause, or lose its disk. */
+class controller_host : public controller_outbox
+{
+public:
+    using to_member = std::function<void(const std::string &to, const std::string &bytes)>;
+
+    controller_host(virtual_time &time, std::string name, to_member toPeer)
+        : time {time}
+        , name {std::move(name)}
+        , toPeer {std::move(toPeer)}
+    {
+    }
+
+    void initialise(bool isFirst)
+    {
+        log_store fresh {files};
+        identity = name + "-" + std::to_string(++lives);
+        fresh.initialise(identity);
+        if (isFirst) {
+            stored_state state;
+            storage_damage damage;
+            fresh.open(&state, &damage);
+            messages::member self;
+            self.set_identity(identity);
+            self.set_name(name);
+            self.set_address("tcp://" + name);
+            fresh.append(1, "", {makeFirstEntry(self)});
+        }
+    }
+
+    void start()
+    {
+        store = std::make_unique<log_store>(files);
+        stored_state state;
+        storage_damage damage;
+        const auto error = store->open(&state, &damage);
+        FILBERT_INVARIANT(!error, "a controller starts again after a crash");
+        controller_settings settings;
+        settings.snapshotEntries = 200;
+        replication_settings replication;
+        replication.snapshotChunkBytes = 2'000;
+        running = std::make_unique<controller>(settings, replication, state, time.random(), *store,
+                                               *this, now());
+    }
+
+    void powerOff(bool keepsDisk)
+    {
+        running.reset();
+        store.reset();
+        held.clear();
+        isPaused = false;
+        if (keepsDisk) {
+            files.crash(time.random);
+        } else {
+            files.wipe();
+        }
+    }
+
+    void take(const std::string &from, const std::string &bytes)
+    {
+        if (isPaused) {
+            held.emplace_back(from, bytes);
+            return;
+        }
+        messages::envelope envelope;
+        if (running && envelope.ParseFromString(bytes)) {
+            running->takeMessage(from, envelope, now());
+            flush();
+        }
+    }
+
+    void tick()
+    {
+        if (running && !isPaused) {
+            running->takeTime(now());
+            flush();
+        }
+    }
+
+    void resume()
+    {
+        isPaused = false;
+        for (const auto &[from, bytes] : std::exchange(held, {})) {
+            take(from, bytes);
+        }
+    }
+
+    void flush()
+    {
+        if (running->flush(now(), time.now.ms)) {
+            powerOff(true); // the process stops at a storage failure
+        }
+    }
+
+    void sendToMember(const messages::member &member,
+                      const messages::replication_message &message) override
+    {
+        messages::envelope envelope;
+        *envelope.mutable_replication() = message;
+        const auto &identityOfPeer = member.identity();
+        toPeer(identityOfPeer.substr(0, identityOfPeer.find('-')), envelope.SerializeAsString());
+    }
+
+    void sendToGateway(const std::string &gateway, const messages::envelope &envelope) override
+    {
+        toPeer(gateway, envelope.SerializeAsString());
+    }
+
+    time_point now() const { return clock.read(time.now); }
+    bool hasValidLease() const { return running && hasLease(running->view().log, now()); }
+
+    virtual_time &time;
+    std::string name;
+    std::string identity;
+    to_member toPeer;
+    fake_file_system files;
+    std::unique_ptr<log_store> store;
+    std::unique_ptr<controller> running;
+    std::deque<std::pair<std::string, std::string>> held;
+    skewed_clock clock;
+    int lives = 0;
+    bool isPaused = false;
+};
+
+/** An entry host with one gateway on it. */
+class gateway_host : public controller_transport, public caller_port, public target_port
+{
+public:
+    using to_controller = std::function<void(const std::string &to, const std::string &bytes)>;
+    using to_target = std::function<void(target_call &&, handler)>;
+    using on_answer = std::function<void(http_answer &&)>;
+
+    gateway_host(virtual_time &time, std::string name, to_controller toController,
+                 to_target toTarget)
+        : time {time}
+        , name {std::move(name)}
+        , toController {std::move(toController)}
+        , toTarget {std::move(toTarget)}
+    {
+    }
+
+    void start(const messages::access_key &bootstrap)
+    {
+        gateway_settings settings;
+        settings.name = name;
+        settings.bootstrapOperator = bootstrap;
+        metrics = std::make_unique<gateway_metrics>();
+        links = std::make_unique<controller_links>(
+            name, std::vector<std::string> {"tcp://c0", "tcp://c1", "tcp://c2"}, *this);
+        running = std::make_unique<gateway>(settings, *links, *this, *this, *metrics);
+        ++lives;
+    }
+
+    void powerOff()
+    {
+        running.reset();
+        links.reset();
+        waiting.clear();
+    }
+
+    void take(const std::string &from, const std::string &bytes)
+    {
+        messages::envelope envelope;
+        if (!running || !envelope.ParseFromString(bytes)) {
+            return;
+        }
+        running->takeTime(now());
+        if (envelope.exchange() != 0) {
+            links->takeAnswer("tcp://" + from, envelope, now());
+        } else {
+            running->takeOrder(envelope, now());
+        }
+    }
+
+    /** A caller's request; the answer never comes if the gateway dies. */
+    void request(http_request &&request, on_answer onAnswer)
+    {
+        if (!running) {
+            return;
+        }
+        request.id = ++lastRequest;
+        waiting[request.id] = std::move(onAnswer);
+        running->takeRequest(std::move(request), now());
+    }
+
+    void respond(std::uint64_t id, http_answer &&answer) override
+    {
+        auto found = waiting.extract(id);
+        FILBERT_INVARIANT(!found.empty(), "a request is answered once");
+        found.mapped()(std::move(answer));
+    }
+
+    bool send(const std::string &address, const messages::envelope &envelope) override
+    {
+        toController(address.substr(address.rfind('/') + 1), envelope.SerializeAsString());
+        return true;
+    }
+
+    void call(target_call &&out, handler onAnswer) override
+    {
+        toTarget(std::move(out),
+                 [this, life = lives, onAnswer](std::error_code error, http_answer &&answer) {
+                     if (running && lives == life) {
+                         running->takeTime(now());
+                         onAnswer(error, std::move(answer));
+                     }
+                 });
+    }
+
+    void setGateways(int /*gateways*/) override { }
+
+    time_point now() const { return clock.read(time.now); }
+
+    virtual_time &time;
+    std::string name;
+    to_controller toController;
+    to_target toTarget;
+    std::unique_ptr<gateway_metrics> metrics;
+    std::unique_ptr<controller_links> links;
+    std::unique_ptr<gateway> running;
+    std::map<std::uint64_t, on_answer> waiting;
+    skewed_clock clock;
+    std::uint64_t lastRequest = 0;
+    int lives = 0;
+};
+
+} // namespace filbert
--- a/extras/stand_in_target.cpp
+++ b/extras/stand_in_target.cpp
@@ -51,8 +51,7 @@
     std::int64_t epoch = 0;
     time_point leaseUntil;
     std::map<std::uint64_t, running_entry> running;
-    std::map<std::uint64_t, bool> finished; // until acknowledged: whether it succeeded
-    std::set<std::uint64_t> stopped; // news for the next heartbeat
+    std::map<std::uint64_t, messages::finished_task> finished; // until acknowledged
     std::set<std::uint64_t> started;
     std::deque<std::uint64_t> startedByAge;
     bool isAnnounced = false;
@@ -128,12 +127,12 @@
         if (epoch != target.epoch) {
             return "another start of this target";
         }
+        if (target.started.contains(placement)) {
+            return {}; // not refused: it did start, and whoever asks again is told so
+        }
         if (monotonicNow().ms > startBy || monotonicNow() > target.leaseUntil) {
             return "too late";
         }
-        if (target.started.contains(placement)) {
-            return "started before";
-        }
         if (static_cast<int>(target.running.size()) >= FLAGS_slots) {
             return "no slot";
         }
@@ -170,15 +169,19 @@
             return;
         }
         auto &target = found->second;
+        if (target.started.contains(placement)) {
+            server.respond(request.id, problemAnswer(error_kind::OutcomeUnknown, "started before"));
+            return;
+        }
         note(target, placement, headers.service, request.body);
         target.running[placement] = {};
         const auto workMs = numberIn(request.body, "ms", FLAGS_work_ms);
-        auto finish = [this, &server, &target, placement, id = request.id,
-                       body = std::move(request.body)]() mutable {
+        auto answerIt = [this, &server, &target, placement, id = request.id,
+                         body = std::move(request.body)]() mutable {
             if (target.running.erase(placement) == 0) {
                 return;
             }
-            target.finished[placement] = !FLAGS_fail_all;
+            finish(target, placement, !FLAGS_fail_all, false);
             http_answer answer;
             answer.status = FLAGS_fail_all ? 500 : 200;
             answer.contentType = "text/plain";
@@ -187,9 +190,9 @@
             server.respond(id, std::move(answer));
         };
         if (workMs <= 0) {
-            finish();
+            answerIt();
         } else {
-            loop.after({workMs}, std::move(finish));
+            loop.after({workMs}, std::move(answerIt));
         }
     }
 
@@ -208,7 +211,7 @@
         http_answer answer;
         answer.status = why.empty() ? statusAccepted : statusRefused;
         answer.body = "{}";
-        if (why.empty()) {
+        if (why.empty() && !found->second.started.contains(order.placement_id())) {
             auto &target = found->second;
             note(target, order.placement_id(), order.service(), order.payload());
             running_entry entry;
@@ -237,12 +240,20 @@
         server.respond(request.id, std::move(answer));
     }
 
+    static void finish(stand_in &target, std::uint64_t placement, bool succeeded, bool stopped)
+    {
+        auto &report = target.finished[placement];
+        report.set_placement_id(placement);
+        report.set_succeeded(succeeded);
+        report.set_stopped(stopped);
+    }
+
     static void stopPlacement(stand_in &target, std::uint64_t placement)
     {
         const auto running = target.running.find(placement);
         if (running != target.running.end() && running->second.endsAt.ms != 0) {
             target.running.erase(running);
-            target.stopped.insert(placement);
+            finish(target, placement, false, true);
         }
     }
 
@@ -254,13 +265,13 @@
             for (auto at = target.running.begin(); at != target.running.end();) {
                 const bool isLate = now > target.leaseUntil;
                 const bool isDone = at->second.endsAt.ms != 0 && now >= at->second.endsAt;
-                if (isDone && !isLate) {
-                    target.finished[at->first] = !at->second.willFail;
+                if (isDone || isLate) {
+                    finish(target, at->first, !at->second.willFail, isLate);
                     hasNews = true;
                 }
                 at = isDone || isLate ? target.running.erase(at) : std::next(at);
             }
-            if (hasNews || !target.stopped.empty()) {
+            if (hasNews) {
                 sendBeat(target);
             }
         }
@@ -336,22 +347,16 @@
             task->set_placement_id(placement);
             *task->mutable_used() = entry.used;
         }
-        for (const auto &[placement, succeeded] : target.finished) {
-            auto *task = body.add_finished();
-            task->set_placement_id(placement);
-            task->set_succeeded(succeeded);
+        for (const auto &[placement, report] : target.finished) {
+            *body.add_finished() = report;
         }
-        post(target, "heartbeat", body,
-             [this, &target, sent = target.stopped](const http_answer &answer) {
-                 messages::heartbeat_reply reply;
-                 std::string detail;
-                 if (!readJson(answer.body, &reply, &detail)) {
-                     takeReply(target, reply);
-                     for (const auto placement : sent) {
-                         target.stopped.erase(placement);
-                     }
-                 }
-             });
+        post(target, "heartbeat", body, [this, &target](const http_answer &answer) {
+            messages::heartbeat_reply reply;
+            std::string detail;
+            if (!readJson(answer.body, &reply, &detail)) {
+                takeReply(target, reply);
+            }
+        });
     }
 
     void takeReply(stand_in &target, const messages::heartbeat_reply &reply)
--- a/modules/filbert_controller/commit_effects.cpp
+++ b/modules/filbert_controller/commit_effects.cpp
@@ -139,6 +139,7 @@
     for (const auto &ended : outcome.ended) {
         const auto &placement = ended.placement;
         state.ending.erase(placement.id);
+        state.stopping.erase(placement.id);
         if (ended.result == messages::SUCCEEDED || ended.result == messages::FAILED) {
             noteResult(state.scheduler, placement.id, ended.result == messages::SUCCEEDED, now);
         }
@@ -239,6 +240,7 @@
         break;
     case body::kRemoveTarget:
         afterEnds(state, outcome, now);
+        dropTarget(state.scheduler, command.remove_target());
         state.liveness.erase(command.remove_target());
         break;
     case body::kNote:
--- a/modules/filbert_controller/controller.cpp
+++ b/modules/filbert_controller/controller.cpp
@@ -120,7 +120,8 @@
         stopLeading(state);
     }
     // Everything proposed before must be applied, or the view would lack what is under way.
-    const bool isSettled = isReadyLeader(state.log) && state.log.applied == lastIndex(state.log);
+    const bool isSettled = isReadyLeader(state.log) && state.log.applied == lastIndex(state.log)
+        && state.effects.committed.empty() && !state.effects.mustInstall;
     if (!state.isLeading && isSettled && !state.isStopping) {
         startLeading(state, now);
     }
--- a/modules/filbert_controller/controller_state.h
+++ b/modules/filbert_controller/controller_state.h
@@ -90,6 +90,7 @@
     std::map<std::string, target_liveness> liveness;
     std::map<std::string, gateway_view> gateways;
     std::unordered_set<std::uint64_t> ending; // placements whose end is proposed
+    std::unordered_set<std::uint64_t> stopping; // ordered to stop; said again by heartbeats
     std::uint64_t nextTicket = 0;
     bool isDiskFull = false;
     bool isStopping = false;
--- a/modules/filbert_controller/leadership.cpp
+++ b/modules/filbert_controller/leadership.cpp
@@ -128,6 +128,7 @@
     state.liveness.clear();
     state.gateways.clear();
     state.ending.clear();
+    state.stopping.clear();
     takeConfiguration(state);
     takeTargets(state, now);
     takeRunning(state, now);
@@ -154,6 +155,7 @@
     state.liveness.clear();
     state.gateways.clear();
     state.ending.clear();
+    state.stopping.clear();
     log_line {"not_leading"}.with("term", state.log.term).with("leader", state.log.leader);
 }
 
--- a/modules/filbert_controller/target_leases.cpp
+++ b/modules/filbert_controller/target_leases.cpp
@@ -18,6 +18,16 @@
         && registration.services_size() <= maxTargetServices && registration.epoch() > 0;
 }
 
+messages::task_result resultOf(const messages::finished_task &task,
+                               const placement_record &placement)
+{
+    // Of a keyed request the answer went with its gateway: it ran, but what it said is lost.
+    if (task.stopped() || !placement.idempotencyKey.empty()) {
+        return messages::UNKNOWN;
+    }
+    return task.succeeded() ? messages::SUCCEEDED : messages::FAILED;
+}
+
 /** Ends what the target does not run any more, with as much as is certain about it. */
 void settlePlacements(controller_state &state, const target_record &target,
                       const messages::target_heartbeat &heartbeat)
@@ -34,11 +44,7 @@
         }
         messages::placement_end end;
         end.set_placement_id(task.placement_id());
-        // Of a keyed request the answer went with its gateway: it ran, but what it said is lost.
-        const bool isAnswerLost = !found->second.idempotencyKey.empty();
-        end.set_result(isAnswerLost           ? messages::UNKNOWN
-                           : task.succeeded() ? messages::SUCCEEDED
-                                              : messages::FAILED);
+        end.set_result(resultOf(task, found->second));
         end.set_reason(task.detail());
         const bool isSynchronous = found->second.jobId == 0;
         if (!isSynchronous || found->second.startBy < heartbeat.clock_ms()) {
@@ -136,6 +142,9 @@
     for (const auto &task : heartbeat.running()) {
         if (state.cell.placements.contains(task.placement_id())) {
             noteUsage(state.scheduler, task.placement_id(), amountsOf(task.used()));
+            if (state.stopping.contains(task.placement_id())) {
+                answer->add_stop(task.placement_id());
+            }
         } else {
             answer->add_stop(task.placement_id());
         }
@@ -158,7 +167,7 @@
         }
         live.isRemovalProposed = true;
         log_line {"target_lost", log_line::severity::Warning}.with("target", name);
-        dropTarget(state.scheduler, name);
+        setTarget(state.scheduler, viewOf(state.cell.targets.at(name)), false);
         messages::command command;
         command.set_remove_target(name);
         proposeCommand(state, std::move(command));
--- a/modules/filbert_controller/work_intake.cpp
+++ b/modules/filbert_controller/work_intake.cpp
@@ -95,6 +95,7 @@
     if (found == state.cell.placements.end()) {
         return;
     }
+    state.stopping.insert(placement);
     const auto live = state.liveness.find(found->second.target);
     if (live == state.liveness.end()) {
         return;
--- a/modules/filbert_core/log_line.cpp
+++ b/modules/filbert_core/log_line.cpp
@@ -71,4 +71,9 @@
     google::InitGoogleLogging(program);
 }
 
+void silenceLog()
+{
+    FLAGS_minloglevel = google::GLOG_FATAL;
+}
+
 } // namespace filbert
--- a/modules/filbert_core/log_line.h
+++ b/modules/filbert_core/log_line.h
@@ -52,4 +52,7 @@
 /** Sets up the log: to standard error, one line an event. @param program name of the program */
 void startLog(const char *program);
 
+/** Keeps all events below a program's end out of the log; for tests and benchmarks. */
+void silenceLog();
+
 } // namespace filbert
--- a/modules/filbert_gateway/gateway.cpp
+++ b/modules/filbert_gateway/gateway.cpp
@@ -213,6 +213,11 @@
     self->isStopping = true;
 }
 
+bool gateway::hasContact(time_point now) const
+{
+    return now < self->lease.until;
+}
+
 bool gateway::isReady(time_point now) const
 {
     return !self->isStopping && isInForce(self->lease, now);
--- a/modules/filbert_gateway/gateway.h
+++ b/modules/filbert_gateway/gateway.h
@@ -83,6 +83,9 @@
     /** @return whether the balancer may send callers here */
     bool isReady(time_point now) const;
 
+    /** @return whether a leader has been heard of late, with or without a configuration */
+    bool hasContact(time_point now) const;
+
     struct parts; // for the routes, see gateway_parts.h
 
 private:
--- a/modules/filbert_policy/scheduler.cpp
+++ b/modules/filbert_policy/scheduler.cpp
@@ -95,6 +95,9 @@
     if (found != state.index.byName.end()) {
         view.isProbing = state.index.targets[found->second].isProbing;
     }
+    if (found != state.index.byName.end() && !isHeard) {
+        dropReservationsOf(state, found->second);
+    }
     const auto number = upsertTarget(state.index, view);
     if (state.runningOnTarget.size() <= number) {
         state.runningOnTarget.resize(number + 1);
@@ -107,7 +110,6 @@
     if (found == state.index.byName.end()) {
         return;
     }
-    dropReservationsOf(state, found->second);
     removeTarget(state.index, found->second);
     state.health[name].isHeard = false;
 }
--- a/modules/filbert_policy/target_index.cpp
+++ b/modules/filbert_policy/target_index.cpp
@@ -103,6 +103,17 @@
     }
 }
 
+std::uint32_t takeNumber(target_index &index)
+{
+    if (index.freeNumbers.empty()) {
+        index.targets.emplace_back();
+        return static_cast<std::uint32_t>(index.targets.size() - 1);
+    }
+    const auto number = index.freeNumbers.back();
+    index.freeNumbers.pop_back();
+    return number;
+}
+
 bool isUsable(const target_view &target, const resource_amounts &need,
               const std::vector<std::string> &avoid)
 {
@@ -148,8 +159,8 @@
 {
     const auto found = index.byName.find(view.name);
     if (found == index.byName.end()) {
-        const auto number = static_cast<std::uint32_t>(index.targets.size());
-        index.targets.push_back(view);
+        const auto number = takeNumber(index);
+        index.targets[number] = view;
         index.byName.emplace(view.name, number);
         countCapacity(index, view, true);
         enlist(index, number, true);
@@ -168,8 +179,11 @@
 void removeTarget(target_index &index, std::uint32_t target)
 {
     setEligible(index, target, false);
+    FILBERT_INVARIANT(index.targets[target].used == resource_amounts {},
+                      "a target that is forgotten runs nothing");
     index.byName.erase(index.targets[target].name);
     index.targets[target] = {};
+    index.freeNumbers.push_back(target);
 }
 
 void addUse(target_index &index, std::uint32_t target, const std::string &service,
--- a/modules/filbert_policy/target_index.h
+++ b/modules/filbert_policy/target_index.h
@@ -50,6 +50,7 @@
 {
     std::vector<target_view> targets;
     std::unordered_map<std::string, std::uint32_t> byName;
+    std::vector<std::uint32_t> freeNumbers; // of targets that have gone
     std::unordered_map<std::string, service_pool> pools;
     resource_amounts totalCapacity;
 };
@@ -57,7 +58,7 @@
 /** Adds a target or takes over a changed one; what it uses stays. @return its number */
 std::uint32_t upsertTarget(target_index &index, const target_view &view);
 
-/** Forgets a target; its number is not used again. */
+/** Forgets a target on which nothing runs; its number may be given to another. */
 void removeTarget(target_index &index, std::uint32_t target);
 
 /** Changes what a target uses, and counts the service's running tasks in its failure domain. */
--- /dev/null
+++ b/modules/filbert_storage/tests/log_store_test.cpp
@@ -0,0 +1,176 @@
+#include "fake_file_system.h"
+
+#include <catch2/catch.hpp>
+#include <filesystem>
+#include <fstream>
+#include <rapidcheck.h>
+
+using namespace filbert;
+
+namespace {
+
+messages::log_entry entryOf(std::uint64_t index, std::uint64_t term, const std::string &payload)
+{
+    messages::log_entry entry;
+    entry.set_index(index);
+    entry.set_term(term);
+    entry.set_payload(payload);
+    return entry;
+}
+
+stored_state reopen(fake_file_system &files, std::error_code *error = nullptr,
+                    storage_damage *damage = nullptr)
+{
+    log_store store {files};
+    stored_state state;
+    storage_damage where;
+    const auto result = store.open(&state, damage == nullptr ? &where : damage);
+    if (error != nullptr) {
+        *error = result;
+    } else {
+        REQUIRE_FALSE(result);
+    }
+    return state;
+}
+
+void fill(fake_file_system &files, std::uint64_t count)
+{
+    log_store store {files};
+    REQUIRE_FALSE(store.initialise("c1-x"));
+    stored_state state;
+    storage_damage damage;
+    REQUIRE_FALSE(store.open(&state, &damage));
+    for (std::uint64_t i = 1; i <= count; ++i) {
+        REQUIRE_FALSE(store.append(3, "me", {entryOf(i, 3, "payload-" + std::to_string(i))}));
+    }
+}
+
+const std::string firstSegment = "log-00000000000000000001";
+
+} // namespace
+
+TEST_CASE("a folder without an identity is not opened, and none is made twice")
+{
+    fake_file_system files;
+    std::error_code error;
+    reopen(files, &error);
+    CHECK(error == error_kind::NotFound);
+    fill(files, 0);
+    CHECK(log_store {files}.initialise("other") == error_kind::Conflict);
+}
+
+TEST_CASE("what was appended is read back, and a later entry replaces an earlier one")
+{
+    fake_file_system files;
+    fill(files, 5);
+    log_store store {files};
+    stored_state state;
+    storage_damage damage;
+    REQUIRE_FALSE(store.open(&state, &damage));
+    REQUIRE_FALSE(store.append(4, "", {entryOf(4, 4, "new")}));
+    state = reopen(files);
+    REQUIRE(state.entries.size() == 4);
+    CHECK(state.entries.back().payload() == "new");
+    CHECK(state.term == 4);
+    CHECK(state.votedFor.empty());
+}
+
+TEST_CASE("a torn last frame is cut off wherever it was torn")
+{
+    fake_file_system whole;
+    fill(whole, 3);
+    const auto full = whole.contentOf(firstSegment);
+    fake_file_system two;
+    fill(two, 2);
+    const auto keep = two.contentOf(firstSegment).size();
+    for (auto size = keep + 1; size < full.size(); ++size) {
+        fake_file_system files;
+        fill(files, 3);
+        files.contentOf(firstSegment).resize(size);
+        const auto state = reopen(files);
+        REQUIRE(state.entries.size() == 2);
+        REQUIRE(state.truncatedBytes == size - keep);
+        REQUIRE(reopen(files).truncatedBytes == 0);
+    }
+}
+
+TEST_CASE("damage before good frames is refused with file and offset, and nothing is changed")
+{
+    fake_file_system files;
+    fill(files, 3);
+    auto &content = files.contentOf(firstSegment);
+    content[40] ^= 1;
+    const auto before = content;
+    std::error_code error;
+    storage_damage damage;
+    reopen(files, &error, &damage);
+    CHECK(error == error_kind::StorageDamaged);
+    CHECK(damage.file == firstSegment);
+    CHECK(damage.offset == 0);
+    CHECK(files.contentOf(firstSegment) == before);
+}
+
+TEST_CASE("a failed sync is final, a full disk is not")
+{
+    fake_file_system files;
+    fill(files, 2);
+    log_store store {files};
+    stored_state state;
+    storage_damage damage;
+    REQUIRE_FALSE(store.open(&state, &damage));
+    files.capacity = files.bytes() + 10;
+    CHECK(store.append(3, "", {entryOf(3, 3, std::string(100, 'x'))}) == error_kind::DiskFull);
+    files.capacity = SIZE_MAX;
+    CHECK_FALSE(store.append(3, "", {entryOf(3, 3, "fits")}));
+    CHECK(reopen(files).entries.size() == 3);
+    files.failSyncAt = files.syncs + 1;
+    CHECK(store.append(3, "", {entryOf(4, 3, "lost")}) == error_kind::StorageFailed);
+}
+
+TEST_CASE("a crash loses nothing that was synced")
+{
+    rc::check([] {
+        std::mt19937_64 random {*rc::gen::arbitrary<std::uint64_t>()};
+        fake_file_system files;
+        fill(files, 0);
+        std::uint64_t synced = 0;
+        std::uint64_t snapshotIndex = 0;
+        for (int round = 0; round < 6; ++round) {
+            log_store store {files};
+            stored_state state;
+            storage_damage damage;
+            RC_ASSERT(!store.open(&state, &damage));
+            RC_ASSERT(state.snapshot.index() >= snapshotIndex);
+            RC_ASSERT(state.snapshot.index() + state.entries.size() >= synced);
+            auto next = state.snapshot.index() + state.entries.size() + 1;
+            for (auto i = random() % 20; i > 0; --i) {
+                RC_ASSERT(!store.append(1, "", {entryOf(next, 1, std::string(next % 50, 'x'))}));
+                synced = next++;
+            }
+            if (random() % 3 == 0 && synced > snapshotIndex) {
+                messages::snapshot_header header;
+                header.set_index(synced);
+                RC_ASSERT(!store.saveSnapshot(header, "state"));
+                snapshotIndex = synced;
+            }
+            // The next write is torn: neither synced nor promised.
+            files.append(firstSegment, "");
+            files.crash(random);
+        }
+    });
+}
+
+TEST_CASE("a second process is kept out of a folder")
+{
+    const auto folder = std::filesystem::temp_directory_path()
+        / ("filbert-lock-" + std::to_string(monotonicNow().ms));
+    std::error_code error;
+    auto first = openDataFolder(folder.string(), &error);
+    REQUIRE(first);
+    CHECK_FALSE(openDataFolder(folder.string(), &error));
+    CHECK(error == error_kind::FolderInUse);
+    first.reset();
+    std::error_code again;
+    CHECK(openDataFolder(folder.string(), &again));
+    std::filesystem::remove_all(folder);
+}
