Kept connections to targets, start orders once only, resends of unanswered requests

Ruled out: connection limits (64 a gateway, 12 in use), logging, the disk. Change: the host is given without its port; a gateway carries a start order once; a request that may be resent is resent after 1 s; ageing of idempotency records matches the record's own time.

--- a/extras/load.cpp
+++ b/extras/load.cpp
@@ -1,4 +1,194 @@
-int main()
+/** @file filbert-load: an open-loop load over HTTP. Requests leave at their planned times whether
+   or not earlier ones have been answered, and latency counts from the planned time, so that waiting
+   is not left out. Every answer is checked against its request.
+*/
+
+#include "filbert_messages/filbert_messages.h"
+#include "filbert_transport/filbert_transport.h"
+
+#include <algorithm>
+#include <chrono>
+#include <cmath>
+#include <fstream>
+#include <gflags/gflags.h>
+#include <iostream>
+#include <map>
+#include <random>
+
+DEFINE_string(gateways, "127.0.0.1:7000", "IP:port of gateways, used in turn");
+DEFINE_string(key, "", "token of a team's key");
+DEFINE_string(services, "quote", "services, used at random; SERVICE! sends an Idempotency-Key");
+DEFINE_double(rate, 100, "requests a second");
+DEFINE_double(seconds, 5, "how long");
+DEFINE_int32(connections, 64, "connections to each gateway");
+DEFINE_int32(deadline_ms, 5'000, "deadline of each request");
+DEFINE_uint64(seed, 1, "for arrival times and the mix");
+DEFINE_string(body, "lid", "start of each request's body; a number is added");
+DEFINE_string(direct, "", "IP:port of a stand-in target to call without gateways, as a baseline");
+DEFINE_string(record, "", "file that gets a line for each request: body, service, status, outcome");
+DEFINE_bool(expect_all, false, "exit with 1 unless every request was answered");
+
+namespace filbert {
+
+namespace {
+
+using steady = std::chrono::steady_clock;
+
+constexpr milliseconds tickPeriod {1};
+constexpr double millisecondsPerSecond = 1'000;
+constexpr int exitNotAll = 1;
+constexpr int exitCrossed = 2;
+
+struct planned_request
 {
-    return 0;
+    steady::time_point at;
+    std::string service;
+    std::string body;
+    bool hasKey = false;
+};
+
+double millisecondsSince(steady::time_point start)
+{
+    return std::chrono::duration<double, std::milli>(steady::now() - start).count();
+}
+
+class load_run
+{
+public:
+    explicit load_run(event_loop &loop)
+        : loop {loop}
+        , client {loop, FLAGS_connections}
+        , gateways {splitList(FLAGS_direct.empty() ? FLAGS_gateways : FLAGS_direct)}
+    {
+        if (!FLAGS_record.empty()) {
+            record.open(FLAGS_record);
+        }
+        plan();
+        loop.every(tickPeriod, [this] { sendDue(); });
+    }
+
+    int report()
+    {
+        std::sort(latencies.begin(), latencies.end());
+        std::cout << "sent=" << next << " answered=" << latencies.size() << " crossed=" << crossed;
+        for (const auto &[kind, count] : refused) {
+            std::cout << " " << kind << "=" << count;
+        }
+        std::cout << "\nlatency_ms p50=" << percentile(0.5) << " p90=" << percentile(0.9)
+                  << " p99=" << percentile(0.99) << " p99.9=" << percentile(0.999)
+                  << " max=" << percentile(1) << "\n";
+        if (crossed > 0) {
+            return exitCrossed;
+        }
+        return FLAGS_expect_all && latencies.size() != requests.size() ? exitNotAll : 0;
+    }
+
+private:
+    void plan()
+    {
+        std::mt19937_64 random {FLAGS_seed};
+        std::exponential_distribution<double> gap {FLAGS_rate};
+        const auto services = splitList(FLAGS_services);
+        const auto start = steady::now();
+        for (double at = gap(random); at < FLAGS_seconds; at += gap(random)) {
+            planned_request request;
+            request.at = start
+                + std::chrono::duration_cast<steady::duration>(std::chrono::duration<double> {at});
+            request.service = services[random() % services.size()];
+            request.hasKey = request.service.ends_with('!');
+            if (request.hasKey) {
+                request.service.pop_back();
+            }
+            request.body = FLAGS_body + "-" + std::to_string(requests.size());
+            requests.push_back(std::move(request));
+        }
+    }
+
+    void sendDue()
+    {
+        while (next < requests.size() && requests[next].at <= steady::now()) {
+            send(requests[next++]);
+        }
+        if (next == requests.size() && client.openCalls() == 0) {
+            loop.stop();
+        }
+    }
+
+    void send(const planned_request &request)
+    {
+        http_call call;
+        call.endpoint = gateways[next % gateways.size()];
+        call.path = FLAGS_direct.empty() ? "/v1/services/" + request.service : "/v1/direct";
+        call.headers = {{"authorization", "Bearer " + FLAGS_key},
+                        {"filbert-deadline-ms", std::to_string(FLAGS_deadline_ms)}};
+        if (request.hasKey) {
+            call.headers.push_back({"idempotency-key", request.body});
+        }
+        call.body = request.body;
+        call.timeout = {FLAGS_deadline_ms + 1'000};
+        client.send(std::move(call), [this, &request](std::error_code error, http_answer &&answer) {
+            take(request, error, answer);
+        });
+    }
+
+    void take(const planned_request &request, std::error_code error, const http_answer &answer)
+    {
+        std::string outcome = "ran";
+        if (error) {
+            outcome = std::string {outcomeName(errorRow(kindOf(error)).outcome)};
+            ++refused["client_" + std::string {errorRow(kindOf(error)).name}];
+        } else if (answer.status != 200) {
+            messages::problem problem;
+            std::string detail;
+            readJson(answer.body, &problem, &detail);
+            outcome = problem.outcome();
+            ++refused[problem.kind().empty() ? std::to_string(answer.status) : problem.kind()];
+        } else if (!answer.body.ends_with("did " + request.body)) {
+            ++crossed;
+        } else {
+            latencies.push_back(millisecondsSince(request.at));
+        }
+        if (record.is_open()) {
+            record << request.body << ' ' << request.service << ' ' << (error ? 0 : answer.status)
+                   << ' ' << outcome << '\n';
+        }
+    }
+
+    double percentile(double part) const
+    {
+        if (latencies.empty()) {
+            return 0;
+        }
+        const auto rank = std::ceil(part * static_cast<double>(latencies.size()));
+        return latencies[static_cast<std::size_t>(std::max(rank, 1.0)) - 1];
+    }
+
+    event_loop &loop;
+    http_client client;
+    std::vector<std::string> gateways;
+    std::vector<planned_request> requests;
+    std::size_t next = 0;
+    std::vector<double> latencies;
+    std::map<std::string, int> refused;
+    std::ofstream record;
+    int crossed = 0;
+};
+
+} // namespace
+
+} // namespace filbert
+
+int main(int argc, char **argv)
+{
+    using namespace filbert;
+    settings_check check {readSettings(&argc, &argv, "An open-loop load over HTTP.")};
+    startLog(argv[0]);
+    check.require(FLAGS_rate > 0 && FLAGS_seconds > 0, "--rate, --seconds: expected above 0");
+    if (!check.isAllRight()) {
+        return 2;
+    }
+    event_loop loop;
+    load_run run {loop};
+    loop.run();
+    return run.report();
 }
--- a/extras/random_run/promise_checks.h
+++ b/extras/random_run/promise_checks.h
@@ -30,6 +30,12 @@
     {
         running[{target, placement}] = task;
         ++starts;
+        log_line {"task_started"}
+            .with("target", target)
+            .with("placement", placement)
+            .with("body", task.body)
+            .with("job", task.jobId)
+            .with("task", task.taskIndex);
         resource_amounts onTarget;
         resource_amounts ofTeam;
         for (const auto &[where, other] : running) {
@@ -52,7 +58,14 @@
             const auto name = task.jobId != 0
                 ? "job " + std::to_string(task.jobId) + "/" + std::to_string(task.taskIndex)
                 : task.body;
-            FILBERT_INVARIANT(++runsOf[name] == 1, "a non-idempotent request runs at most once");
+            const auto runs = ++runsOf[name];
+            if (runs > 1) {
+                log_line {"ran_again", log_line::severity::Error}
+                    .with("what", name)
+                    .with("target", target)
+                    .with("placement", placement);
+            }
+            FILBERT_INVARIANT(runs == 1, "a non-idempotent request runs at most once");
         }
         ranBodies.insert(task.body);
         FILBERT_INVARIANT(!notRunBodies.contains(task.body), "a refusal that says not run is true");
--- a/extras/random_run/random_cell.cpp
+++ b/extras/random_run/random_cell.cpp
@@ -546,6 +546,18 @@
                          });
 }
 
+void random_cell::learnVersion()
+{
+    anyGateway().request(requestOf("GET", "/v1/members", operatorKey.token, ""),
+                         [this](http_answer &&answer) {
+                             messages::status_reply status;
+                             std::string detail;
+                             if (answer.status == 200 && !readJson(answer.body, &status, &detail)) {
+                                 knownVersion = std::max(knownVersion, status.version());
+                             }
+                         });
+}
+
 void random_cell::watchInForce(std::int64_t version, std::uint64_t change)
 {
     if (change != configurationChanges) {
@@ -754,8 +766,13 @@
         finishReplacement(*controllers[i], "none");
         until([&] { return !isReplacing; });
     }
-    apply(0, true, "first");
-    until([&] { return knownVersion >= 1; });
+    while (knownVersion == 0) {
+        apply(0, true, "first");
+        const auto patience = time.now + milliseconds {15'000};
+        while (knownVersion == 0 && time.now < patience) {
+            time.step();
+        }
+    }
     for (const auto &target : targets) {
         beat(*target);
     }
--- a/extras/random_run/random_cell.h
+++ b/extras/random_run/random_cell.h
@@ -83,6 +83,7 @@
     void cancelJob();
     void actAsOperator();
     void apply(std::int64_t base, bool hasSpareKey, const std::string &requestId);
+    void learnVersion();
     void watchInForce(std::int64_t version, std::uint64_t change);
     messages::configuration makeConfiguration(bool hasSpareKey, int variant) const;
 
--- a/extras/stand_in_target.cpp
+++ b/extras/stand_in_target.cpp
@@ -95,7 +95,12 @@
 
     void takeRequest(http_server &server, http_request &&request)
     {
-        if (request.path == "/v1/run") {
+        if (request.path == "/v1/direct") {
+            http_answer answer; // a baseline without the product between
+            answer.contentType = "text/plain";
+            answer.body = FLAGS_name + " did " + request.body;
+            server.respond(request.id, std::move(answer));
+        } else if (request.path == "/v1/run") {
             runRequest(server, std::move(request));
         } else if (request.path == "/v1/tasks") {
             startTask(server, request);
--- a/modules/filbert_cell/cell_snapshot.cpp
+++ b/modules/filbert_cell/cell_snapshot.cpp
@@ -108,7 +108,8 @@
     }
     snapshot.mutable_ended_jobs()->Assign(state.endedJobs.begin(), state.endedJobs.end());
     for (const auto &[wallMs, key] : state.idempotencyByAge) {
-        if (const auto found = state.idempotency.find(key); found != state.idempotency.end()) {
+        const auto found = state.idempotency.find(key);
+        if (found != state.idempotency.end() && found->second.wall_ms() == wallMs) {
             *snapshot.add_idempotency() = found->second;
         }
     }
--- a/modules/filbert_cell/cell_state.cpp
+++ b/modules/filbert_cell/cell_state.cpp
@@ -46,10 +46,13 @@
     auto &ages = state.idempotencyByAge;
     while (!ages.empty() && ages.front().first + state.limits.idempotencyMs < wallMs) {
         const auto found = state.idempotency.find(ages.front().second);
-        // A request still under way keeps its record; it is looked at again a whole span later.
-        if (found != state.idempotency.end() && found->second.placement_id() != 0) {
+        const bool isCurrent =
+            found != state.idempotency.end() && found->second.wall_ms() == ages.front().first;
+        if (isCurrent && found->second.placement_id() != 0) {
+            // Still under way: it is looked at again a whole span later.
+            found->second.set_wall_ms(wallMs);
             ages.emplace_back(wallMs, found->first);
-        } else if (found != state.idempotency.end()) {
+        } else if (isCurrent) {
             state.idempotency.erase(found);
         }
         ages.pop_front();
--- a/modules/filbert_gateway/controller_links.cpp
+++ b/modules/filbert_gateway/controller_links.cpp
@@ -104,10 +104,9 @@
             late.push_back(id);
         } else if (!which.isUnanswered && now >= which.retryAt) {
             trySend(which, now);
-        } else if (which.isUnanswered && now - which.sentAt >= answerPatience
-                   && lastAnswer < which.sentAt) {
-            // Nothing at all has come since: it may be cut off, or lead no more.
-            isLeaderSilent = true;
+        } else if (which.isUnanswered && now - which.sentAt >= answerPatience) {
+            // If nothing at all has come since, the leader may be cut off, or lead no more.
+            isLeaderSilent = isLeaderSilent || lastAnswer < which.sentAt;
             if (which.rule == resend_rule::WhenUnanswered) {
                 which.isUnanswered = false;
                 which.retryAt = now;
--- a/modules/filbert_gateway/gateway_parts.h
+++ b/modules/filbert_gateway/gateway_parts.h
@@ -4,6 +4,7 @@
 
 #include <deque>
 #include <string>
+#include <unordered_set>
 
 namespace filbert {
 
@@ -19,6 +20,8 @@
     time_point now;
     time_point nextHello;
     double retryTokens = 10;
+    std::unordered_set<std::uint64_t> startOrders; // carried of late, see isFirstOrder()
+    std::deque<std::uint64_t> startOrdersByAge;
     bool isHelloOpen = false;
     bool isStopping = false;
 
--- a/modules/filbert_transport/http_client.cpp
+++ b/modules/filbert_transport/http_client.cpp
@@ -129,7 +129,7 @@
     info.context = loop.context();
     info.vhost = vhosts[static_cast<std::size_t>(call->slot)];
     info.address = address.c_str();
-    info.host = endpoint.c_str();
+    info.host = address.c_str(); // with a port, the library would not find the kept connection
     info.origin = endpoint.c_str();
     info.port = port;
     info.path = call->call.path.c_str();
