--- a/modules/filbert_policy/placement_pass.cpp
+++ b/modules/filbert_policy/placement_pass.cpp
@@ -15,6 +15,12 @@
     return state.settings.kind == policy_kind::Filbert;
 }
 
+bool offers(const target_view &target, const std::string &service)
+{
+    return std::find(target.services.begin(), target.services.end(), service)
+        != target.services.end();
+}
+
 std::uint64_t releasesOf(const scheduler_state &state, const std::string &service)
 {
     const auto pool = state.index.pools.find(service);
@@ -72,8 +78,9 @@
 
 void preemptFor(scheduler_state &state, work_item &item, time_point now, schedule_result *result)
 {
-    if (!usesClasses(state)
-        || (item.preemptedAt.ms != 0 && now - item.preemptedAt < preemptionPause)) {
+    const bool isTooEarly = now - item.since < state.settings.preemptAfter
+        || (item.preemptedAt.ms != 0 && now - item.preemptedAt < preemptionPause);
+    if (!usesClasses(state) || isTooEarly) {
         return;
     }
     std::vector<std::uint64_t> best;
@@ -83,9 +90,7 @@
     for (std::size_t i = 0; i < count && looked < state.settings.preemptionTargets; ++i) {
         const auto number = (i + static_cast<std::size_t>(item.ticket)) % count;
         const auto &target = state.index.targets[number];
-        const bool offers = std::find(target.services.begin(), target.services.end(), item.service)
-            != target.services.end();
-        if (!target.isEligible || !offers) {
+        if (!target.isEligible || !offers(target, item.service)) {
             continue;
         }
         ++looked;
@@ -120,6 +125,15 @@
     }
 }
 
+/** Whether a gang gathers the free room of a pool that a target belongs to. */
+bool isHeldForGang(const scheduler_state &state, const target_view &target)
+{
+    return !state.heldPools.empty()
+        && std::any_of(target.services.begin(), target.services.end(), [&](const auto &service) {
+               return state.heldPools.contains(service);
+           });
+}
+
 bool placeOne(scheduler_state &state, work_item &item, time_point now, schedule_result *result)
 {
     const auto target = chooseTarget(state, item);
@@ -130,8 +144,9 @@
         return false;
     }
     const auto number = static_cast<std::uint32_t>(target);
+    const auto &chosen = state.index.targets[number];
     if (item.kind != work_class::Urgent
-        && !leavesUrgentReserve(state, state.index.targets[number], item.need)) {
+        && (isHeldForGang(state, chosen) || !leavesUrgentReserve(state, chosen, item.need))) {
         return false;
     }
     const auto task = item.tasks.back();
@@ -153,15 +168,23 @@
     return latest;
 }
 
+/** Whether at least two of a gang's tasks share a target, so that room freed anywhere adds up. */
+bool canGatherAnywhere(const scheduler_state &state, const work_item &item)
+{
+    return std::any_of(state.index.targets.begin(), state.index.targets.end(),
+                       [&](const auto &target) {
+                           return target.isEligible && offers(target, item.service)
+                               && fitsWithin(item.need + item.need, target.capacity);
+                       });
+}
+
 /** Reserves, at once or not at all, the targets that will be empty soonest and hold the gang. */
-void reserveFor(scheduler_state &state, const work_item &item, time_point now)
+void reserveTargets(scheduler_state &state, const work_item &item, time_point now)
 {
     std::vector<std::pair<std::int64_t, std::uint32_t>> candidates;
     for (std::uint32_t i = 0; i < state.index.targets.size(); ++i) {
         const auto &target = state.index.targets[i];
-        const bool offers = std::find(target.services.begin(), target.services.end(), item.service)
-            != target.services.end();
-        if (target.isEligible && target.reservedFor == 0 && offers
+        if (target.isEligible && target.reservedFor == 0 && offers(target, item.service)
             && fitsWithin(item.need, target.capacity)) {
             candidates.emplace_back(expectedEnd(state, i, now).count, i);
         }
@@ -189,6 +212,47 @@
     state.reservations[item.ticket] = std::move(chosen);
 }
 
+/** Sees to it that a gang which has waited long enough gets its room before other batch work.
+
+    Small tasks gather what is freed anywhere in the pool, which takes as long as so many tasks need
+    to end; tasks that fill a target need whole targets, so some are reserved and run empty.
+*/
+void reserveFor(scheduler_state &state, const work_item &item, time_point now)
+{
+    if (!canGatherAnywhere(state, item)) {
+        reserveTargets(state, item, now);
+    } else if (!state.heldPools.contains(item.service)) {
+        state.heldPools[item.service] = item.ticket;
+    }
+}
+
+/** Lets other work into a pool again. */
+void endHold(scheduler_state &state, std::uint64_t ticket)
+{
+    const auto ended = std::erase_if(state.heldPools,
+                                     [&](const auto &hold) { return hold.second == ticket; });
+    if (ended > 0) {
+        // Every pool that shares targets with it may have blocked work that is worth another try.
+        for (auto &[name, pool] : state.index.pools) {
+            ++pool.releases;
+        }
+    }
+}
+
+/** Cheap check before a gang is tried in full. */
+bool hasRoomInSum(const scheduler_state &state, const work_item &item)
+{
+    const auto pool = state.index.pools.find(item.service);
+    if (pool == state.index.pools.end()) {
+        return false;
+    }
+    const auto count = static_cast<std::int64_t>(item.tasks.size());
+    const auto &need = item.need;
+    return fitsWithin({need.milliCores * count, need.memoryMb * count, need.accelerators * count,
+                       need.slots * count},
+                      pool->second.capacity - pool->second.used);
+}
+
 bool placeGang(scheduler_state &state, work_item &item, time_point now, schedule_result *result)
 {
     const auto reserved = state.reservations.find(item.ticket);
@@ -198,7 +262,8 @@
         }
     }
     std::vector<std::uint32_t> chosen;
-    for (std::size_t i = 0; i < item.tasks.size(); ++i) {
+    const auto toPlace = hasRoomInSum(state, item) ? item.tasks.size() : 0;
+    for (std::size_t i = 0; i < toPlace; ++i) {
         const auto target = chooseTarget(state, item);
         const bool isGood = target >= 0
             && leavesUrgentReserve(state, state.index.targets[static_cast<std::size_t>(target)],
@@ -223,6 +288,7 @@
         return false;
     }
     state.reservations.erase(item.ticket);
+    endHold(state, item.ticket);
     for (std::size_t i = 0; i < chosen.size(); ++i) {
         take(state, item, item.tasks[i], chosen[i], now, result);
     }
@@ -238,8 +304,10 @@
     }
     const bool mayReserve = item.kind == work_class::Gang && usesClasses(state)
         && now - item.since >= state.settings.reserveGangAfter
-        && !state.reservations.contains(item.ticket);
-    return !item.isBlocked || mayReserve || item.blockedAt != releasesOf(state, item.service);
+        && !state.reservations.contains(item.ticket) && !state.heldPools.contains(item.service);
+    const bool mayPreempt = item.kind == work_class::Urgent && usesClasses(state)
+        && now - item.since >= state.settings.preemptAfter;
+    return !item.isBlocked || mayReserve || mayPreempt || item.blockedAt != releasesOf(state, item.service);
 }
 
 bool isWithinLimit(const scheduler_state &state, const work_item &item)
@@ -383,6 +451,7 @@
 
 void dropReservation(scheduler_state &state, std::uint64_t ticket)
 {
+    endHold(state, ticket);
     const auto found = state.reservations.find(ticket);
     if (found == state.reservations.end()) {
         return;
@@ -405,8 +474,7 @@
 {
     resource_amounts most;
     for (const auto &target : state.index.targets) {
-        if (std::find(target.services.begin(), target.services.end(), item.service)
-            != target.services.end()) {
+        if (offers(target, item.service)) {
             most = largerOf(most, target.capacity);
         }
     }
--- a/modules/filbert_policy/scheduler.cpp
+++ b/modules/filbert_policy/scheduler.cpp
@@ -324,6 +324,9 @@
             + std::to_string((item.notBefore - now).count) + " ms";
     } else if (state.reservations.contains(ticket)) {
         reason.text = "targets are reserved for it and are running empty";
+    } else if (const auto hold = state.heldPools.find(item.service);
+               hold != state.heldPools.end() && hold->second == ticket) {
+        reason.text = "freed room is being gathered for it";
     } else if (item.kind == work_class::Gang) {
         reason.text =
             "room for all " + std::to_string(item.tasks.size()) + " tasks at once is waited for";
--- a/modules/filbert_policy/scheduler.h
+++ b/modules/filbert_policy/scheduler.h
@@ -35,6 +35,7 @@
     std::size_t maxUrgentWaiting = 2'000; // of one team
     std::size_t maxJobsWaiting = 50'000; // of one team
     milliseconds reserveGangAfter {2'000};
+    milliseconds preemptAfter {300};     // an urgent task waits that long before others are stopped
     milliseconds retryBackoff {500};
     milliseconds retryBackoffMax {60'000};
     milliseconds quarantineFirst {30'000};
@@ -138,6 +139,7 @@
     std::unordered_map<std::string, learned_size> learned;
     std::set<std::string> urgentServices;
     std::map<std::uint64_t, std::vector<std::uint32_t>> reservations; // targets by gang ticket
+    std::map<std::string, std::uint64_t> heldPools; // by service: the gang that gathers free room
     std::uint64_t nextPlacement = 1;
     std::multimap<time_point, std::uint64_t> giveUps;
 };
