Fault test of the real programs; planned stops cut no request; late grants are given back

Change: a stopping leader turns waiting requests away to the next one, finishes what is under way and then hands over; gateways send unanswered dispatches again and give late or doubled grants back; a resend under a key waits for the first sending's answer; a call's own deadline replaces the library's.

--- a/extras/load.cpp
+++ b/extras/load.cpp
@@ -35,6 +35,8 @@
 using steady = std::chrono::steady_clock;
 
 constexpr milliseconds tickPeriod {1};
+constexpr milliseconds readyPeriod {100};
+constexpr milliseconds readyTimeout {500};
 constexpr double millisecondsPerSecond = 1'000;
 constexpr int exitNotAll = 1;
 constexpr int exitCrossed = 2;
@@ -58,13 +60,18 @@
     explicit load_run(event_loop &loop)
         : loop {loop}
         , client {loop, FLAGS_connections}
+        , probes {loop, 1}
         , gateways {splitList(FLAGS_direct.empty() ? FLAGS_gateways : FLAGS_direct)}
     {
         if (!FLAGS_record.empty()) {
             record.open(FLAGS_record);
         }
+        ready.assign(gateways.size(), true);
         plan();
         loop.every(tickPeriod, [this] { sendDue(); });
+        if (FLAGS_direct.empty()) {
+            loop.every(readyPeriod, [this] { askReadiness(); });
+        }
     }
 
     int report()
@@ -114,10 +121,36 @@
         }
     }
 
+    /** As a balancer does: a gateway that is not ready gets no new requests. */
+    void askReadiness()
+    {
+        for (std::size_t i = 0; i < gateways.size(); ++i) {
+            http_call call;
+            call.endpoint = gateways[i];
+            call.method = "GET";
+            call.path = "/readyz";
+            call.timeout = readyTimeout;
+            probes.send(std::move(call), [this, i](std::error_code error, http_answer &&answer) {
+                ready[i] = !error && answer.status == 200;
+            });
+        }
+    }
+
+    const std::string &nextGateway()
+    {
+        for (std::size_t i = 0; i < gateways.size(); ++i) {
+            turn = (turn + 1) % gateways.size();
+            if (ready[turn]) {
+                break;
+            }
+        }
+        return gateways[turn];
+    }
+
     void send(const planned_request &request)
     {
         http_call call;
-        call.endpoint = gateways[next % gateways.size()];
+        call.endpoint = nextGateway();
         call.path = FLAGS_direct.empty() ? "/v1/services/" + request.service : "/v1/direct";
         call.headers = {{"authorization", "Bearer " + FLAGS_key},
                         {"filbert-deadline-ms", std::to_string(FLAGS_deadline_ms)}};
@@ -165,7 +198,10 @@
 
     event_loop &loop;
     http_client client;
+    http_client probes;
     std::vector<std::string> gateways;
+    std::vector<bool> ready;
+    std::size_t turn = 0;
     std::vector<planned_request> requests;
     std::size_t next = 0;
     std::vector<double> latencies;
--- a/extras/planted_faults.sh
+++ b/extras/planted_faults.sh
@@ -23,7 +23,7 @@
     fi
     local outcome
     if ninja -C build filbert-random-run >"$copy/log" 2>&1; then
-        outcome=$(build/bin/filbert-random-run --seed=1 --runs="$seeds" --steps="$steps" 2>&1 \
+        outcome=$(build/bin/filbert-random-run --seed=1 --runs="$seeds" --steps="$steps" --stop_at_first 2>&1 \
             | grep violated | sed 's/ at .*//; s/steps=[0-9]* //' | head -n 1)
     else
         outcome="does not build: $(grep -m1 error "$copy/log")"
--- a/extras/policy_bench/filbert_policy_bench.cpp
+++ b/extras/policy_bench/filbert_policy_bench.cpp
@@ -47,7 +47,16 @@
     plan.shares = {{"desk", 30}, {"books", 20}, {"stock", 10}, {"studio", 25}, {"press", 15}};
     plan.urgentServices = {"quote"};
     plan.streams = {
-        {"desk", "quote", work_class::Urgent, {2'000, 1'000, 0, 1}, 1, 900, 100, 0.5, true, 20'000,
+        {"desk",
+         "quote",
+         work_class::Urgent,
+         {2'000, 1'000, 0, 1},
+         1,
+         900,
+         100,
+         0.5,
+         true,
+         20'000,
          60},
         {"books", "report", work_class::Batch, {4'000, 6'000, 0, 1}, 1, 12, 20'000, 0.8},
         {"stock", "report", work_class::Batch, {4'000, 6'000, 0, 1}, 1, 12, 20'000, 0.8},
@@ -67,12 +76,21 @@
         {"badge", 35, {32'000, 128'000, 0, 8}, {"badge", "archive"}},
         {"photo", 13, {64'000, 128'000, 8, 8}, {"portrait"}},
     };
-    plan.shares = {{"badges", 25}, {"archive", 10}, {"audit", 15}, {"portraits", 30},
-                   {"screening", 20}};
+    plan.shares = {
+        {"badges", 25}, {"archive", 10}, {"audit", 15}, {"portraits", 30}, {"screening", 20}};
     plan.urgentServices = {"badge"};
     plan.streams = {
-        {"badges", "badge", work_class::Urgent, {1'000, 1'000, 0, 1}, 1, 1'200, 80, 0.5, true,
-         30'000, 100},
+        {"badges",
+         "badge",
+         work_class::Urgent,
+         {1'000, 1'000, 0, 1},
+         1,
+         1'200,
+         80,
+         0.5,
+         true,
+         30'000,
+         100},
         {"archive", "archive", work_class::Batch, {4'000, 12'000, 0, 1}, 1, 12, 20'000, 0.8},
         {"audit", "archive", work_class::Batch, {4'000, 12'000, 0, 1}, 1, 12, 20'000, 0.8},
         {"portraits", "portrait", work_class::Batch, {6'000, 12'000, 1, 1}, 1, 4, 25'000, 0.8},
@@ -151,10 +169,22 @@
         for (int i = 0; i < teams; ++i) {
             const auto name = "team" + std::to_string(i);
             plan.shares[name] = 1 + i % 5;
-            plan.streams.push_back({name, "live", work_class::Urgent, {1'000, 2'000, 0, 1}, 1,
-                                    0.05 * perTarget, 2'000, 0.5});
-            plan.streams.push_back({name, "work", work_class::Batch, {3'000, 8'000, 0, 1}, 4,
-                                    0.12 * perTarget, 40'000, 0.6});
+            plan.streams.push_back({name,
+                                    "live",
+                                    work_class::Urgent,
+                                    {1'000, 2'000, 0, 1},
+                                    1,
+                                    0.05 * perTarget,
+                                    2'000,
+                                    0.5});
+            plan.streams.push_back({name,
+                                    "work",
+                                    work_class::Batch,
+                                    {3'000, 8'000, 0, 1},
+                                    4,
+                                    0.12 * perTarget,
+                                    40'000,
+                                    0.6});
         }
         plan.lengthMs = 60'000;
         plan.warmUpMs = 30'000;
@@ -200,8 +230,8 @@
             task.need = {3'000, 8'000, 0, 1};
             noteRunning(scheduler, ++placement, std::move(task));
         }
-        std::cout << "tasks=" << tasks << " resident_kb=" << residentKb()
-                  << " bytes_per_task=" << (residentKb() - before) * 1'024 / static_cast<std::int64_t>(tasks)
+        std::cout << "tasks=" << tasks << " resident_kb=" << residentKb() << " bytes_per_task="
+                  << (residentKb() - before) * 1'024 / static_cast<std::int64_t>(tasks)
                   << std::endl;
     }
 }
--- a/extras/policy_bench/policy_trial.cpp
+++ b/extras/policy_bench/policy_trial.cpp
@@ -213,9 +213,9 @@
     {
         const auto started = std::chrono::steady_clock::now();
         const auto decided = schedule(scheduler, {now});
-        const auto took = std::chrono::duration<double, std::micro>(
-                              std::chrono::steady_clock::now() - started)
-                              .count();
+        const auto took =
+            std::chrono::duration<double, std::micro>(std::chrono::steady_clock::now() - started)
+                .count();
         if (!decided.placements.empty()) {
             decisionUs.push_back(took / static_cast<double>(decided.placements.size()));
         }
@@ -246,14 +246,16 @@
             && plan.poisonAtMs > 0 && target.name.ends_with("r0");
         const auto runMs = isPoisoned
             ? poisonedRunMs
-            : std::max<std::int64_t>(1, static_cast<std::int64_t>(lengths[stream](generators[stream])));
+            : std::max<std::int64_t>(
+                1, static_cast<std::int64_t>(lengths[stream](generators[stream])));
         running[placed.placement] = {stream, now, isPoisoned, origin.item, placed.task};
         at(now + runMs, event_kind::End, placed.placement);
         if (plan.sizeErrorLog10 > 0) {
-            std::uniform_real_distribution<double> error {-plan.sizeErrorLog10, plan.sizeErrorLog10};
+            std::uniform_real_distribution<double> error {-plan.sizeErrorLog10,
+                                                          plan.sizeErrorLog10};
             auto used = task.need;
-            used.milliCores = static_cast<std::int64_t>(
-                static_cast<double>(used.milliCores) * std::pow(10, error(random)));
+            used.milliCores = static_cast<std::int64_t>(static_cast<double>(used.milliCores)
+                                                        * std::pow(10, error(random)));
             noteUsage(scheduler, placed.placement, used);
         }
     }
@@ -317,8 +319,8 @@
                 const auto &queue = team.waiting[static_cast<std::size_t>(kind)];
                 for (std::size_t i = 0; i < std::min<std::size_t>(queue.size(), 4); ++i) {
                     const auto found = scheduler.waiting.find(queue[i]);
-                    waitsForAccelerators |= found != scheduler.waiting.end()
-                        && found->second.need.accelerators > 0;
+                    waitsForAccelerators |=
+                        found != scheduler.waiting.end() && found->second.need.accelerators > 0;
                 }
             }
         }
--- a/extras/policy_bench/policy_trial.h
+++ b/extras/policy_bench/policy_trial.h
@@ -18,12 +18,12 @@
     work_class kind = work_class::Batch;
     resource_amounts need;
     int tasks = 1;
-    double perSecond = 0;     // arrivals, Poisson
+    double perSecond = 0; // arrivals, Poisson
     double meanRunMs = 1'000; // of one task, log-normal
-    double runSpread = 0.5;   // sigma of the logarithm
+    double runSpread = 0.5; // sigma of the logarithm
     bool isIdempotent = true;
     std::int64_t burstEveryMs = 0; // every so often ...
-    int burstSize = 0;             // ... so many at once
+    int burstSize = 0; // ... so many at once
 };
 
 /** Identical targets. */
@@ -45,10 +45,10 @@
     std::set<std::string> urgentServices;
     std::int64_t lengthMs = 600'000;
     std::int64_t warmUpMs = 60'000;
-    std::int64_t cancelAtMs = 0;     // half of what waits is cancelled
-    std::int64_t poisonAtMs = 0;     // one target of each group fails everything for a while
+    std::int64_t cancelAtMs = 0; // half of what waits is cancelled
+    std::int64_t poisonAtMs = 0; // one target of each group fails everything for a while
     std::int64_t loseDomainAtMs = 0; // a third of the targets goes for a minute
-    double sizeErrorLog10 = 0;       // true use is declared use times up to this power of ten
+    double sizeErrorLog10 = 0; // true use is declared use times up to this power of ten
 };
 
 /** Waiting times of one class, in milliseconds. */
@@ -65,9 +65,9 @@
     wait_figures urgent;
     wait_figures batch;
     wait_figures gang;
-    double slotUse = 0;          // part of all slots, mean over time
+    double slotUse = 0; // part of all slots, mean over time
     double coreUse = 0;
-    double acceleratorUse = 0;   // while work for them waited
+    double acceleratorUse = 0; // while work for them waited
     double shareDistanceMean = 0; // of teams with work waiting all the time, of their due part
     double shareDistanceWorst = 0;
     double wastedPart = 0; // task time lost by preemption, of all task time
--- a/extras/random_run/fake_hosts.h
+++ b/extras/random_run/fake_hosts.h
@@ -179,9 +179,7 @@
             return;
         }
         running->takeTime(now());
-        if (envelope.exchange() != 0) {
-            links->takeAnswer("tcp://" + from, envelope, now());
-        } else {
+        if (!links->takeAnswer("tcp://" + from, envelope, now())) {
             running->takeOrder(envelope, now());
         }
     }
--- a/extras/random_run/filbert_random_run.cpp
+++ b/extras/random_run/filbert_random_run.cpp
@@ -15,6 +15,7 @@
 DEFINE_bool(pauses, true, "controllers pause");
 DEFINE_bool(cuts, true, "hosts are cut off, silently, in one or both directions");
 DEFINE_bool(lost_disks, true, "disks are lost and hosts replaced");
+DEFINE_bool(stop_at_first, false, "end at the first seed that breaks a promise");
 DEFINE_bool(verbose, false, "log every event");
 DEFINE_bool(plant_skipped_sync, false, "disks lie about what is durable; must be caught");
 
@@ -45,6 +46,9 @@
             ++failed;
             std::cout << "seed=" << seed << " steps=" << FLAGS_steps
                       << " violated: " << error.what() << std::endl;
+            if (FLAGS_stop_at_first) {
+                break;
+            }
         }
     }
     return failed == 0 ? 0 : 1;
--- a/modules/filbert_controller/controller.cpp
+++ b/modules/filbert_controller/controller.cpp
@@ -42,15 +42,8 @@
         return;
     }
     const reply_address from {peer, envelope.exchange()};
-    if (!state.isLeading || !hasLease(state.log, now)) {
-        messages::envelope answer;
-        auto *notLeader = answer.mutable_not_leader();
-        const auto *leader = findMember(state.log.members, state.log.leader);
-        if (leader != nullptr && leader->identity() != state.log.self) {
-            notLeader->set_leader(leader->identity());
-            notLeader->set_address(leader->address());
-        }
-        reply(state, from, std::move(answer));
+    if (!state.isLeading || state.isStopping || !hasLease(state.log, now)) {
+        turnAway(state, from);
         return;
     }
     takeRequest(from, envelope, now);
@@ -108,6 +101,12 @@
 void controller::takeTime(time_point now)
 {
     stepTime(state.log, now, &state.effects);
+    if (state.isStopping) {
+        turnWaitingAway(state);
+    }
+    if (state.isStopping && isQuiet() && !state.log.handOverUntil) {
+        handOver(state.log, now, &state.effects);
+    }
     if (state.isLeading && hasLease(state.log, now)) {
         expireTargets(state, now);
         reviewQuarantines(state.scheduler, now);
@@ -132,7 +131,7 @@
     if (!state.isLeading) {
         return;
     }
-    if (hasLease(state.log, now)) {
+    if (hasLease(state.log, now) && !state.isStopping) {
         runScheduler(state, now);
     }
     std::size_t taken = 0;
@@ -147,7 +146,7 @@
         if (propose(state.log, {batch.SerializeAsString()}, now, &state.effects)) {
             // Neither queued nor sent. The scheduler holds room for it, so start over.
             for (const auto &to : replies) {
-                refuse(state, to, error_kind::NoLeader, "");
+                turnAway(state, to);
             }
             stopLeading(state);
             return;
@@ -259,10 +258,10 @@
     return compact();
 }
 
-void controller::prepareToStop(time_point now)
+bool controller::isQuiet() const
 {
-    state.isStopping = true;
-    handOver(state.log, now, &state.effects);
+    return state.log.role == replica_role::Leader && state.pending.empty() && state.inFlight.empty()
+        && state.log.applied == lastIndex(state.log);
 }
 
 } // namespace filbert
--- a/modules/filbert_controller/controller.h
+++ b/modules/filbert_controller/controller.h
@@ -48,8 +48,8 @@
     */
     std::error_code flush(time_point now, std::int64_t wallMs);
 
-    /** Stops to take work and hands leadership over. */
-    void prepareToStop(time_point now);
+    /** Stops to take work; once all that is under way is answered, leadership is handed over. */
+    void prepareToStop() { state.isStopping = true; }
 
     /** @return whether it may stop without anybody noticing */
     bool isReadyToStop() const { return state.log.role != replica_role::Leader; }
@@ -66,6 +66,8 @@
     void applyCommitted(time_point now);
     std::error_code compact();
 
+    bool isQuiet() const;
+
     controller_state state;
     log_store &store;
     controller_outbox &outbox;
--- a/modules/filbert_controller/controller_state.cpp
+++ b/modules/filbert_controller/controller_state.cpp
@@ -24,6 +24,18 @@
     reply(state, to, std::move(envelope));
 }
 
+void turnAway(controller_state &state, const reply_address &to)
+{
+    messages::envelope envelope;
+    auto *notLeader = envelope.mutable_not_leader();
+    const auto *leader = findMember(state.log.members, state.log.leader);
+    if (leader != nullptr && leader->identity() != state.log.self) {
+        notLeader->set_leader(leader->identity());
+        notLeader->set_address(leader->address());
+    }
+    reply(state, to, std::move(envelope));
+}
+
 void proposeCommand(controller_state &state, messages::command &&command,
                     const reply_address &replyTo)
 {
--- a/modules/filbert_controller/controller_state.h
+++ b/modules/filbert_controller/controller_state.h
@@ -105,6 +105,9 @@
 void refuse(controller_state &state, const reply_address &to, error_kind kind,
             const std::string &detail, milliseconds retryAfter = {});
 
+/** Sends a request that was not taken to the leader, as far as one is known. */
+void turnAway(controller_state &state, const reply_address &to);
+
 /** Puts a command into the next batch. */
 void proposeCommand(controller_state &state, messages::command &&command,
                     const reply_address &replyTo = {});
--- a/modules/filbert_controller/leadership.cpp
+++ b/modules/filbert_controller/leadership.cpp
@@ -142,9 +142,10 @@
 
 void stopLeading(controller_state &state)
 {
-    // A dispatch that was not answered was never sent to its target by the gateway.
+    // A dispatch that was not answered was never sent to its target by the gateway, so that it may
+    // go to the next leader. What may have been placed is settled by the target's heartbeats.
     for (const auto &[ticket, open] : state.dispatches) {
-        refuse(state, open.replyTo, error_kind::NoLeader, "");
+        turnAway(state, open.replyTo);
     }
     state.isLeading = false;
     state.scheduler = {};
--- a/modules/filbert_controller/work_intake.cpp
+++ b/modules/filbert_controller/work_intake.cpp
@@ -226,6 +226,18 @@
     proposeCommand(state, std::move(command), from);
 }
 
+void turnWaitingAway(controller_state &state)
+{
+    std::erase_if(state.dispatches, [&](const auto &entry) {
+        const bool isWaiting = state.scheduler.waiting.contains(entry.first);
+        if (isWaiting) {
+            turnAway(state, entry.second.replyTo);
+            dropWork(state.scheduler, entry.first);
+        }
+        return isWaiting;
+    });
+}
+
 void runScheduler(controller_state &state, time_point now)
 {
     if (state.isDiskFull || state.pending.size() >= state.settings.pendingCommands
--- a/modules/filbert_controller/work_intake.h
+++ b/modules/filbert_controller/work_intake.h
@@ -20,6 +20,9 @@
 void takeJobChange(controller_state &state, const reply_address &from,
                    const messages::job_change &change);
 
+/** Sends requests that wait for room to the next leader, at a planned stop. */
+void turnWaitingAway(controller_state &state);
+
 /** Lets the scheduler decide and turns its decisions into commands. */
 void runScheduler(controller_state &state, time_point now);
 
--- a/modules/filbert_gateway/controller_links.cpp
+++ b/modules/filbert_gateway/controller_links.cpp
@@ -67,12 +67,12 @@
     current = static_cast<std::size_t>(found - addresses.begin());
 }
 
-void controller_links::takeAnswer(const std::string &address, const messages::envelope &envelope,
+bool controller_links::takeAnswer(const std::string &address, const messages::envelope &envelope,
                                   time_point now)
 {
     const auto found = open.find(envelope.exchange());
     if (found == open.end()) {
-        return;
+        return false;
     }
     if (envelope.body_case() == messages::envelope::kNotLeader) {
         auto &which = found->second;
@@ -87,12 +87,13 @@
             lastSwitch = now;
             tryNext();
         }
-        return;
+        return true;
     }
     lastAnswer = now;
     const auto answered = std::move(found->second);
     open.erase(found);
     answered.onAnswer({}, envelope);
+    return true;
 }
 
 void controller_links::takeTime(time_point now)
--- a/modules/filbert_gateway/controller_links.h
+++ b/modules/filbert_gateway/controller_links.h
@@ -51,8 +51,8 @@
     void request(messages::envelope &&envelope, milliseconds timeout, resend_rule rule,
                  time_point now, handler onAnswer);
 
-    /** Takes an answer of a controller; late and foreign ones are dropped. */
-    void takeAnswer(const std::string &address, const messages::envelope &envelope, time_point now);
+    /** Takes an answer of a controller. @return false if no exchange waits for it */
+    bool takeAnswer(const std::string &address, const messages::envelope &envelope, time_point now);
 
     /** Lets time pass: sends again, gives up. */
     void takeTime(time_point now);
--- a/modules/filbert_gateway/gateway.cpp
+++ b/modules/filbert_gateway/gateway.cpp
@@ -16,6 +16,7 @@
 
 constexpr std::string_view bearerPrefix = "Bearer ";
 constexpr double mostRetryTokens = 100;
+constexpr std::size_t keptUses = 100'000;
 
 using route_handler = void (*)(gateway::parts &, http_request &&, const std::string &name);
 
@@ -98,6 +99,19 @@
 
 } // namespace
 
+bool gateway::parts::isFirstUse(std::uint64_t placement)
+{
+    if (!used.insert(placement).second) {
+        return false;
+    }
+    usedByAge.push_back(placement);
+    if (usedByAge.size() > keptUses) {
+        used.erase(usedByAge.front());
+        usedByAge.pop_front();
+    }
+    return true;
+}
+
 void gateway::parts::answerProblem(std::uint64_t request, error_kind kind,
                                    const std::string &detail, milliseconds retryAfter)
 {
@@ -189,7 +203,9 @@
 void gateway::takeOrder(const messages::envelope &envelope, time_point now)
 {
     self->now = now;
-    if (envelope.has_start()) {
+    if (envelope.has_dispatched()) {
+        endStrayGrant(*self, envelope.dispatched());
+    } else if (envelope.has_start()) {
         sendStartOrder(*self, envelope.start());
     } else if (envelope.has_stop()) {
         sendStopOrder(*self, envelope.stop());
@@ -200,6 +216,10 @@
 {
     self->now = now;
     self->links.takeTime(now);
+    while (!self->later.empty() && self->later.begin()->first <= now) {
+        const auto due = self->later.extract(self->later.begin());
+        due.mapped()();
+    }
     if (now >= self->nextHello && !self->isHelloOpen) {
         self->nextHello = now + self->settings.helloPeriod;
         sendHello(*self);
--- a/modules/filbert_gateway/gateway.h
+++ b/modules/filbert_gateway/gateway.h
@@ -71,7 +71,7 @@
     /** A whole request came in. */
     void takeRequest(http_request &&request, time_point now);
 
-    /** A controller sent something that is no answer: an order for a target. */
+    /** A controller sent what no request waits for: an order for a target, or a grant too late. */
     void takeOrder(const messages::envelope &envelope, time_point now);
 
     /** Lets time pass; call it every 10 to 50 ms. */
--- a/modules/filbert_gateway/gateway_parts.h
+++ b/modules/filbert_gateway/gateway_parts.h
@@ -3,6 +3,8 @@
 #include "gateway.h"
 
 #include <deque>
+#include <functional>
+#include <map>
 #include <string>
 #include <unordered_set>
 
@@ -20,11 +22,16 @@
     time_point now;
     time_point nextHello;
     double retryTokens = 10;
-    std::unordered_set<std::uint64_t> startOrders; // carried of late, see isFirstOrder()
-    std::deque<std::uint64_t> startOrdersByAge;
+    std::unordered_set<std::uint64_t> used; // placements, see isFirstUse()
+    std::deque<std::uint64_t> usedByAge;
+    std::multimap<time_point, std::function<void()>> later;
     bool isHelloOpen = false;
     bool isStopping = false;
 
+    /** Whether a placement comes here for the first time. Were a start carried twice, a failure of
+        one carriage would say "not run" while the other still starts the task. */
+    bool isFirstUse(std::uint64_t placement);
+
     void answerProblem(std::uint64_t request, error_kind kind, const std::string &detail,
                        milliseconds retryAfter = {});
     void answerMessage(std::uint64_t request, int status, const google::protobuf::Message &message);
--- a/modules/filbert_gateway/service_calls.cpp
+++ b/modules/filbert_gateway/service_calls.cpp
@@ -14,6 +14,7 @@
 
 constexpr milliseconds endPatience {10'000};
 constexpr milliseconds recordPatience {2'000};
+constexpr milliseconds underWayPause {200};
 constexpr int maxTries = 3;
 constexpr std::int64_t answerPartOfDeadline = 10; // a tenth is left for the target's answer
 constexpr int refusedByTarget = 412; // the target says that it did not start it
@@ -153,6 +154,7 @@
 
 void callTarget(gateway::parts &parts, const call_ptr &call, const messages::dispatch_reply &grant)
 {
+    ++call->tries;
     target_call out;
     out.address = grant.address();
     out.path = "/v1/run";
@@ -184,6 +186,15 @@
     }
     if (answer.has_refused()) {
         const auto &refusal = answer.refused();
+        const bool isUnderWay =
+            static_cast<error_kind>(refusal.kind()) == error_kind::OutcomeUnknown
+            && refusal.retry_after_ms() > 0;
+        if (isUnderWay && parts.now + underWayPause < call->deadline) {
+            // An earlier sending of the same key has not ended; its answer will do for this one.
+            parts.later.emplace(parts.now + underWayPause,
+                                [&parts, call] { tryCall(parts, call); });
+            return;
+        }
         finishWith(parts, call, static_cast<error_kind>(refusal.kind()), refusal.detail(),
                    {refusal.retry_after_ms()});
         return;
@@ -193,6 +204,7 @@
         takeStored(parts, call, grant.stored());
         return;
     }
+    parts.isFirstUse(grant.placement_id());
     if (parts.now >= call->deadline) {
         endNotRun(parts, grant.placement_id(), "the caller's deadline has passed");
         finishWith(parts, call, error_kind::NoCapacity, "no room before the deadline");
@@ -203,7 +215,6 @@
 
 void tryCall(gateway::parts &parts, const call_ptr &call)
 {
-    ++call->tries;
     messages::envelope envelope;
     auto *dispatch = envelope.mutable_dispatch();
     dispatch->set_team(call->owner.name);
@@ -217,7 +228,8 @@
     dispatch->mutable_avoid()->Assign(call->avoid.begin(), call->avoid.end());
     const auto left = call->deadline - parts.now;
     dispatch->set_wait_ms(left.count - left.count / answerPartOfDeadline);
-    parts.links.request(std::move(envelope), left, resend_rule::Never, parts.now,
+    // Sent twice, it may be granted twice; the second grant is given back, see endStrayGrant().
+    parts.links.request(std::move(envelope), left, resend_rule::WhenUnanswered, parts.now,
                         [&parts, call](std::error_code error, const messages::envelope &answer) {
                             takeDispatch(parts, call, error, answer);
                         });
@@ -237,6 +249,13 @@
 
 } // namespace
 
+void endStrayGrant(gateway::parts &parts, const messages::dispatch_reply &grant)
+{
+    if (grant.placement_id() != 0 && parts.isFirstUse(grant.placement_id())) {
+        endNotRun(parts, grant.placement_id(), "the grant came too late");
+    }
+}
+
 void callService(gateway::parts &parts, http_request &&request, const std::string &name)
 {
     if (!isInForce(parts.lease, parts.now)) {
--- a/modules/filbert_gateway/service_calls.h
+++ b/modules/filbert_gateway/service_calls.h
@@ -9,4 +9,7 @@
 /** A caller's synchronous request to a service. @param name of the service */
 void callService(gateway::parts &parts, http_request &&request, const std::string &name);
 
+/** Gives back a grant that came too late or twice; nothing was started under it. */
+void endStrayGrant(gateway::parts &parts, const messages::dispatch_reply &grant);
+
 } // namespace filbert
--- a/modules/filbert_gateway/target_routes.cpp
+++ b/modules/filbert_gateway/target_routes.cpp
@@ -12,22 +12,6 @@
 constexpr milliseconds endPatience {10'000};
 constexpr int statusOk = 200;
 constexpr int refusedByTarget = 412;
-constexpr std::size_t keptOrders = 50'000;
-
-/** Whether a start order comes for the first time. Were it carried twice, a failure of one carriage
-    would say "not run" while the other still starts the task. */
-bool isFirstOrder(gateway::parts &parts, std::uint64_t placement)
-{
-    if (!parts.startOrders.insert(placement).second) {
-        return false;
-    }
-    parts.startOrdersByAge.push_back(placement);
-    if (parts.startOrdersByAge.size() > keptOrders) {
-        parts.startOrders.erase(parts.startOrdersByAge.front());
-        parts.startOrdersByAge.pop_front();
-    }
-    return true;
-}
 
 /** Checks the key and reads the body; answers by itself where that fails. */
 bool readFromTarget(gateway::parts &parts, const http_request &request,
@@ -77,7 +61,7 @@
 
 void sendStartOrder(gateway::parts &parts, const messages::start_order &order)
 {
-    if (!isFirstOrder(parts, order.placement_id())) {
+    if (!parts.isFirstUse(order.placement_id())) {
         return;
     }
     target_call call;
--- a/modules/filbert_policy/placement_pass.cpp
+++ b/modules/filbert_policy/placement_pass.cpp
@@ -129,9 +129,8 @@
 bool isHeldForGang(const scheduler_state &state, const target_view &target)
 {
     return !state.heldPools.empty()
-        && std::any_of(target.services.begin(), target.services.end(), [&](const auto &service) {
-               return state.heldPools.contains(service);
-           });
+        && std::any_of(target.services.begin(), target.services.end(),
+                       [&](const auto &service) { return state.heldPools.contains(service); });
 }
 
 bool placeOne(scheduler_state &state, work_item &item, time_point now, schedule_result *result)
@@ -229,8 +228,8 @@
 /** Lets other work into a pool again. */
 void endHold(scheduler_state &state, std::uint64_t ticket)
 {
-    const auto ended = std::erase_if(state.heldPools,
-                                     [&](const auto &hold) { return hold.second == ticket; });
+    const auto ended =
+        std::erase_if(state.heldPools, [&](const auto &hold) { return hold.second == ticket; });
     if (ended > 0) {
         // Every pool that shares targets with it may have blocked work that is worth another try.
         for (auto &[name, pool] : state.index.pools) {
@@ -307,7 +306,8 @@
         && !state.reservations.contains(item.ticket) && !state.heldPools.contains(item.service);
     const bool mayPreempt = item.kind == work_class::Urgent && usesClasses(state)
         && now - item.since >= state.settings.preemptAfter;
-    return !item.isBlocked || mayReserve || mayPreempt || item.blockedAt != releasesOf(state, item.service);
+    return !item.isBlocked || mayReserve || mayPreempt
+        || item.blockedAt != releasesOf(state, item.service);
 }
 
 bool isWithinLimit(const scheduler_state &state, const work_item &item)
--- a/modules/filbert_policy/scheduler.h
+++ b/modules/filbert_policy/scheduler.h
@@ -30,12 +30,12 @@
 {
     policy_kind kind = policy_kind::Filbert;
     milliseconds historyHalfLife {300'000};
-    double historyWeight = 0.5;
+    double historyWeight = 0.9;
     double urgentReserve = 0.03; // part of a pool's cores that only urgent work takes
     std::size_t maxUrgentWaiting = 2'000; // of one team
     std::size_t maxJobsWaiting = 50'000; // of one team
     milliseconds reserveGangAfter {2'000};
-    milliseconds preemptAfter {300};     // an urgent task waits that long before others are stopped
+    milliseconds preemptAfter {300}; // an urgent task waits that long before others are stopped
     milliseconds retryBackoff {500};
     milliseconds retryBackoffMax {60'000};
     milliseconds quarantineFirst {30'000};
--- a/modules/filbert_transport/http_client.cpp
+++ b/modules/filbert_transport/http_client.cpp
@@ -10,6 +10,8 @@
 namespace {
 
 constexpr milliseconds deadlinePeriod {50};
+constexpr std::int64_t millisecondsPerSecond = 1'000;
+constexpr int spareSeconds = 2;
 constexpr std::size_t maxAnswerBytes = 8 << 20;
 constexpr std::uint16_t keptWarmSeconds = 15;
 
@@ -35,6 +37,7 @@
     std::int64_t statedBytes = -1;
     int slot = -1;
     bool hasLeft = false;
+    bool hasOwnTimeout = false;
     bool isEnded = false;
 };
 
@@ -287,6 +290,12 @@
     const auto now = monotonicNow();
     std::vector<std::shared_ptr<exchange>> late;
     for (const auto &[key, call] : live) {
+        if (call->hasLeft && call->wsi != nullptr && !std::exchange(call->hasOwnTimeout, true)) {
+            // The library would give up after a few seconds; this call's own deadline counts.
+            const auto seconds = (call->deadline - now).count / millisecondsPerSecond;
+            lws_set_timeout(call->wsi, PENDING_TIMEOUT_USER_OK,
+                            static_cast<int>(seconds) + spareSeconds);
+        }
         if (call->deadline <= now) {
             late.push_back(call);
         }
--- a/programs/filbert_controller.cpp
+++ b/programs/filbert_controller.cpp
@@ -201,7 +201,7 @@
             return;
         }
         stopBy = monotonicNow() + milliseconds {FLAGS_stop_ms};
-        running->prepareToStop(monotonicNow());
+        running->prepareToStop();
     });
     log_line {"started"}.with("name", FLAGS_name).with("identity", stored.identity);
     loop.run();
--- a/programs/filbert_gateway.cpp
+++ b/programs/filbert_gateway.cpp
@@ -157,10 +157,8 @@
     socket_transport transport {
         loop, context, FLAGS_name,
         [&](const std::string &address, const messages::envelope &envelope) {
-            if (envelope.exchange() != 0) {
-                running->takeTime(monotonicNow());
-                links->takeAnswer(address, envelope, monotonicNow());
-            } else {
+            running->takeTime(monotonicNow());
+            if (!links->takeAnswer(address, envelope, monotonicNow())) {
                 running->takeOrder(envelope, monotonicNow());
             }
         }};
--- /dev/null
+++ b/tests/faults.sh
@@ -0,0 +1,155 @@
+#!/usr/bin/env bash
+# The real programs under faults and load; afterwards the history is checked.
+# Usage: tests/faults.sh [RATE]; needs FILBERT_BIN.
+set -uo pipefail
+root=$(cd "$(dirname "$0")/.." && pwd)
+bin=${FILBERT_BIN:-$root/build-release/bin}
+work=$(mktemp -d)
+source "$root/scripts/cell.sh"
+trap 'stop_everything; [ -n "${KEEP:-}" ] || rm -rf "$work"' EXIT
+rate=${1:-100}
+failures=0
+
+check() { # WHAT COMMAND...
+    local what=$1
+    shift
+    if "$@" >"$work/check.out" 2>&1; then
+        echo "right: $what"
+    else
+        echo "WRONG: $what"
+        tail -n 5 "$work/check.out"
+        failures=$((failures + 1))
+    fi
+}
+
+start_cell 3 2 3 || { tail -n 3 "$work"/*.log; exit 1; }
+make_key desk; desk_token=$token desk_stored=$stored
+make_key spare; spare_token=$token spare_stored=$stored
+make_key workshop; target_token=$token
+cat >"$work/cell.yaml" <<YAML
+cell: faults
+teams:
+  - {name: orders, share: 2, upper_limit: {slots: 20}, keys: [$desk_stored, $spare_stored]}
+queues:
+  - {name: quotes, policy: urgent}
+  - {name: proofs, policy: batch}
+services:
+  - {name: quote, queue: quotes, idempotent: true, task: {milli_cores: 100}, deadline_ms: 8000}
+  - {name: die, queue: quotes, idempotent: false, task: {milli_cores: 100}, deadline_ms: 8000}
+principals:
+  - {name: ops, role: operator, keys: [$operator_stored]}
+  - {name: shops, role: target, keys: [$stored]}
+YAML
+check "the configuration is applied" ctl apply "$work/cell.yaml"
+# run_target NUMBER: each start records into the same file.
+run_target() { start_target "$1" quote,die --key="$target_token" --work_ms=5; }
+for i in 1 2 3; do run_target $i; done
+all_ready() { [ "$(ctl status | grep -c ' ready ')" = 3 ]; }
+check "three targets are ready" eventually 20 all_ready
+leader_name() { ctl members list | awk '/leader$/ {print $2}'; }
+has_leader() { [ -n "$(leader_name)" ]; }
+leader_number() { local name; name=$(leader_name); [ "$name" = "" ] && name=c1; echo "${name#c}"; }
+
+load_number=0
+# load_during SECONDS FLAGS... : starts a load in the background.
+load_during() {
+    load_number=$((load_number + 1))
+    local seconds=$1
+    shift
+    "$bin/filbert-load" --gateways="$gateways_flag" --key="$desk_token" --rate="$rate" \
+        --seconds="$seconds" --services='quote,quote,die!,die' --body="load$load_number" \
+        --deadline_ms=6000 --record="$work/load$load_number.calls" "$@" \
+        >"$work/load$load_number.out" 2>>"$work/load.log" &
+    load_id=$!
+}
+end_load() { wait $load_id; load_code=$?; sed 's/^/  /' "$work/load$load_number.out"; }
+
+# Jobs that are acknowledged must be found again whatever happens.
+export FILBERT_KEY=$desk_token
+for i in $(seq 1 10); do
+    ctl submit --queue=proofs --service=quote --tasks=2 --payload=ms=4000 --idempotent \
+        --milli_cores=100 --memory_mb=1 --idempotency_key="job-$i" >>"$work/jobs" 2>>"$work/jobs.err"
+done
+check "ten jobs were acknowledged" [ "$(wc -l <"$work/jobs")" = 10 ]
+export FILBERT_KEY=$operator_token
+
+echo "a graceful restart of every host under load cuts no request"
+load_during 24 --expect_all
+for i in 1 2 3; do
+    sleep 1
+    stop_gracefully "c$i"
+    start_controller "$i"
+    eventually 20 has_leader
+done
+for i in 1 2; do
+    sleep 1
+    stop_gracefully "g$i"
+    start_gateway "$i"
+    is_ready() { curl -sf -m 1 "http://127.0.0.1:${gateway_port[$i]}/readyz"; }
+    eventually 20 is_ready
+done
+for i in 1 2 3; do
+    sleep 0.5
+    stop_gracefully "t$i"
+    run_target $i
+    eventually 20 all_ready
+done
+end_load
+check "every request was answered" [ $load_code -eq 0 ]
+
+echo "controllers are killed: each in turn, two at once, all at once"
+load_during 26
+for i in 1 2 3; do
+    kill_hard "c$i"
+    sleep 1.5
+    start_controller "$i"
+    eventually 20 has_leader
+done
+kill_hard c1; kill_hard c2; sleep 1; start_controller 1; start_controller 2
+eventually 20 has_leader
+kill_hard c1; kill_hard c2; kill_hard c3; sleep 0.5
+start_controller 1; start_controller 2; start_controller 3
+eventually 20 has_leader
+end_load
+
+echo "the leader is silent for four seconds, then comes back"
+load_during 12
+victim=$(leader_number)
+kill -STOP "${process_of[c$victim]}"
+sleep 4
+check "another one leads meanwhile" eventually 5 has_leader
+kill -CONT "${process_of[c$victim]}"
+sleep 2
+end_load
+
+echo "a gateway and targets are killed and come back"
+load_during 14
+sleep 1; kill_hard g2; sleep 1; start_gateway 2
+kill_hard t1; sleep 1; run_target 1
+sleep 2; kill_hard t2; kill_hard t3; sleep 1; run_target 2; run_target 3
+end_load
+
+echo "a key is withdrawn under load"
+check "the cell is whole again" eventually 20 all_ready
+sed "s|, $spare_stored||" "$work/cell.yaml" >"$work/next.yaml"
+load_during 6
+check "the change is in force everywhere within 5 s" ctl apply "$work/next.yaml" --wait --wait_ms=5000
+still_works() { FILBERT_KEY=$spare_token ctl call quote --body=withdrawn; }
+check "the withdrawn key has stopped working" eval '! still_works'
+end_load
+
+export FILBERT_KEY=$desk_token
+for job in $(cat "$work/jobs"); do
+    check "job $job is found again and has ended" ctl wait "$job" --wait_ms=30000
+done
+export FILBERT_KEY=$operator_token
+for i in $(seq 1 $load_number); do
+    check "history of load $i" "$bin/filbert-history-check" "$work/load$i.calls" "$work"/t*.starts
+    tail -n 1 "$work/check.out"
+done
+for name in t1 t2 t3 g1 g2 c1 c2 c3; do
+    check "$name stops gracefully" stop_gracefully $name
+done
+check "no secret was logged" eval "! grep -qF -e '${desk_token#*.}' -e '${operator_token#*.}' $work/*.log"
+echo "$failures failed"
+[ $failures -eq 0 ]
