Directed replication tests, crashes between write and sync, pairwise cuts, benches

Change: the random run loses power at a sync, cuts pairs and crashes during replacements; directed tests cover the stored vote, votes under a lease, learners, hand-over and entries of earlier terms; benches for commits, elections, targets and configuration changes. Conclusion: the planted faults run again with these.

--- /dev/null
+++ b/extras/commit_bench.cpp
@@ -0,0 +1,137 @@
+/** @file filbert-commit-bench: how many commits a second a cell of controllers reaches, and how long one
+    takes, with so many under way at a time. It speaks to the controllers as a gateway does.
+*/
+
+#include "filbert_gateway/filbert_gateway.h"
+#include "filbert_transport/filbert_transport.h"
+
+#include <algorithm>
+#include <chrono>
+#include <gflags/gflags.h>
+#include <iostream>
+#include <map>
+#include <memory>
+
+DEFINE_string(controllers, "127.0.0.1:7100", "IP:port of controllers, comma-separated");
+DEFINE_int32(window, 1, "commits under way at a time");
+DEFINE_double(seconds, 3, "how long");
+
+namespace filbert {
+
+namespace {
+
+using steady = std::chrono::steady_clock;
+
+class bench_transport : public controller_transport
+{
+public:
+    using handler = std::function<void(const std::string &, const messages::envelope &)>;
+
+    bench_transport(event_loop &loop, handler onMessage)
+        : loop {loop}
+        , onMessage {std::move(onMessage)}
+    {
+    }
+
+    bool send(const std::string &address, const messages::envelope &envelope) override
+    {
+        auto &client = clients[address];
+        if (!client) {
+            client = std::make_unique<message_client>(
+                loop, context, "bench", address, curve_keys {}, [this, address](std::string &&text) {
+                    messages::envelope answer;
+                    answer.ParseFromString(text);
+                    onMessage(address, answer);
+                });
+        }
+        return client->send(envelope.SerializeAsString());
+    }
+
+private:
+    event_loop &loop;
+    zmq::context_t context {1};
+    handler onMessage;
+    std::map<std::string, std::unique_ptr<message_client>> clients;
+};
+
+int run()
+{
+    event_loop loop;
+    std::unique_ptr<controller_links> links;
+    bench_transport transport {
+        loop, [&](const std::string &address, const messages::envelope &envelope) {
+            links->takeAnswer(address, envelope, monotonicNow());
+        }};
+    std::vector<std::string> addresses;
+    for (const auto &address : splitList(FLAGS_controllers)) {
+        addresses.push_back("tcp://" + address);
+    }
+    links = std::make_unique<controller_links>("bench", addresses, transport);
+    std::vector<double> latencies;
+    double longestGap = 0;
+    std::uint64_t last = 0;
+    std::uint64_t failed = 0;
+    auto lastAnswer = steady::now();
+    const auto started = steady::now();
+    const auto end = started
+        + std::chrono::duration_cast<steady::duration>(std::chrono::duration<double> {FLAGS_seconds});
+    std::function<void()> next = [&] {
+        if (steady::now() >= end) {
+            loop.stop();
+            return;
+        }
+        // The refused change of a job that is not there would not be logged; an announcement is.
+        messages::envelope envelope;
+        auto *target = envelope.mutable_announce();
+        target->set_name("bench" + std::to_string(++last % 100));
+        target->set_address("127.0.0.1:1");
+        target->set_epoch(1);
+        target->mutable_capacity()->set_slots(1);
+        target->add_services("bench");
+        const auto sent = steady::now();
+        links->request(std::move(envelope), {10'000}, resend_rule::WhenUnanswered, monotonicNow(),
+                       [&, sent](std::error_code error, const messages::envelope &answer) {
+                           const auto now = steady::now();
+                           failed += error || !answer.done() ? 1 : 0;
+                           latencies.push_back(
+                               std::chrono::duration<double, std::milli>(now - sent).count());
+                           longestGap = std::max(
+                               longestGap,
+                               std::chrono::duration<double, std::milli>(now - lastAnswer).count());
+                           lastAnswer = now;
+                           loop.post(next);
+                       });
+    };
+    loop.every({10}, [&] { links->takeTime(monotonicNow()); });
+    loop.after({300}, [&] {
+        lastAnswer = steady::now();
+        for (int i = 0; i < FLAGS_window; ++i) {
+            next();
+        }
+    });
+    loop.run();
+    std::sort(latencies.begin(), latencies.end());
+    const auto at = [&](double part) {
+        return latencies.empty()
+            ? 0.0
+            : latencies[static_cast<std::size_t>(part * static_cast<double>(latencies.size() - 1))];
+    };
+    std::cout << "window=" << FLAGS_window << " commits=" << latencies.size()
+              << " per_second=" << static_cast<double>(latencies.size()) / FLAGS_seconds
+              << " p50_ms=" << at(0.5) << " p99_ms=" << at(0.99) << " longest_gap_ms=" << longestGap
+              << " failed=" << failed << "\n";
+    return failed == 0 ? 0 : 1;
+}
+
+} // namespace
+
+} // namespace filbert
+
+int main(int argc, char **argv)
+{
+    using namespace filbert;
+    settings_check check {readSettings(&argc, &argv, "Commits a second of a cell.")};
+    startLog(argv[0]);
+    check.require(FLAGS_window > 0, "--window: expected above 0");
+    return check.isAllRight() ? run() : 2;
+}
--- /dev/null
+++ b/extras/measure_commits.sh
@@ -0,0 +1,32 @@
+#!/usr/bin/env bash
+# Commits a second and their latency by window, for 1, 3 and 5 controllers, with real syncs; then the
+# longest gap when the leader is killed. Usage: extras/measure_commits.sh [SECONDS]
+set -uo pipefail
+root=$(cd "$(dirname "$0")/.." && pwd)
+bin=${FILBERT_BIN:-$root/build-release/bin}
+source "$root/scripts/cell.sh"
+seconds=${1:-3}
+for members in 1 3 5; do
+    work=$(mktemp -d)
+    trap 'stop_everything; rm -rf "$work"' EXIT
+    start_cell $members 1 1 || exit 1
+    for window in 1 10 100 1000; do
+        echo "members=$members $("$bin/filbert-commit-bench" --controllers="$controllers_flag" --window=$window --seconds="$seconds" 2>/dev/null)"
+    done
+    if [ $members -gt 1 ]; then
+        for trial in 1 2 3; do
+            "$bin/filbert-commit-bench" --controllers="$controllers_flag" --window=1 --seconds=5 >"$work/gap" 2>/dev/null &
+            bench=$!
+            sleep 2
+            victim=$(ctl members list | awk '/leader$/ {print $2}')
+            [ -n "$victim" ] || victim=c1
+            kill_hard "$victim"
+            wait $bench
+            echo "members=$members killed=$victim $(cat "$work/gap")"
+            start_controller "${victim#c}"
+            sleep 2
+        done
+    fi
+    stop_everything
+    rm -rf "$work"
+done
--- /dev/null
+++ b/extras/measure_configuration.sh
@@ -0,0 +1,43 @@
+#!/usr/bin/env bash
+# Time from apply to in force at 7 gateways, also with one of them silent, and loopback bytes of an idle
+# and of a changing cell. Usage: extras/measure_configuration.sh [CHANGES]
+set -uo pipefail
+root=$(cd "$(dirname "$0")/.." && pwd)
+bin=${FILBERT_BIN:-$root/build-release/bin}
+work=$(mktemp -d)
+source "$root/scripts/cell.sh"
+trap 'stop_everything; rm -rf "$work"' EXIT
+changes=${1:-10}
+start_cell 3 7 1 || exit 1
+write() { # SHARE
+    {
+        echo "cell: measured"
+        echo "principals: [{name: ops, role: operator, keys: [$operator_stored]}]"
+        echo "teams:"
+        for team in $(seq 1 440); do
+            echo "  - {name: team$team, share: $([ "$team" = 7 ] && echo "$1" || echo 3), upper_limit: {slots: 600}, keys: [{id: key$team, salt: ${operator_stored:12:32}, hash: ${operator_stored:52:64}}]}"
+        done
+    } >"$work/cell.yaml"
+}
+now_ms() { date +%s%3N; }
+bytes() { awk '/lo:/ {print $2}' /proc/net/dev; }
+write 1
+ctl apply "$work/cell.yaml" --wait >/dev/null || exit 1
+b=$(bytes); sleep 10; echo "idle: loopback bytes a second for 3 controllers and 7 gateways: $((($(bytes) - b) / 10))"
+measure() {
+    for i in $(seq 1 "$changes"); do
+        write "$((i + 10 + RANDOM % 1000))"
+        from=$(now_ms)
+        ctl apply "$work/cell.yaml" --wait --wait_ms=10000 >/dev/null || echo "not in force"
+        echo "$1 in_force_ms=$(($(now_ms) - from))"
+    done
+}
+measure all_reachable
+kill -STOP "${process_of[g7]}"
+gateways_flag=${gateways_flag%127*}
+measure one_silent
+kill -CONT "${process_of[g7]}"
+sleep 2
+b=$(bytes)
+for i in $(seq 1 5); do write $((2000 + i)); ctl apply "$work/cell.yaml" >/dev/null; sleep 1.9; done
+echo "changing every 2 s: loopback bytes a second with the operator's own traffic: $((($(bytes) - b) / 10))"
--- a/extras/planted_faults.sh
+++ b/extras/planted_faults.sh
@@ -29,6 +29,10 @@
         outcome="does not build: $(grep -m1 error "$copy/log")"
         missed=$((missed + 1))
     fi
+    if [ -z "$outcome" ] && ninja -C build filbert-tests >"$copy/log" 2>&1; then
+        outcome=$(build/bin/filbert-tests '~every promise*' 2>/dev/null | sed 's/\x1b[^m]*m//g' \
+            | grep -B3 -A12 '^\.\.\.\.\.\.' | grep -m1 -E '^[a-z]' | sed 's/^/test: /')
+    fi
     [ -n "$outcome" ] || { outcome="NOT CAUGHT"; missed=$((missed + 1)); }
     echo "$1: $outcome"
     cp "$copy/kept" "$2"
--- a/extras/random_run/fake_hosts.h
+++ b/extras/random_run/fake_hosts.h
@@ -44,6 +44,7 @@
 
     void start()
     {
+        files.failSyncAt = 0;
         store = std::make_unique<log_store>(files);
         stored_state state;
         storage_damage damage;
@@ -57,6 +58,9 @@
                                                *this, now());
     }
 
+    /** Loses power at the next sync, when the write has been made and nothing is durable yet. */
+    void powerOffAtNextSync() { files.failSyncAt = files.syncs + 1; }
+
     void powerOff(bool keepsDisk)
     {
         running.reset();
@@ -102,7 +106,10 @@
     void flush()
     {
         if (running->flush(now(), time.now.ms)) {
-            powerOff(true); // the process stops at a storage failure
+            // Power was lost between a write and its sync, or the sync failed: the process stops.
+            files.failSyncAt = 0;
+            powerOff(true);
+            time.after(static_cast<std::int64_t>(50 + time.below(3'000)), [this] { start(); });
         }
     }
 
--- a/extras/random_run/random_cell.cpp
+++ b/extras/random_run/random_cell.cpp
@@ -620,7 +620,11 @@
 void random_cell::crashController()
 {
     auto &host = *controllers[time.below(controllers.size())];
-    if (!mix.crashes || !host.running || isReplacing) {
+    if (!mix.crashes || !host.running) {
+        return;
+    }
+    if (time.chance(500)) {
+        host.powerOffAtNextSync();
         return;
     }
     host.powerOff(true);
@@ -713,12 +717,14 @@
         : kind == 1             ? "g" + std::to_string(time.below(gatewayCount))
                                 : "t" + std::to_string(time.below(targetCount));
     const auto direction = time.below(3);
+    const auto other = time.chance(400) ? "c" + std::to_string(time.below(controllerCount))
+                                        : std::string {"*"};
     std::vector<std::pair<std::string, std::string>> pairs;
     if (direction != 1) {
-        pairs.emplace_back(name, "*");
+        pairs.emplace_back(name, other);
     }
     if (direction != 0) {
-        pairs.emplace_back("*", name);
+        pairs.emplace_back(other, name);
     }
     for (const auto &pair : pairs) {
         network.cut.insert(pair);
@@ -729,6 +735,9 @@
 
 void random_cell::heal()
 {
+    for (const auto &host : controllers) {
+        host->files.failSyncAt = 0;
+    }
     isQuiet = true;
     network.cut.clear();
     network.lossPerMille = 0;
--- /dev/null
+++ b/modules/filbert_replication/tests/replicated_log_test.cpp
@@ -0,0 +1,204 @@
+#include "filbert_replication/filbert_replication.h"
+
+#include <catch2/catch.hpp>
+
+using namespace filbert;
+
+namespace {
+
+messages::membership threeMembers()
+{
+    messages::membership members;
+    for (const char *name : {"a", "b", "c"}) {
+        members.add_members()->set_identity(name);
+    }
+    return members;
+}
+
+replicated_log_state memberOf(const std::string &identity, std::uint64_t term = 1,
+                              const std::string &vote = "")
+{
+    stored_state stored;
+    stored.identity = identity;
+    stored.term = term;
+    stored.votedFor = vote;
+    auto first = makeFirstEntry({});
+    first.set_payload(threeMembers().SerializeAsString());
+    stored.entries = {first};
+    return makeReplicatedLog(stored, {}, 7, {0});
+}
+
+messages::replication_message voteRequest(const std::string &from, const std::string &to,
+                                          std::uint64_t term)
+{
+    messages::replication_message message;
+    message.set_from(from);
+    message.set_to(to);
+    message.mutable_vote()->set_term(term);
+    message.mutable_vote()->set_last_term(1);
+    message.mutable_vote()->set_last_index(1);
+    return message;
+}
+
+bool isGranted(const replication_effects &effects)
+{
+    return !effects.send.empty() && effects.send.back().vote_reply().granted();
+}
+
+messages::replication_message granted(const std::string &from, const std::string &to,
+                                      std::uint64_t term, bool isPreVote)
+{
+    messages::replication_message message;
+    message.set_from(from);
+    message.set_to(to);
+    message.mutable_vote_reply()->set_term(term);
+    message.mutable_vote_reply()->set_granted(true);
+    message.mutable_vote_reply()->set_pre_vote(isPreVote);
+    return message;
+}
+
+/** Makes a member leader of term 2 at a time after its election timeout. */
+replicated_log_state leaderAt(time_point now)
+{
+    auto state = memberOf("a");
+    replication_effects effects;
+    stepTime(state, now, &effects);
+    stepMessage(state, granted("b", "a", 2, true), now, &effects);
+    stepMessage(state, granted("b", "a", 2, false), now, &effects);
+    REQUIRE(state.role == replica_role::Leader);
+    return state;
+}
+
+messages::replication_message accepted(const replicated_log_state &leader, const std::string &from,
+                                       std::uint64_t match)
+{
+    messages::replication_message message;
+    message.set_from(from);
+    message.set_to(leader.self);
+    auto *reply = message.mutable_append_reply();
+    reply->set_term(leader.term);
+    reply->set_accepted(true);
+    reply->set_match(match);
+    reply->set_round(leader.round);
+    return message;
+}
+
+constexpr time_point later {5'000};
+
+} // namespace
+
+TEST_CASE("a vote is stored before it is given, and holds after a restart")
+{
+    auto state = memberOf("b");
+    replication_effects effects;
+    stepMessage(state, voteRequest("a", "b", 2), later, &effects);
+    REQUIRE(isGranted(effects));
+    CHECK(effects.mustPersist);
+    CHECK(state.votedFor == "a");
+
+    auto restarted = memberOf("b", state.term, state.votedFor);
+    replication_effects second;
+    stepMessage(restarted, voteRequest("c", "b", 2), later, &second);
+    CHECK_FALSE(isGranted(second));
+}
+
+TEST_CASE("no vote is given while a leader may hold its lease")
+{
+    auto state = memberOf("b");
+    messages::replication_message append;
+    append.set_from("a");
+    append.set_to("b");
+    append.mutable_append()->set_term(2);
+    append.mutable_append()->set_previous_index(1);
+    append.mutable_append()->set_previous_term(1);
+    replication_effects effects;
+    stepMessage(state, append, later, &effects);
+    replication_effects asked;
+    stepMessage(state, voteRequest("c", "b", 3), later + milliseconds {599}, &asked);
+    CHECK_FALSE(isGranted(asked));
+    CHECK(state.term == 2);
+    stepMessage(state, voteRequest("c", "b", 3), later + milliseconds {600}, &asked);
+    CHECK(isGranted(asked));
+}
+
+TEST_CASE("a leader without a quorum loses its lease before another can be elected, then steps down")
+{
+    auto state = leaderAt(later);
+    replication_effects effects;
+    stepMessage(state, accepted(state, "b", 2), later, &effects);
+    CHECK(hasLease(state, later + milliseconds {560}));
+    CHECK_FALSE(hasLease(state, later + milliseconds {575}));
+    stepTime(state, later + milliseconds {600}, &effects);
+    CHECK(state.role == replica_role::Follower);
+}
+
+TEST_CASE("a learner counts neither for commits nor for votes")
+{
+    auto state = leaderAt(later);
+    replication_effects effects;
+    stepPersisted(state, lastIndex(state), later, &effects);
+    stepMessage(state, accepted(state, "b", 2), later, &effects);
+    messages::member added;
+    added.set_identity("d");
+    REQUIRE_FALSE(changeMembership(state, true, added, later, &effects));
+    CHECK(changeMembership(state, true, added, later, &effects) == error_kind::Conflict);
+    stepPersisted(state, lastIndex(state), later, &effects);
+    const auto before = state.commit;
+    stepMessage(state, accepted(state, "d", lastIndex(state)), later, &effects);
+    CHECK(state.commit == before);
+    stepMessage(state, accepted(state, "c", lastIndex(state)), later, &effects);
+    CHECK(state.commit > before);
+
+    auto learner = memberOf("d");
+    replication_effects own;
+    stepTime(learner, later, &own);
+    CHECK(own.send.empty()); // it is not in its own membership: it never stands
+}
+
+TEST_CASE("an entry of an earlier term is committed only with one of the leader's own term")
+{
+    stored_state stored;
+    stored.identity = "a";
+    stored.term = 3;
+    auto first = makeFirstEntry({});
+    first.set_payload(threeMembers().SerializeAsString());
+    messages::log_entry old;
+    old.set_index(2);
+    old.set_term(2);
+    stored.entries = {first, old};
+    auto state = makeReplicatedLog(stored, {}, 7, {0});
+    replication_effects effects;
+    stepTime(state, later, &effects);
+    stepMessage(state, granted("b", "a", 4, true), later, &effects);
+    stepMessage(state, granted("b", "a", 4, false), later, &effects);
+    REQUIRE(state.role == replica_role::Leader);
+    stepPersisted(state, lastIndex(state), later, &effects);
+    stepMessage(state, accepted(state, "b", 2), later, &effects);
+    CHECK(state.commit == 0); // a later leader could still replace entry 2
+    stepMessage(state, accepted(state, "b", 3), later, &effects);
+    CHECK(state.commit == 3);
+}
+
+TEST_CASE("a leader that asked for a hand-over never serves again in its term")
+{
+    auto state = leaderAt(later);
+    replication_effects effects;
+    stepPersisted(state, lastIndex(state), later, &effects);
+    stepMessage(state, accepted(state, "b", 2), later, &effects);
+    REQUIRE(hasLease(state, later));
+    REQUIRE(handOver(state, later, &effects));
+    CHECK_FALSE(hasLease(state, later));
+    CHECK(effects.send.back().has_hand_over());
+    CHECK(propose(state, {"x"}, later, &effects) == error_kind::NoLeader);
+    stepTime(state, later + milliseconds {600}, &effects);
+    CHECK(state.role == replica_role::Follower);
+}
+
+TEST_CASE("a message for another identity is not taken, as after a lost disk")
+{
+    auto state = memberOf("b-new");
+    replication_effects effects;
+    stepMessage(state, voteRequest("a", "b-old", 9), later, &effects);
+    CHECK(state.term == 1);
+    CHECK(effects.send.empty());
+}
