CURVE between processes with an allow list; tests of cell, scheduler and bad input

Cause: anybody who reached a controller's port could speak with it, and the commands and the scheduler had no tests of their own besides the random run. Change: 'filbertctl keys site' writes a key file for each process; controllers let in listed keys only (ZAP); programs refuse to run without keys but on loopback.

--- a/extras/commit_bench.cpp
+++ b/extras/commit_bench.cpp
@@ -13,6 +13,7 @@
 #include <memory>
 
 DEFINE_string(controllers, "127.0.0.1:7100", "IP:port of controllers, comma-separated");
+DEFINE_string(curve_site, "", "file of CURVE keys");
 DEFINE_int32(window, 1, "commits under way at a time");
 DEFINE_double(seconds, 3, "how long");
 
@@ -31,6 +32,7 @@
         : loop {loop}
         , onMessage {std::move(onMessage)}
     {
+        readCurveSite(FLAGS_curve_site, &site);
     }
 
     bool send(const std::string &address, const messages::envelope &envelope) override
@@ -38,7 +40,7 @@
         auto &client = clients[address];
         if (!client) {
             client = std::make_unique<message_client>(
-                loop, context, "bench", address, curve_keys {}, [this, address](std::string &&text) {
+                loop, context, "bench", address, site.clientKeys(address), [this, address](std::string &&text) {
                     messages::envelope answer;
                     answer.ParseFromString(text);
                     onMessage(address, answer);
@@ -50,6 +52,7 @@
 private:
     event_loop &loop;
     zmq::context_t context {1};
+    curve_site site;
     handler onMessage;
     std::map<std::string, std::unique_ptr<message_client>> clients;
 };
--- a/extras/measure_commits.sh
+++ b/extras/measure_commits.sh
@@ -11,11 +11,11 @@
     trap 'stop_everything; rm -rf "$work"' EXIT
     start_cell $members 1 1 || exit 1
     for window in 1 10 100 1000; do
-        echo "members=$members $("$bin/filbert-commit-bench" --controllers="$controllers_flag" --window=$window --seconds="$seconds" 2>/dev/null)"
+        echo "members=$members $("$bin/filbert-commit-bench" --controllers="$controllers_flag" --curve_site="$work/site/bench.site" --window=$window --seconds="$seconds" 2>/dev/null)"
     done
     if [ $members -gt 1 ]; then
         for trial in 1 2 3; do
-            "$bin/filbert-commit-bench" --controllers="$controllers_flag" --window=1 --seconds=5 >"$work/gap" 2>/dev/null &
+            "$bin/filbert-commit-bench" --controllers="$controllers_flag" --curve_site="$work/site/bench.site" --window=1 --seconds=5 >"$work/gap" 2>/dev/null &
             bench=$!
             sleep 2
             victim=$(ctl members list | awk '/leader$/ {print $2}')
--- /dev/null
+++ b/modules/filbert_cell/tests/cell_state_test.cpp
@@ -0,0 +1,212 @@
+#include "filbert_cell/filbert_cell.h"
+
+#include <catch2/catch.hpp>
+#include <rapidcheck.h>
+
+using namespace filbert;
+
+namespace {
+
+cell_state smallCell()
+{
+    cell_state state;
+    state.limits.idempotencyRecords = 8;
+    state.limits.idempotencyMs = 1'000;
+    state.limits.endedJobs = 5;
+    messages::configuration whole;
+    whole.set_cell("c");
+    auto *team = whole.add_teams();
+    team->set_name("orders");
+    team->set_share(1);
+    team->mutable_upper_limit()->set_slots(3);
+    const auto items = differenceOf({}, partsOf(whole));
+    messages::command command;
+    auto *change = command.mutable_configuration();
+    change->mutable_items()->Assign(items.begin(), items.end());
+    change->set_digest(digestOf(partsOf(whole)));
+    change->set_request_id("first");
+    REQUIRE(applyCommand(state, command, 1).error == error_kind::None);
+    for (const char *name : {"t1", "t2"}) {
+        messages::command announce;
+        announce.mutable_target()->set_name(name);
+        announce.mutable_target()->set_epoch(1);
+        *announce.mutable_target()->mutable_capacity() = messageOf({4'000, 4'000, 1, 4});
+        REQUIRE(applyCommand(state, announce, 1).error == error_kind::None);
+    }
+    return state;
+}
+
+messages::command placeCommand(std::uint64_t id, const std::string &key = "",
+                               const std::string &target = "t1", int milliCores = 1'000)
+{
+    messages::command command;
+    auto *place = command.mutable_place();
+    place->set_id(id);
+    place->set_target(target);
+    place->set_target_epoch(1);
+    place->set_team("orders");
+    place->set_service("die");
+    place->mutable_task()->set_milli_cores(milliCores);
+    place->set_idempotency_key(key);
+    place->set_request_digest("body");
+    return command;
+}
+
+messages::command endCommand(std::uint64_t id, messages::task_result result)
+{
+    messages::command command;
+    command.mutable_end()->set_placement_id(id);
+    command.mutable_end()->set_result(result);
+    command.mutable_end()->set_body("answer");
+    return command;
+}
+
+messages::command randomCommand(std::uint64_t number)
+{
+    const auto pick = [](int bound) { return *rc::gen::inRange(0, bound); };
+    messages::command command;
+    switch (pick(7)) {
+    case 0:
+    case 1:
+        command = placeCommand(number, pick(2) == 0 ? "key" + std::to_string(pick(6)) : "",
+                               pick(2) == 0 ? "t1" : "t2", pick(3'000));
+        if (pick(2) == 0) {
+            command.mutable_place()->set_job_id(static_cast<std::uint64_t>(1 + pick(6)));
+            command.mutable_place()->set_task_index(pick(3));
+            command.mutable_place()->clear_idempotency_key();
+            command.mutable_place()->set_idempotent(pick(2) == 0);
+        }
+        break;
+    case 2:
+    case 3:
+        command = endCommand(static_cast<std::uint64_t>(pick(static_cast<int>(number) + 1)),
+                             static_cast<messages::task_result>(pick(4)));
+        break;
+    case 4:
+        command.mutable_submit()->set_team("orders");
+        command.mutable_submit()->set_tasks(1 + pick(3));
+        command.mutable_submit()->set_idempotency_key("job" + std::to_string(pick(9)));
+        break;
+    case 5:
+        command.mutable_change()->set_id(static_cast<std::uint64_t>(1 + pick(6)));
+        command.mutable_change()->set_action(static_cast<messages::job_action>(pick(3)));
+        break;
+    default:
+        if (pick(3) == 0) {
+            command.set_remove_target("t2");
+        } else {
+            command.mutable_target()->set_name("t2");
+            command.mutable_target()->set_epoch(1 + pick(3));
+            *command.mutable_target()->mutable_capacity() =
+                messageOf({1'000 * pick(6), 4'000, 1, 1 + pick(5)});
+        }
+    }
+    return command;
+}
+
+} // namespace
+
+TEST_CASE("no sequence of commands breaks a sum, and a snapshot holds everything")
+{
+    rc::check([] {
+        auto state = smallCell();
+        auto copy = state;
+        const auto count = *rc::gen::inRange(1, 120);
+        for (int i = 1; i <= count; ++i) {
+            const auto command = randomCommand(static_cast<std::uint64_t>(i));
+            const auto wallMs = 10 + i * 20;
+            applyCommand(state, command, wallMs);
+            checkCell(state);
+            applyCommand(copy, command, wallMs);
+            if (i % 10 == 0) { // a member that was restored goes on exactly like the others
+                const auto data = snapshotOf(copy);
+                RC_ASSERT(!restoreCell(data, &copy));
+                RC_ASSERT(snapshotOf(copy) == snapshotOf(state));
+            }
+            RC_ASSERT(copy.digest == state.digest);
+        }
+    });
+}
+
+TEST_CASE("a key is claimed once, answered again, and free only after a certain 'not run'")
+{
+    auto state = smallCell();
+    CHECK(applyCommand(state, placeCommand(1, "k"), 10).error == error_kind::None);
+    CHECK(applyCommand(state, placeCommand(2, "k"), 11).error == error_kind::OutcomeUnknown);
+    auto other = placeCommand(3, "k");
+    other.mutable_place()->set_request_digest("another body");
+    CHECK(applyCommand(state, other, 12).error == error_kind::KeyReused);
+    applyCommand(state, endCommand(1, messages::SUCCEEDED), 13);
+    const auto again = applyCommand(state, placeCommand(4, "k"), 14);
+    CHECK(again.isRepeated);
+    CHECK(again.stored.body() == "answer");
+
+    applyCommand(state, placeCommand(5, "n"), 15);
+    applyCommand(state, endCommand(5, messages::NOT_RUN), 16);
+    CHECK(applyCommand(state, placeCommand(6, "n"), 17).error == error_kind::None);
+    applyCommand(state, endCommand(6, messages::UNKNOWN), 18);
+    CHECK(applyCommand(state, placeCommand(7, "n"), 19).error == error_kind::OutcomeUnknown);
+}
+
+TEST_CASE("a full table of keys refuses work instead of forgetting")
+{
+    auto state = smallCell();
+    for (std::uint64_t i = 1; i <= 8; ++i) {
+        applyCommand(state, placeCommand(i, "k" + std::to_string(i)), 10);
+        applyCommand(state, endCommand(i, messages::SUCCEEDED), 10);
+    }
+    CHECK(applyCommand(state, placeCommand(9, "k9"), 11).error == error_kind::Overloaded);
+    CHECK(applyCommand(state, placeCommand(10, "k9"), 5'000).error == error_kind::None); // aged
+}
+
+TEST_CASE("what would break a limit or overcommit is refused when it is applied")
+{
+    auto state = smallCell();
+    CHECK(applyCommand(state, placeCommand(1, "", "t1", 3'000), 1).error == error_kind::None);
+    CHECK(applyCommand(state, placeCommand(2, "", "t1", 2'000), 1).error == error_kind::NoCapacity);
+    CHECK(applyCommand(state, placeCommand(3, "", "t2"), 1).error == error_kind::None);
+    CHECK(applyCommand(state, placeCommand(4, "", "t2"), 1).error == error_kind::None);
+    CHECK(applyCommand(state, placeCommand(5, "", "t2"), 1).error == error_kind::LimitReached);
+}
+
+TEST_CASE("a gang starts all or none")
+{
+    auto state = smallCell();
+    messages::command submit;
+    submit.mutable_submit()->set_team("orders");
+    submit.mutable_submit()->set_tasks(3);
+    const auto job = applyCommand(state, submit, 1).jobId;
+    messages::command gang;
+    for (int i = 0; i < 3; ++i) {
+        auto *place = gang.mutable_place_gang()->add_placements();
+        *place = placeCommand(static_cast<std::uint64_t>(i) + 1, "", "t1", 1'500).place();
+        place->set_job_id(job);
+        place->set_task_index(i);
+    }
+    CHECK(applyCommand(state, gang, 2).error == error_kind::NoCapacity);
+    CHECK(state.placements.empty());
+    checkCell(state);
+    gang.mutable_place_gang()->mutable_placements(2)->set_target("t2");
+    CHECK(applyCommand(state, gang, 3).error == error_kind::None);
+    CHECK(state.placements.size() == 3);
+}
+
+TEST_CASE("of two changes with one base one wins, and a resend gets its first answer")
+{
+    auto state = smallCell();
+    messages::command change;
+    change.mutable_configuration()->set_base_version(1);
+    change.mutable_configuration()->set_digest(state.configuration.digest());
+    change.mutable_configuration()->set_request_id("a");
+    change.mutable_configuration()->set_author("anna");
+    CHECK(applyCommand(state, change, 5).version == 2);
+    auto rival = change;
+    rival.mutable_configuration()->set_request_id("b");
+    const auto refused = applyCommand(state, rival, 6);
+    CHECK(refused.error == error_kind::Conflict);
+    CHECK(refused.detail.find("anna") != std::string::npos);
+    const auto resent = applyCommand(state, change, 7);
+    CHECK(resent.error == error_kind::None);
+    CHECK(resent.version == 2);
+    CHECK(state.configuration.version() == 2);
+}
--- a/programs/filbert_controller.cpp
+++ b/programs/filbert_controller.cpp
@@ -13,6 +13,7 @@
 DEFINE_string(data_folder, "", "folder of this controller's own files");
 DEFINE_string(listen, "127.0.0.1:7100", "IP:port for messages of gateways and other controllers");
 DEFINE_string(http, "127.0.0.1:7101", "IP:port for /healthz, /readyz and /metrics");
+DEFINE_string(curve_site, "", "file of CURVE keys; empty = no encryption, loopback only");
 DEFINE_string(initialise, "",
               "make the data folder and end: 'first' for the first controller of a new cell, "
               "'member' for one that is added later");
@@ -38,12 +39,13 @@
     using handler = std::function<void(const std::string &peer, std::string &&message)>;
 
     socket_outbox(event_loop &loop, zmq::context_t &context, const std::string &identity,
-                  const std::string &endpoint, handler onMessage)
+                  const std::string &endpoint, const curve_site &site, handler onMessage)
         : loop {loop}
         , context {context}
         , identity {identity}
+        , site {site}
         , onMessage {std::move(onMessage)}
-        , server {loop, context, endpoint, {}, this->onMessage}
+        , server {loop, context, endpoint, site.serverKeys(), this->onMessage}
     {
     }
 
@@ -61,7 +63,7 @@
         auto &client = clients[member.address()];
         if (!client) {
             client = std::make_unique<message_client>(
-                loop, context, identity, member.address(), curve_keys {},
+                loop, context, identity, member.address(), site.clientKeys(member.address()),
                 [this, peer = member.identity()](std::string &&text) {
                     onMessage(peer, std::move(text));
                 });
@@ -78,6 +80,7 @@
     event_loop &loop;
     zmq::context_t &context;
     std::string identity;
+    curve_site site;
     handler onMessage;
     message_server server;
     std::map<std::string, std::unique_ptr<message_client>> clients;
@@ -115,6 +118,11 @@
     check.require(!FLAGS_data_folder.empty(), "--data_folder: expected a path");
     check.requireEndpoint("listen", FLAGS_listen);
     check.requireEndpoint("http", FLAGS_http);
+    curve_site site;
+    check.require(!readCurveSite(FLAGS_curve_site, &site),
+                  "--curve_site: expected a readable file of 'self', 'controller', 'allow' lines");
+    check.require(site.isEncrypted() || FLAGS_listen.starts_with("127."),
+                  "--curve_site: expected, since --listen is not on loopback");
     check.require(FLAGS_initialise.empty() || FLAGS_initialise == "first"
                       || FLAGS_initialise == "member",
                   "--initialise: expected 'first' or 'member'");
@@ -146,7 +154,7 @@
     server.respond(request.id, std::move(answer));
 }
 
-int run(log_store &store, const stored_state &stored)
+int run(log_store &store, const stored_state &stored, const curve_site &site)
 {
     event_loop loop;
     zmq::context_t context {1};
@@ -157,7 +165,11 @@
     replication.electionTimeout = {FLAGS_election_timeout_ms};
     replication.heartbeat = {FLAGS_heartbeat_ms};
     std::unique_ptr<controller> running;
-    socket_outbox outbox {loop, context, stored.identity, "tcp://" + FLAGS_listen,
+    std::unique_ptr<connection_guard> guard;
+    if (site.isEncrypted()) {
+        guard = std::make_unique<connection_guard>(loop, context, site.allowed);
+    }
+    socket_outbox outbox {loop, context, stored.identity, "tcp://" + FLAGS_listen, site,
                           [&](const std::string &peer, std::string &&text) {
                               messages::envelope envelope;
                               if (running && envelope.ParseFromString(text)) {
@@ -257,5 +269,7 @@
         .with("entries", stored.entries.size())
         .with("truncated_bytes", stored.truncatedBytes)
         .with("took_ms", (monotonicNow() - started).count);
-    return run(store, stored);
+    curve_site site;
+    readCurveSite(FLAGS_curve_site, &site);
+    return run(store, stored, site);
 }
--- a/programs/filbert_gateway.cpp
+++ b/programs/filbert_gateway.cpp
@@ -14,6 +14,7 @@
 DEFINE_string(bootstrap_operator_key, "",
               "ID:SALT:HASH of a key that may apply the first configuration; ignored as soon as an "
               "operator is configured");
+DEFINE_string(curve_site, "", "file of CURVE keys; empty = no encryption, loopback only");
 DEFINE_string(tls_certificate, "", "certificate chain file; empty = plain HTTP, loopback only");
 DEFINE_string(tls_private_key, "", "private key file");
 DEFINE_int32(target_connections, 64, "connections that a target offers to all gateways together");
@@ -37,10 +38,11 @@
     using handler = std::function<void(const std::string &address, const messages::envelope &)>;
 
     socket_transport(event_loop &loop, zmq::context_t &context, const std::string &name,
-                     handler onMessage)
+                     const curve_site &site, handler onMessage)
         : loop {loop}
         , context {context}
         , name {name}
+        , site {site}
         , onMessage {std::move(onMessage)}
     {
     }
@@ -49,7 +51,7 @@
     {
         auto &client = clients[address];
         if (!client) {
-            client = std::make_unique<message_client>(loop, context, name, address, curve_keys {},
+            client = std::make_unique<message_client>(loop, context, name, address, site.clientKeys(address),
                                                       [this, address](std::string &&text) {
                                                           messages::envelope answer;
                                                           if (answer.ParseFromString(text)) {
@@ -64,6 +66,7 @@
     event_loop &loop;
     zmq::context_t &context;
     std::string name;
+    curve_site site;
     handler onMessage;
     std::map<std::string, std::unique_ptr<message_client>> clients;
 };
@@ -133,6 +136,13 @@
     for (const auto &address : controllers) {
         check.requireEndpoint("controllers", address);
     }
+    curve_site site;
+    check.require(!readCurveSite(FLAGS_curve_site, &site),
+                  "--curve_site: expected a readable file of 'self', 'controller', 'allow' lines");
+    for (const auto &address : controllers) {
+        check.require(site.isEncrypted() || address.starts_with("127."),
+                      "--curve_site: expected, since a controller is not on loopback: " + address);
+    }
     check.require(FLAGS_bootstrap_operator_key.empty() || !readBootstrapKey().id().empty(),
                   "--bootstrap_operator_key: expected ID:SALT:HASH");
     check.require(FLAGS_tls_certificate.empty() == FLAGS_tls_private_key.empty(),
@@ -152,10 +162,12 @@
 {
     event_loop loop;
     zmq::context_t context {1};
+    curve_site site;
+    readCurveSite(FLAGS_curve_site, &site);
     std::unique_ptr<gateway> running;
     std::unique_ptr<controller_links> links;
     socket_transport transport {
-        loop, context, FLAGS_name,
+        loop, context, FLAGS_name, site,
         [&](const std::string &address, const messages::envelope &envelope) {
             running->takeTime(monotonicNow());
             if (!links->takeAnswer(address, envelope, monotonicNow())) {
--- a/programs/filbertctl.cpp
+++ b/programs/filbertctl.cpp
@@ -15,6 +15,8 @@
 
 Operators:
   keys make ID             make a key: the token for its holder and the lines for the file
+  keys site FOLDER C=IP:PORT... G...
+                           CURVE keys for controllers C and gateways G, a file each
   check FILE...            check configuration files without sending them
   diff FILE...             show what 'apply' would change
   apply FILE...            make the files the whole configuration; --wait until it is in force
--- a/programs/filbertctl_commands.cpp
+++ b/programs/filbertctl_commands.cpp
@@ -4,7 +4,11 @@
 
 #include "filbert_configuration/filbert_configuration.h"
 
+#include "filbert_transport/filbert_transport.h"
+
 #include <algorithm>
+#include <filesystem>
+#include <fstream>
 #include <gflags/gflags.h>
 #include <iomanip>
 #include <iostream>
@@ -187,10 +191,57 @@
     return FLAGS_wait ? waitInForce(reply.version()) : exitDone;
 }
 
+/** Writes one site file for each process; who has an address is a controller. */
+int makeSite(const words &arguments)
+{
+    struct site_member
+    {
+        std::string name;
+        std::string address;
+        curve_pair keys;
+    };
+    std::vector<site_member> members;
+    for (std::size_t i = 2; i < arguments.size(); ++i) {
+        const auto equals = arguments[i].find('=');
+        const auto address =
+            equals == std::string::npos ? std::string {} : arguments[i].substr(equals + 1);
+        if (equals != std::string::npos && !isEndpoint(address)) {
+            std::cerr << "expected CONTROLLER=IP:PORT or GATEWAY, found " << arguments[i] << "\n";
+            return exitUsage;
+        }
+        members.push_back({arguments[i].substr(0, equals), address, makeCurvePair()});
+    }
+    std::filesystem::create_directories(arguments[1]);
+    for (const auto &self : members) {
+        const auto path = arguments[1] + "/" + self.name + ".site";
+        std::ofstream file {path};
+        std::filesystem::permissions(path, std::filesystem::perms::owner_read
+                                         | std::filesystem::perms::owner_write);
+        file << "self " << self.keys.publicKey << " " << self.keys.secretKey << "\n";
+        for (const auto &other : members) {
+            if (!other.address.empty()) {
+                file << "controller " << other.address << " " << other.keys.publicKey << "\n";
+            }
+            if (!self.address.empty()) {
+                file << "allow " << other.name << " " << other.keys.publicKey << "\n";
+            }
+        }
+        if (!file.flush()) {
+            std::cerr << "cannot write " << path << "\n";
+            return exitUsage;
+        }
+        std::cout << path << "\n";
+    }
+    return exitDone;
+}
+
 int makeKeys(const words &arguments)
 {
+    if (arguments.size() > 2 && arguments[0] == "site") {
+        return makeSite(arguments);
+    }
     if (arguments.size() != 2 || arguments[0] != "make") {
-        std::cerr << "expected: keys make ID\n";
+        std::cerr << "expected: keys make ID | keys site FOLDER CONTROLLER=IP:PORT... GATEWAY...\n";
         return exitUsage;
     }
     const auto made = makeKey(arguments[1]);
--- a/scripts/cell.sh
+++ b/scripts/cell.sh
@@ -72,7 +72,7 @@
 # start_controller NUMBER: initialises its folder at the first time.
 start_controller() {
     local folder="$work/c$1"
-    local flags=(--name="c$1" --data_folder="$folder" --listen="127.0.0.1:${message_port[$1]}"
+    local flags=(--name="c$1" --curve_site="$work/site/c$1.site" --data_folder="$folder" --listen="127.0.0.1:${message_port[$1]}"
         --http="127.0.0.1:${health_port[$1]}")
     if [ ! -e "$folder/identity" ]; then
         local kind=member
@@ -85,7 +85,7 @@
 
 start_gateway() {
     start "g$1" "$bin/filbert-gateway" --name="g$1" --http="127.0.0.1:${gateway_port[$1]}" \
-        --controllers="$controllers_flag" --bootstrap_operator_key="$bootstrap_key" --drain_ms=500
+        --controllers="$controllers_flag" --curve_site="$work/site/g$1.site" --bootstrap_operator_key="$bootstrap_key" --drain_ms=500
 }
 
 # start_target NUMBER SERVICES [FLAGS...]
@@ -118,6 +118,10 @@
 # start_cell CONTROLLERS GATEWAYS TARGETS: controllers and gateways, one cell; targets are planned.
 start_cell() {
     plan_ports "$@"
+    local names=() n
+    for ((n = 1; n <= $1; n++)); do names+=("c$n=127.0.0.1:${message_port[$n]}"); done
+    for ((n = 1; n <= $2; n++)); do names+=("g$n"); done
+    "$bin/filbertctl" keys site "$work/site" "${names[@]}" bench >/dev/null || return 1
     make_key root
     export FILBERT_KEY=$token
     operator_token=$token operator_stored=$stored bootstrap_key=$bootstrap
--- /dev/null
+++ b/tests/bad_input.sh
@@ -0,0 +1,93 @@
+#!/usr/bin/env bash
+# Wrong, oversized, slow and foreign input at every door. Needs FILBERT_BIN.
+set -uo pipefail
+root=$(cd "$(dirname "$0")/.." && pwd)
+bin=${FILBERT_BIN:-$root/build-release/bin}
+work=$(mktemp -d)
+source "$root/scripts/cell.sh"
+trap 'stop_everything; rm -rf "$work"' EXIT
+failures=0
+start_cell 1 1 1 || { tail -n 3 "$work"/*.log; exit 1; }
+make_key desk; desk_token=$token desk_stored=$stored
+make_key rival; rival_token=$token rival_stored=$stored
+make_key workshop; target_token=$token
+cat >"$work/cell.yaml" <<YAML
+cell: doors
+teams: [{name: orders, share: 1, keys: [$desk_stored]}, {name: rivals, share: 1, keys: [$rival_stored]}]
+queues: [{name: quotes, policy: urgent}, {name: proofs, policy: batch}]
+services: [{name: quote, queue: quotes, idempotent: true, task: {milli_cores: 10}}]
+principals: [{name: ops, role: operator, keys: [$operator_stored]}, {name: t, role: target, keys: [$stored]}]
+YAML
+ctl apply "$work/cell.yaml" >/dev/null || exit 1
+start_target 1 quote --key="$target_token"
+ready() { ctl status | grep -q ' ready '; }
+eventually 20 ready || exit 1
+url=http://127.0.0.1:${gateway_port[1]}
+
+expect() { # WHAT STATUS CURL-ARGUMENTS...
+    local what=$1 wanted=$2 got
+    shift 2
+    got=$(curl -s -m 10 -o "$work/answer" -w '%{http_code}' "$@")
+    if [ "$got" = "$wanted" ]; then
+        echo "right: $what: $got"
+    else
+        echo "WRONG: $what: expected $wanted, got $got: $(head -c 200 "$work/answer")"
+        failures=$((failures + 1))
+    fi
+}
+team=(-H "Authorization: Bearer $desk_token")
+operator=(-H "Authorization: Bearer $operator_token")
+target=(-H "Authorization: Bearer $target_token")
+head -c 2000000 /dev/zero | tr '\0' 'x' >"$work/big"
+deep=$(printf '{"next":%.0s' $(seq 1 2000))
+
+expect "a right request" 200 "${team[@]}" --data lid $url/v1/services/quote
+expect "an empty body" 200 "${team[@]}" -X POST $url/v1/services/quote
+expect "an unknown path" 404 "${team[@]}" $url/v1/nowhere
+expect "a wrong method" 405 "${team[@]}" -X DELETE $url/v1/services/quote
+expect "an unknown service" 404 "${team[@]}" --data x $url/v1/services/nothing
+expect "a body that is too large" 413 "${team[@]}" --data-binary @"$work/big" $url/v1/services/quote
+expect "a chunked body, which is not taken" 400 "${team[@]}" -H 'Transfer-Encoding: chunked' --data x $url/v1/services/quote
+expect "a deadline that is no number" 400 "${team[@]}" -H 'Filbert-Deadline-Ms: soon' --data x $url/v1/services/quote
+expect "a negative deadline" 400 "${team[@]}" -H 'Filbert-Deadline-Ms: -5' --data x $url/v1/services/quote
+expect "a key of another scheme" 401 -H 'Authorization: Basic eDp5' --data x $url/v1/services/quote
+expect "a key without a secret" 401 -H 'Authorization: Bearer desk' --data x $url/v1/services/quote
+expect "JSON that is cut" 400 "${team[@]}" --data '{"queue":"proofs"' $url/v1/jobs
+expect "an unknown field" 400 "${team[@]}" --data '{"queue":"proofs","colour":1}' $url/v1/jobs
+expect "a field twice" 400 "${team[@]}" --data '{"queue":"proofs","queue":"quotes","service":"quote"}' $url/v1/jobs
+expect "a wrong type" 400 "${team[@]}" --data '{"queue":"proofs","tasks":"many"}' $url/v1/jobs
+expect "bytes that are not UTF-8" 400 "${team[@]}" --data-binary $'{"queue":"\xff\xfe"}' $url/v1/jobs
+expect "too many tasks" 400 "${team[@]}" --data '{"queue":"proofs","service":"quote","tasks":2000000}' $url/v1/jobs
+expect "a negative size" 400 "${team[@]}" --data '{"queue":"proofs","service":"quote","task":{"milli_cores":-1}}' $url/v1/jobs
+expect "deep nesting" 400 "${operator[@]}" -X PUT --data-binary "$deep" $url/v1/configuration
+expect "a team at an operator's door" 403 "${team[@]}" $url/v1/status
+expect "an operator at a team's door" 403 "${operator[@]}" --data x $url/v1/services/quote
+expect "a team as a target" 403 "${team[@]}" --data '{}' $url/v1/targets/t9/heartbeat
+expect "a target that reports nonsense" 400 "${target[@]}" --data '{"address":"nowhere","epoch":1}' $url/v1/targets/t9/announce
+expect "a number that is no job" 404 "${team[@]}" $url/v1/jobs/first
+job=$(FILBERT_KEY=$desk_token ctl submit --queue=proofs --service=quote --payload=ms=60000)
+expect "another team's job" 404 -H "Authorization: Bearer $rival_token" $url/v1/jobs/$job
+expect "cancelling another team's job" 404 -H "Authorization: Bearer $rival_token" -X DELETE $url/v1/jobs/$job
+
+# Forty connections that send half a header and wait must not keep others out.
+for i in $(seq 1 40); do
+    exec {slow}<>"/dev/tcp/127.0.0.1/${gateway_port[1]}"
+    printf 'POST /v1/services/quote HTTP/1.1\r\nHost: x\r\nContent-Le' >&$slow
+done
+expect "a right request beside slow ones" 200 "${team[@]}" --data lid $url/v1/services/quote
+
+# A process without a key of the site does not reach a controller.
+"$bin/filbertctl" keys site "$work/foreign" "c1=127.0.0.1:${message_port[1]}" bench >/dev/null
+if timeout 20 "$bin/filbert-commit-bench" --controllers="127.0.0.1:${message_port[1]}" --seconds=1 \
+    --curve_site="$work/foreign/bench.site" >"$work/foreign.out" 2>&1; then
+    echo "WRONG: a foreign process was let in"
+    failures=$((failures + 1))
+else
+    echo "right: a foreign process is not let in"
+fi
+if grep -qF -e "${desk_token#*.}" -e "${operator_token#*.}" -e "$(awk '/^self/ {print $3}' "$work/site/c1.site")" "$work"/*.log; then
+    echo "WRONG: a secret was logged"
+    failures=$((failures + 1))
+fi
+echo "$failures failed"
+[ $failures -eq 0 ]
