--- /dev/null
+++ b/extras/measure_gateways.sh
@@ -0,0 +1,21 @@
+#!/usr/bin/env bash
+# Loopback bytes a second of an idle cell against the number of gateways, and of controllers alone.
+# Usage: extras/measure_gateways.sh [COUNT...]
+set -uo pipefail
+root=$(cd "$(dirname "$0")/.." && pwd)
+bin=${FILBERT_BIN:-$root/build-release/bin}
+source "$root/scripts/cell.sh"
+counts=("$@")
+[ ${#counts[@]} -gt 0 ] || counts=(1 4 7)
+bytes() { awk '/lo:/ {print $2}' /proc/net/dev; }
+for count in "${counts[@]}"; do
+    work=$(mktemp -d)
+    trap 'stop_everything; rm -rf "$work"' EXIT
+    start_cell 3 "$count" 1 || exit 1
+    sleep 1
+    from=$(bytes)
+    sleep 8
+    echo "gateways=$count loopback_bytes_per_second=$((($(bytes) - from) / 8))"
+    stop_everything
+    rm -rf "$work"
+done
--- a/modules/filbert_gateway/controller_links.cpp
+++ b/modules/filbert_gateway/controller_links.cpp
@@ -8,7 +8,7 @@
 namespace {
 
 constexpr milliseconds retryPause {50};
-constexpr milliseconds answerPatience {1'000};
+constexpr milliseconds silentLeaderPause {500};
 constexpr milliseconds switchPause {200};
 constexpr int messageFormat = 1;
 
@@ -105,16 +105,17 @@
             late.push_back(id);
         } else if (!which.isUnanswered && now >= which.retryAt) {
             trySend(which, now);
-        } else if (which.isUnanswered && now - which.sentAt >= answerPatience) {
+        } else if (which.isUnanswered && now - which.sentAt >= which.patience) {
             // If nothing at all has come since, the leader may be cut off, or lead no more.
             isLeaderSilent = isLeaderSilent || lastAnswer < which.sentAt;
             if (which.rule == resend_rule::WhenUnanswered) {
                 which.isUnanswered = false;
                 which.retryAt = now;
+                which.patience = which.patience * 2;
             }
         }
     }
-    if (isLeaderSilent && now - lastSwitch >= answerPatience) {
+    if (isLeaderSilent && now - lastSwitch >= silentLeaderPause) {
         lastSwitch = now;
         tryNext();
     }
--- a/modules/filbert_gateway/controller_links.h
+++ b/modules/filbert_gateway/controller_links.h
@@ -77,6 +77,7 @@
         resend_rule rule = resend_rule::Never;
         bool isUnanswered = false; // sent, and neither taken nor turned away as far as is known
         int silentSends = 0; // sendings that got no answer at all
+        milliseconds patience {500}; // with the next answer; doubles with each resend
     };
 
     void trySend(exchange &open, time_point now);
--- a/modules/filbert_gateway/target_routes.cpp
+++ b/modules/filbert_gateway/target_routes.cpp
@@ -53,7 +53,7 @@
         return;
     }
     envelope.mutable_heartbeat()->set_name(name);
-    parts.relay(request.id, std::move(envelope), statusOk, resend_rule::Never,
+    parts.relay(request.id, std::move(envelope), statusOk, resend_rule::WhenUnanswered,
                 [](const messages::envelope &answer) -> const google::protobuf::Message * {
                     return answer.has_heartbeat_reply() ? &answer.heartbeat_reply() : nullptr;
                 });
--- a/modules/filbert_replication/replicated_log.h
+++ b/modules/filbert_replication/replicated_log.h
@@ -17,7 +17,7 @@
 /** Times and sizes of the replicated log. */
 struct replication_settings
 {
-    milliseconds electionTimeout {600}; // the shortest; each try adds up to as much again at random
+    milliseconds electionTimeout {500}; // the shortest; each try adds up to as much again at random
     milliseconds heartbeat {100};
     std::size_t appendBytes = 1 << 20;
     std::size_t snapshotChunkBytes = 256 << 10;
--- a/programs/filbert_controller.cpp
+++ b/programs/filbert_controller.cpp
@@ -17,7 +17,7 @@
 DEFINE_string(initialise, "",
               "make the data folder and end: 'first' for the first controller of a new cell, "
               "'member' for one that is added later");
-DEFINE_int32(election_timeout_ms, 600, "shortest time without a leader before an election");
+DEFINE_int32(election_timeout_ms, 500, "shortest time without a leader before an election");
 DEFINE_int32(heartbeat_ms, 100, "time between a leader's heartbeats");
 DEFINE_int32(snapshot_entries, 50'000, "log entries between snapshots");
 DEFINE_int32(target_lease_ms, 4'000, "how long a target may run work without being heard");
