Leader changes are noticed sooner: connections made beforehand, stale hints passed over

The log showed 1.34 to 2.37 s until another led: the first pre-vote went to a member that no connection had been made to and was lost, so that a second election timeout passed. Then gateways asked followers, which still named the silent leader. Change: controllers and gateways connect to all members beforehand; a hint to a leader that was just found silent is not followed for 3 s, and what was sent to it goes to the next one at once.

--- a/extras/election_bench.cpp
+++ b/extras/election_bench.cpp
@@ -104,9 +104,8 @@
             const int from = message.from()[1] - '0';
             const int to = message.to()[1] - '0';
             if (from != gone && to != gone) {
-                act(static_cast<std::size_t>(to), [&](auto &state, auto *effects) {
-                    stepMessage(state, message, now, effects);
-                });
+                act(static_cast<std::size_t>(to),
+                    [&](auto &state, auto *effects) { stepMessage(state, message, now, effects); });
             }
         }
     }
--- a/extras/random_run/fake_hosts.h
+++ b/extras/random_run/fake_hosts.h
@@ -215,6 +215,8 @@
         return true;
     }
 
+    void prepare(const std::string & /*address*/) override { }
+
     void call(target_call &&out, handler onAnswer) override
     {
         toTarget(std::move(out),
--- a/extras/random_run/random_cell.cpp
+++ b/extras/random_run/random_cell.cpp
@@ -717,8 +717,8 @@
         : kind == 1             ? "g" + std::to_string(time.below(gatewayCount))
                                 : "t" + std::to_string(time.below(targetCount));
     const auto direction = time.below(3);
-    const auto other = time.chance(400) ? "c" + std::to_string(time.below(controllerCount))
-                                        : std::string {"*"};
+    const auto other =
+        time.chance(400) ? "c" + std::to_string(time.below(controllerCount)) : std::string {"*"};
     std::vector<std::pair<std::string, std::string>> pairs;
     if (direction != 1) {
         pairs.emplace_back(name, other);
--- a/modules/filbert_gateway/controller_links.cpp
+++ b/modules/filbert_gateway/controller_links.cpp
@@ -9,6 +9,7 @@
 
 constexpr milliseconds retryPause {50};
 constexpr milliseconds silentLeaderPause {500};
+constexpr milliseconds silentSpan {3'000};
 constexpr milliseconds switchPause {200};
 constexpr int messageFormat = 1;
 
@@ -22,6 +23,9 @@
     , transport {transport}
 {
     FILBERT_INVARIANT(!addresses.empty(), "at least one controller is named");
+    for (const auto &address : addresses) {
+        transport.prepare(address);
+    }
 }
 
 void controller_links::request(messages::envelope &&envelope, milliseconds timeout,
@@ -47,13 +51,36 @@
     which.retryAt = now + retryPause;
     if (!which.isUnanswered && now - lastSwitch >= switchPause) {
         lastSwitch = now;
-        tryNext();
+        tryNext(now);
     }
 }
 
-void controller_links::tryNext()
+bool controller_links::isSilent(const std::string &address, time_point now) const
+{
+    return address == silentAddress && now < silentUntil;
+}
+
+void controller_links::tryNext(time_point now)
 {
     current = (current + 1) % addresses.size();
+    if (isSilent(leader(), now)) {
+        current = (current + 1) % addresses.size();
+    }
+}
+
+void controller_links::leaveSilentLeader(time_point now)
+{
+    // Others go on naming it as the leader until they elect a new one.
+    silentAddress = leader();
+    silentUntil = now + silentSpan;
+    lastSwitch = now;
+    tryNext(now);
+    for (auto &[id, which] : open) {
+        if (which.isUnanswered && which.rule == resend_rule::WhenUnanswered) {
+            which.isUnanswered = false;
+            which.retryAt = now;
+        }
+    }
 }
 
 void controller_links::point(const std::string &address)
@@ -80,16 +107,17 @@
         --which.silentSends;
         which.retryAt = now + retryPause;
         const auto &hint = envelope.not_leader().address();
-        if (!hint.empty() && hint != address) {
+        if (!hint.empty() && hint != address && !isSilent(hint, now)) {
             point(hint);
             which.retryAt = now;
         } else if (address == leader() && now - lastSwitch >= switchPause) {
             lastSwitch = now;
-            tryNext();
+            tryNext(now);
         }
         return true;
     }
     lastAnswer = now;
+    silentUntil = address == silentAddress ? time_point {} : silentUntil;
     const auto answered = std::move(found->second);
     open.erase(found);
     answered.onAnswer({}, envelope);
@@ -116,8 +144,7 @@
         }
     }
     if (isLeaderSilent && now - lastSwitch >= silentLeaderPause) {
-        lastSwitch = now;
-        tryNext();
+        leaveSilentLeader(now);
     }
     for (const auto id : late) {
         const auto which = std::move(open.at(id));
@@ -137,6 +164,7 @@
     for (const auto &member : members.members()) {
         if (std::find(addresses.begin(), addresses.end(), member.address()) == addresses.end()) {
             addresses.push_back(member.address());
+            transport.prepare(member.address());
         }
     }
     if (members.members_size() == 0) {
--- a/modules/filbert_gateway/controller_links.h
+++ b/modules/filbert_gateway/controller_links.h
@@ -17,6 +17,9 @@
 public:
     virtual ~controller_transport() = default;
 
+    /** Connects beforehand, so that a later send() need not wait. @param address "tcp://IP:port" */
+    virtual void prepare(const std::string &address) = 0;
+
     /** @param address "tcp://IP:port" @return false if it certainly was not sent */
     virtual bool send(const std::string &address, const messages::envelope &envelope) = 0;
 };
@@ -81,7 +84,9 @@
     };
 
     void trySend(exchange &open, time_point now);
-    void tryNext();
+    void tryNext(time_point now);
+    void leaveSilentLeader(time_point now);
+    bool isSilent(const std::string &address, time_point now) const;
     void point(const std::string &address);
 
     std::string name;
@@ -89,6 +94,8 @@
     controller_transport &transport;
     std::map<std::uint64_t, exchange> open;
     std::size_t current = 0;
+    std::string silentAddress; // hints to it are not followed for a while
+    time_point silentUntil;
     std::uint64_t lastExchange = 0;
     time_point lastAnswer;
     time_point lastSwitch;
--- a/modules/filbert_gateway/gateway.cpp
+++ b/modules/filbert_gateway/gateway.cpp
@@ -82,7 +82,7 @@
     envelope.mutable_hello()->set_leaving(false);
     parts.isHelloOpen = true;
     const auto sentAt = parts.now;
-    constexpr milliseconds patience {1'500};
+    constexpr milliseconds patience {800};
     parts.links.request(std::move(envelope), patience, resend_rule::Never, parts.now,
                         [&parts, sentAt](std::error_code error, const messages::envelope &answer) {
                             parts.isHelloOpen = false;
--- a/modules/filbert_transport/curve_site.h
+++ b/modules/filbert_transport/curve_site.h
@@ -36,7 +36,8 @@
     curve_keys clientKeys(const std::string &endpoint) const;
 };
 
-/** Reads a site file. @param path empty = no encryption @return Malformed or NotFound if it is wrong */
+/** Reads a site file. @param path empty = no encryption @return Malformed or NotFound if it is
+ * wrong */
 std::error_code readCurveSite(const std::string &path, curve_site *site);
 
 /** A new pair of keys. */
--- a/programs/filbert_controller.cpp
+++ b/programs/filbert_controller.cpp
@@ -60,6 +60,13 @@
             server.send(member.identity(), bytes);
             return;
         }
+        connect(member);
+        clients[member.address()]->send(bytes); // what is lost is sent again by the protocol above
+    }
+
+    /** Connects beforehand: the first message to a member that is not connected would be lost. */
+    void connect(const messages::member &member)
+    {
         auto &client = clients[member.address()];
         if (!client) {
             client = std::make_unique<message_client>(
@@ -68,7 +75,6 @@
                     onMessage(peer, std::move(text));
                 });
         }
-        client->send(bytes); // a lost message is sent again by the protocol above
     }
 
     void sendToGateway(const std::string &gateway, const messages::envelope &envelope) override
@@ -169,7 +175,11 @@
     if (site.isEncrypted()) {
         guard = std::make_unique<connection_guard>(loop, context, site.allowed);
     }
-    socket_outbox outbox {loop, context, stored.identity, "tcp://" + FLAGS_listen, site,
+    socket_outbox outbox {loop,
+                          context,
+                          stored.identity,
+                          "tcp://" + FLAGS_listen,
+                          site,
                           [&](const std::string &peer, std::string &&text) {
                               messages::envelope envelope;
                               if (running && envelope.ParseFromString(text)) {
@@ -193,6 +203,11 @@
     time_point stopBy;
     loop.every(tickPeriod, [&] {
         running->takeTime(monotonicNow());
+        for (const auto &member : running->view().log.members.members()) {
+            if (member.identity() != stored.identity) {
+                outbox.connect(member);
+            }
+        }
         const bool isDone = running->isReadyToStop() || monotonicNow() >= stopBy;
         if (stopBy.ms != 0 && isDone) {
             loop.stop();
--- a/programs/filbert_gateway.cpp
+++ b/programs/filbert_gateway.cpp
@@ -48,10 +48,17 @@
     }
 
     bool send(const std::string &address, const messages::envelope &envelope) override
+    {
+        prepare(address);
+        return clients[address]->send(envelope.SerializeAsString());
+    }
+
+    void prepare(const std::string &address) override
     {
         auto &client = clients[address];
         if (!client) {
-            client = std::make_unique<message_client>(loop, context, name, address, site.clientKeys(address),
+            client = std::make_unique<message_client>(loop, context, name, address,
+                                                      site.clientKeys(address),
                                                       [this, address](std::string &&text) {
                                                           messages::envelope answer;
                                                           if (answer.ParseFromString(text)) {
@@ -59,7 +66,6 @@
                                                           }
                                                       });
         }
-        return client->send(envelope.SerializeAsString());
     }
 
 private:
--- a/programs/filbertctl_commands.cpp
+++ b/programs/filbertctl_commands.cpp
@@ -215,8 +215,8 @@
     for (const auto &self : members) {
         const auto path = arguments[1] + "/" + self.name + ".site";
         std::ofstream file {path};
-        std::filesystem::permissions(path, std::filesystem::perms::owner_read
-                                         | std::filesystem::perms::owner_write);
+        std::filesystem::permissions(
+            path, std::filesystem::perms::owner_read | std::filesystem::perms::owner_write);
         file << "self " << self.keys.publicKey << " " << self.keys.secretKey << "\n";
         for (const auto &other : members) {
             if (!other.address.empty()) {
