--- a/extras/policy_bench/policy_trial.cpp
+++ b/extras/policy_bench/policy_trial.cpp
@@ -253,7 +253,8 @@
         if (plan.sizeErrorLog10 > 0) {
             std::uniform_real_distribution<double> error {-plan.sizeErrorLog10,
                                                           plan.sizeErrorLog10};
-            auto used = task.need;
+            auto used =
+                origin.item.declared; // what a task really uses does not follow what is learned
             used.milliCores = static_cast<std::int64_t>(static_cast<double>(used.milliCores)
                                                         * std::pow(10, error(random)));
             noteUsage(scheduler, placed.placement, used);
--- a/extras/random_run/random_cell.cpp
+++ b/extras/random_run/random_cell.cpp
@@ -88,8 +88,8 @@
             [this, name](const std::string &to, const std::string &bytes) {
                 route(name, to, bytes);
             },
-            [this, name](target_call &&call, target_port::handler onAnswer) {
-                callTarget(name, std::move(call), std::move(onAnswer));
+            [this, name](target_call &&call, const target_port::handler &onAnswer) {
+                callTarget(name, std::move(call), onAnswer);
             });
         host->clock = {static_cast<std::int64_t>(time.below(1'000'000)),
                        1'000 - clockSpreadPerMille
@@ -168,7 +168,7 @@
 }
 
 void random_cell::callTarget(const std::string &from, target_call &&call,
-                             target_port::handler onAnswer)
+                             const target_port::handler &onAnswer)
 {
     const auto name = targetOf(call.address);
     auto &target = *targets[static_cast<std::size_t>(name[1] - '1')];
--- a/extras/random_run/random_cell.h
+++ b/extras/random_run/random_cell.h
@@ -60,7 +60,8 @@
 
     // Hosts and messages.
     void route(const std::string &from, const std::string &to, const std::string &bytes);
-    void callTarget(const std::string &from, target_call &&call, target_port::handler onAnswer);
+    void callTarget(const std::string &from, target_call &&call,
+                    const target_port::handler &onAnswer);
     http_answer answerOfTarget(fake_target &target, const target_call &call,
                                const std::function<void(http_answer &&)> &later);
     void tickHosts();
--- a/modules/filbert_configuration/cell_configuration.cpp
+++ b/modules/filbert_configuration/cell_configuration.cpp
@@ -260,7 +260,9 @@
 {
     std::string all;
     for (const auto &[key, value] : parts) {
-        all += std::to_string(key.size()) + ":" + key + std::to_string(value.size()) + ":" + value;
+        // With lengths, so that no two sets of parts give the same text.
+        all.append(std::to_string(key.size())).append(":").append(key);
+        all.append(std::to_string(value.size())).append(":").append(value);
     }
     return toHex(contentDigest(all));
 }
--- a/modules/filbert_configuration/configuration_reader.cpp
+++ b/modules/filbert_configuration/configuration_reader.cpp
@@ -46,7 +46,8 @@
         std::set<std::string> seen;
         for (const auto &entry : node) {
             const auto name = entry.first.as<std::string>("");
-            const auto field = path.empty() ? name : path + "." + name;
+            auto field = path;
+            field.append(path.empty() ? "" : ".").append(name);
             const auto *descriptor = message->GetDescriptor()->FindFieldByName(name);
             if (descriptor == nullptr) {
                 addProblem(entry.first, field, "a known field, one of: " + fieldNames(*message));
--- a/modules/filbert_controller/operations.cpp
+++ b/modules/filbert_controller/operations.cpp
@@ -162,7 +162,10 @@
     grant->set_digest(configuration.digest());
     grant->set_lease_ms(lease.count);
     grant->set_gateways(static_cast<int>(state.gateways.size()));
-    *grant->mutable_members() = state.log.members;
+    grant->set_members_index(state.log.membersIndex);
+    if (hello.members_index() != state.log.membersIndex) {
+        *grant->mutable_members() = state.log.members;
+    }
     reply(state, from, std::move(envelope));
 }
 
--- a/modules/filbert_gateway/configuration_lease.cpp
+++ b/modules/filbert_gateway/configuration_lease.cpp
@@ -11,6 +11,7 @@
     hello.set_gateway(gateway);
     hello.set_version(lease.configuration.version());
     hello.set_digest(lease.configuration.digest());
+    hello.set_members_index(lease.membersIndex);
     return hello;
 }
 
@@ -45,7 +46,10 @@
     }
     lease.until = std::max(lease.until, sentAt + milliseconds {grant.lease_ms()});
     lease.gateways = std::max(1, grant.gateways());
-    lease.members = grant.members();
+    if (grant.has_members()) {
+        lease.members = grant.members();
+    }
+    lease.membersIndex = grant.members_index();
     return true;
 }
 
--- a/modules/filbert_gateway/configuration_lease.h
+++ b/modules/filbert_gateway/configuration_lease.h
@@ -15,6 +15,7 @@
     time_point until;
     int gateways = 1;
     messages::membership members;
+    std::uint64_t membersIndex = 0;
 };
 
 /** @return the hello that asks for a renewal */
--- a/modules/filbert_policy/placement_pass.cpp
+++ b/modules/filbert_policy/placement_pass.cpp
@@ -421,7 +421,8 @@
              schedule_result *result)
 {
     std::vector<contender> contenders;
-    for (auto &[name, team] : state.teams) {
+    for (auto &entry : state.teams) {
+        auto &team = entry.second;
         const bool hasWork = std::any_of(classes.begin(), classes.end(), [&](auto kind) {
             return team.waitingCount[static_cast<std::size_t>(kind)] > 0;
         });
--- a/modules/filbert_transport/message_socket.cpp
+++ b/modules/filbert_transport/message_socket.cpp
@@ -7,8 +7,8 @@
 namespace {
 
 constexpr int queuedMessages = 200'000;
-constexpr int heartbeatMs = 500;
-constexpr int silentMs = 2'000;
+constexpr int heartbeatMs = 1'500;
+constexpr int silentMs = 3'000;
 constexpr int reconnectMs = 50;
 constexpr int reconnectMaxMs = 500;
 constexpr int messagesPerDrain = 512;
