--- a/extras/random_run/fake_target.h
+++ b/extras/random_run/fake_target.h
@@ -40,6 +40,8 @@
         leaseUntil = 0;
         clock.offset = -time.now.ms * clock.perMille / 1'000 + 1;
         isAnnounced = false;
+        isLeaving = false;
+        isDrained = false;
     }
 
     std::int64_t clockMs() const { return clock.read(time.now).ms; }
@@ -55,6 +57,7 @@
         if (ofEpoch != epoch || clockMs() > startBy || clockMs() > leaseUntil) {
             return "refused";
         }
+        FILBERT_INVARIANT(!isDrained, "a drained target gets no more work");
         startedEver.insert(placement);
         running[placement] = task;
         checks.taskStarted(name, placement, task, capacity);
@@ -101,6 +104,8 @@
     std::map<std::uint64_t, bool> finished; // until acknowledged: whether it was stopped
     std::set<std::uint64_t> startedEver;
     bool isAnnounced = false;
+    bool isLeaving = false;
+    bool isDrained = false; // the cell has said that nothing more will come
 };
 
 } // namespace filbert
--- a/extras/random_run/filbert_random_run.cpp
+++ b/extras/random_run/filbert_random_run.cpp
@@ -41,7 +41,7 @@
                       << " unanswered=" << summary.unanswered << " jobs=" << summary.jobs
                       << " configurations=" << summary.configurations
                       << " faults=" << summary.faults << " replaced_disks=" << summary.replacedDisks
-                      << std::endl;
+                      << " planned_stops=" << summary.plannedStops << std::endl;
         } catch (const std::exception &error) {
             ++failed;
             std::cout << "seed=" << seed << " steps=" << FLAGS_steps
--- a/extras/random_run/random_cell.h
+++ b/extras/random_run/random_cell.h
@@ -12,6 +12,11 @@
 
 namespace filbert {
 
+constexpr int controllerCount = 3;
+constexpr int gatewayCount = 2;
+constexpr int targetCount = 4;
+constexpr std::int64_t limitedTeamSlots = 5; // upper limit of the team "limited"
+
 /** What a run came to. */
 struct run_summary
 {
@@ -25,6 +30,7 @@
     std::uint64_t configurations = 0;
     std::uint64_t faults = 0;
     std::uint64_t replacedDisks = 0;
+    std::uint64_t plannedStops = 0; // of targets
 };
 
 /** Which faults a run brings about. */
--- /dev/null
+++ b/extras/random_run/random_cell_operators.cpp
@@ -0,0 +1,134 @@
+#include "random_cell.h"
+
+#include "run_requests.h"
+
+#include <algorithm>
+
+namespace filbert {
+
+messages::configuration random_cell::makeConfiguration(bool hasSpareKey, int variant) const
+{
+    messages::configuration whole;
+    whole.set_cell("random");
+    auto *team = whole.add_teams();
+    team->set_name("free");
+    team->set_share(1 + variant % 7);
+    *team->add_keys() = teamKey.stored;
+    if (hasSpareKey) {
+        *team->add_keys() = spareKey.stored;
+    }
+    auto *limited = whole.add_teams();
+    limited->set_name("limited");
+    limited->set_share(1);
+    limited->mutable_upper_limit()->set_slots(limitedTeamSlots);
+    *limited->add_keys() = fixedKey("limited-desk").stored;
+    const auto addQueue = [&](const char *name, messages::queue_policy policy) {
+        auto *queue = whole.add_queues();
+        queue->set_name(name);
+        queue->set_policy(policy);
+    };
+    addQueue("urgent", messages::URGENT);
+    addQueue("batches", messages::BATCH);
+    addQueue("gangs", messages::GANG);
+    const auto addService = [&](const char *name, bool isIdempotent) {
+        auto *service = whole.add_services();
+        service->set_name(name);
+        service->set_queue("urgent");
+        service->set_idempotent(isIdempotent);
+        service->mutable_task()->set_milli_cores(1'000);
+        service->mutable_task()->set_memory_mb(256);
+    };
+    addService("quote", true);
+    addService("die", false);
+    const auto addPrincipal = [&](const char *name, const char *role, const made_key &key) {
+        auto *principal = whole.add_principals();
+        principal->set_name(name);
+        principal->set_role(role);
+        *principal->add_keys() = key.stored;
+    };
+    addPrincipal("operators", "operator", operatorKey);
+    addPrincipal("booths", "target", targetKey);
+    return whole;
+}
+
+void random_cell::actAsOperator()
+{
+    if (!isQuiet) {
+        time.after(static_cast<std::int64_t>(500 + time.below(3'000)), [this] { actAsOperator(); });
+    }
+    const auto requestId = "request-" + std::to_string(++lastBody);
+    const auto base = time.chance(900) ? knownVersion : knownVersion - 1;
+    const bool hasSpareKey = time.chance(500);
+    apply(base, hasSpareKey, requestId);
+    if (time.chance(300)) {
+        apply(base, time.chance(500), "rival-" + std::to_string(++lastBody));
+    }
+    if (time.chance(300)) {
+        time.after(static_cast<std::int64_t>(time.below(2'000)),
+                   [this, base, hasSpareKey, requestId] { apply(base, hasSpareKey, requestId); });
+    }
+}
+
+void random_cell::apply(std::int64_t base, bool hasSpareKey, const std::string &requestId)
+{
+    messages::apply_request body;
+    *body.mutable_next() = makeConfiguration(hasSpareKey, lastBody);
+    body.set_base_version(base);
+    body.set_request_id(requestId);
+    isSpareWithdrawn = false;
+    const auto change = ++configurationChanges;
+    anyGateway().request(requestOf("PUT", "/v1/configuration", operatorKey.token, writeJson(body)),
+                         [this, hasSpareKey, requestId, change](http_answer &&answer) {
+                             messages::apply_reply reply;
+                             std::string detail;
+                             if (answer.status != 200 || readJson(answer.body, &reply, &detail)) {
+                                 return;
+                             }
+                             ++summary.configurations;
+                             const auto [version, isNew] =
+                                 digestOfVersion.emplace(reply.version(), reply.digest());
+                             FILBERT_INVARIANT(version->second == reply.digest(),
+                                               "a version stands for one configuration");
+                             const auto [request, isFirst] =
+                                 versionOfRequest.emplace(requestId, reply.version());
+                             FILBERT_INVARIANT(request->second == reply.version(),
+                                               "a resent change gets its first answer");
+                             knownVersion = std::max(knownVersion, reply.version());
+                             if (!hasSpareKey && isFirst) {
+                                 watchInForce(reply.version(), change);
+                             }
+                         });
+}
+
+void random_cell::learnVersion()
+{
+    anyGateway().request(requestOf("GET", "/v1/members", operatorKey.token, ""),
+                         [this](http_answer &&answer) {
+                             messages::status_reply status;
+                             std::string detail;
+                             if (answer.status == 200 && !readJson(answer.body, &status, &detail)) {
+                                 knownVersion = std::max(knownVersion, status.version());
+                             }
+                         });
+}
+
+void random_cell::watchInForce(std::int64_t version, std::uint64_t change)
+{
+    if (change != configurationChanges) {
+        return; // another change may have brought the key back
+    }
+    auto request = requestOf("GET", "/v1/members", operatorKey.token, "");
+    request.query = "version=" + std::to_string(version);
+    anyGateway().request(std::move(request), [this, version, change](http_answer &&answer) {
+        messages::status_reply status;
+        std::string detail;
+        const bool isKnown = answer.status == 200 && !readJson(answer.body, &status, &detail);
+        if (isKnown && status.in_force() && status.version() == version) {
+            isSpareWithdrawn = change == configurationChanges;
+        } else {
+            time.after(500, [this, version, change] { watchInForce(version, change); });
+        }
+    });
+}
+
+} // namespace filbert
--- /dev/null
+++ b/extras/random_run/run_requests.cpp
@@ -0,0 +1,28 @@
+#include "run_requests.h"
+
+#include <map>
+#include <utility>
+
+namespace filbert {
+
+made_key fixedKey(const std::string &id)
+{
+    static std::map<std::string, made_key> made;
+    if (!made.contains(id)) {
+        made[id] = makeKey(id);
+    }
+    return made[id];
+}
+
+http_request requestOf(const std::string &method, const std::string &path, const std::string &token,
+                       std::string body)
+{
+    http_request request;
+    request.method = method;
+    request.path = path;
+    request.authorization = "Bearer " + token;
+    request.body = std::move(body);
+    return request;
+}
+
+} // namespace filbert
--- a/extras/stand_in_target.cpp
+++ b/extras/stand_in_target.cpp
@@ -34,6 +34,8 @@
 constexpr int statusRefused = 412;
 constexpr int statusAccepted = 202;
 constexpr milliseconds callTimeout {2'000};
+constexpr milliseconds stopCheckPeriod {100};
+constexpr milliseconds drainPatience {10'000}; // then it stops although no gateway answered
 constexpr int exitWrongSettings = 2;
 constexpr std::size_t keptStarted = 100'000;
 
@@ -56,6 +58,7 @@
     std::deque<std::uint64_t> startedByAge;
     bool isAnnounced = false;
     bool isCalling = false;
+    bool isDrained = false; // it leaves, and the cell has said that no more work will come
     std::size_t gateway = 0;
 };
 
@@ -112,18 +115,37 @@
     }
 
     /** From now on it asks for no more work. */
-    void leave() { isLeaving = true; }
+    void leave()
+    {
+        isLeaving = true;
+        leavingSince = monotonicNow();
+        beat();
+    }
 
-    bool isIdle() const
+    /** @return whether it may stop: nothing runs, and no request is on its way to it */
+    bool mayStop() const
     {
+        const bool isPatienceOver = monotonicNow() - leavingSince >= drainPatience;
         for (const auto &[name, target] : targets) {
-            if (!target.running.empty()) {
+            if (!target.running.empty() || (!target.isDrained && !isPatienceOver)) {
                 return false;
             }
         }
         return true;
     }
 
+    /** Sends heartbeats, or announces what is not known to the cell. */
+    void beat()
+    {
+        for (auto &[name, target] : targets) {
+            if (target.isAnnounced) {
+                sendBeat(target);
+            } else {
+                announce(target);
+            }
+        }
+    }
+
 private:
     /** @return why it must not start, or empty */
     std::string whyNot(const stand_in &target, std::uint64_t placement, std::int64_t epoch,
@@ -284,17 +306,6 @@
         }
     }
 
-    void beat()
-    {
-        for (auto &[name, target] : targets) {
-            if (target.isAnnounced) {
-                sendBeat(target);
-            } else {
-                announce(target);
-            }
-        }
-    }
-
     void post(stand_in &target, const std::string &action, const google::protobuf::Message &body,
               std::function<void(const http_answer &)> onAnswer)
     {
@@ -373,6 +384,7 @@
             return;
         }
         target.leaseUntil = std::max(target.leaseUntil, time_point {reply.lease_until()});
+        target.isDrained = reply.drained();
         for (const auto placement : reply.acknowledged()) {
             target.finished.erase(placement);
         }
@@ -387,6 +399,7 @@
     std::map<std::string, stand_in> targets;
     std::ofstream record;
     bool isLeaving = false;
+    time_point leavingSince;
 };
 
 } // namespace
@@ -418,9 +431,11 @@
             return;
         }
         targets.leave();
-        loop.every({100}, [&] {
-            if (targets.isIdle()) {
+        loop.every(stopCheckPeriod, [&] {
+            if (targets.mayStop()) {
                 loop.stop();
+            } else {
+                targets.beat();
             }
         });
     });
--- a/modules/filbert_controller/target_leases.cpp
+++ b/modules/filbert_controller/target_leases.cpp
@@ -67,6 +67,13 @@
     }
 }
 
+/** Whether no work is placed on a target, decided for it, or on its way to it. */
+bool hasNoWork(const controller_state &state, const target_record &target)
+{
+    const auto number = state.scheduler.index.byName.at(target.registration.name());
+    return target.placements.empty() && state.scheduler.runningOnTarget[number].empty();
+}
+
 /** Throttles batch work where what runs uses more than the target has. */
 void throttleOvercommitted(controller_state &state, const target_record &target,
                            const messages::target_heartbeat &heartbeat,
@@ -156,6 +163,7 @@
     }
     throttleOvercommitted(state, target, heartbeat, answer);
     answer->set_lease_until(heartbeat.clock_ms() + lease.count);
+    answer->set_drained(live.isLeaving && hasNoWork(state, target));
     reply(state, from, std::move(envelope));
 }
 
--- a/modules/filbert_controller/tests/dispatch_test.cpp
+++ b/modules/filbert_controller/tests/dispatch_test.cpp
@@ -62,9 +62,10 @@
         take(envelope);
     }
 
-    void beat(std::int64_t epoch, std::int64_t clockMs)
+    void beat(std::int64_t epoch, std::int64_t clockMs, bool isLeaving = false)
     {
         messages::envelope envelope;
+        envelope.mutable_heartbeat()->set_leaving(isLeaving);
         envelope.mutable_heartbeat()->set_name("t1");
         envelope.mutable_heartbeat()->set_epoch(epoch);
         envelope.mutable_heartbeat()->set_clock_ms(clockMs);
@@ -159,3 +160,36 @@
     REQUIRE(cell.sent.size() == 2);
     CHECK(cell.sent[1].has_dispatched());
 }
+
+TEST_CASE("a leaving target is drained once all that was decided for it has ended")
+{
+    lone_controller cell;
+    cell.configure();
+    cell.announce(1);
+    cell.pass(1);
+    cell.beat(1, 100);
+    cell.pass(1);
+    cell.dispatch();
+    cell.pass(1);
+    const auto placement = cell.sent.back().dispatched().placement_id();
+    REQUIRE(placement != 0);
+    cell.beat(1, 200, true);
+    cell.pass(1);
+    CHECK_FALSE(cell.sent.back().heartbeat_reply().drained());
+
+    messages::envelope end;
+    end.mutable_end()->set_placement_id(placement);
+    end.mutable_end()->set_result(messages::SUCCEEDED);
+    cell.take(end);
+    cell.pass(1);
+    cell.beat(1, 300);
+    cell.pass(1);
+    CHECK_FALSE(cell.sent.back().heartbeat_reply().drained()); // it does not leave
+    cell.beat(1, 400, true);
+    cell.pass(1);
+    CHECK(cell.sent.back().heartbeat_reply().drained());
+    cell.sent.clear();
+    cell.dispatch();
+    cell.pass(1);
+    CHECK(cell.sent.empty()); // and gets no more work
+}
