--- a/extras/planted_faults.sh
+++ b/extras/planted_faults.sh
@@ -79,5 +79,13 @@
     's/if \(const auto \*earlier = findRequest\(state, change\.request_id\(\)\)\)/if (const auto *earlier = findRequest(state, ""))/'
 plant "the base version is not checked" modules/filbert_cell/cell_state.cpp \
     's/change\.base_version\(\) != configuration\.version\(\)/change.base_version() < 0/'
+plant "a stale tail stays on the disk" modules/filbert_replication/log_access.cpp \
+    's/effects->mustDropTail = true;.*//'
+plant "every refusal is answered at once" $replication/replicated_log.cpp \
+    's/^    return hasMoved;/    return hasMoved || progress != nullptr;/'
+plant "a target is called drained too early" modules/filbert_controller/target_leases.cpp \
+    's/live\.isLeaving && hasNoWork\(state, target\)/live.isLeaving/'
+plant "a snapshot misses what changed before its turn" modules/filbert_cell/snapshot_map.h \
+    's/kept\.emplace_back\(key, value\);//'
 echo "$missed not caught"
 [ $missed -eq 0 ]
--- a/extras/random_run/fake_hosts.h
+++ b/extras/random_run/fake_hosts.h
@@ -52,6 +52,7 @@
         FILBERT_INVARIANT(!error, "a controller starts again after a crash");
         controller_settings settings;
         settings.snapshotEntries = 200;
+        settings.snapshotPartRecords = 3;
         replication_settings replication;
         replication.snapshotChunkBytes = 2'000;
         running = std::make_unique<controller>(settings, replication, state, time.random(), *store,
--- a/modules/filbert_cell/cell_snapshot.cpp
+++ b/modules/filbert_cell/cell_snapshot.cpp
@@ -61,16 +61,16 @@
     return job;
 }
 
-template <typename Map>
-auto sortedKeys(const Map &map)
+void readIdempotency(const messages::cell_snapshot &snapshot, cell_state *state)
 {
-    std::vector<typename Map::key_type> keys;
-    keys.reserve(map.size());
-    for (const auto &entry : map) {
-        keys.push_back(entry.first);
+    for (const auto &record : snapshot.idempotency()) {
+        // Before records had numbers, their order in the snapshot was their age.
+        const auto number = record.number() != 0 ? record.number() : state->idempotency.size() + 1;
+        state->idempotency.add(number, record).set_number(number);
+        state->idempotencyNumbers[record.key()] = number;
     }
-    std::sort(keys.begin(), keys.end());
-    return keys;
+    state->lastIdempotencyNumber =
+        std::max<std::uint64_t>(snapshot.last_idempotency_number(), state->idempotency.size());
 }
 
 void readSums(cell_state *state)
@@ -85,8 +85,11 @@
 
 } // namespace
 
-std::string snapshotOf(const cell_state &state)
+std::string startSnapshot(cell_state &state)
 {
+    state.placements.startReading();
+    state.jobs.startReading();
+    state.idempotency.startReading();
     messages::cell_snapshot snapshot;
     snapshot.set_version(1);
     snapshot.set_configuration_version(state.configuration.version());
@@ -100,28 +103,39 @@
     for (const auto &[name, target] : state.targets) {
         *snapshot.add_targets() = target.registration;
     }
-    for (const auto id : sortedKeys(state.placements)) {
-        writePlacement(state.placements.at(id), snapshot.add_placements());
-    }
-    for (const auto id : sortedKeys(state.jobs)) {
-        writeJob(state.jobs.at(id), snapshot.add_jobs());
-    }
     snapshot.mutable_ended_jobs()->Assign(state.endedJobs.begin(), state.endedJobs.end());
-    for (const auto &[wallMs, key] : state.idempotencyByAge) {
-        const auto found = state.idempotency.find(key);
-        if (found != state.idempotency.end() && found->second.wall_ms() == wallMs) {
-            *snapshot.add_idempotency() = found->second;
-        }
-    }
     snapshot.mutable_ended_counts()->Assign(std::begin(state.counts.byState),
                                             std::end(state.counts.byState));
     snapshot.set_accepted(state.counts.accepted);
     snapshot.set_next_job_id(state.nextJobId);
     snapshot.set_commands_applied(state.commandsApplied);
     snapshot.set_digest(state.digest);
+    snapshot.set_last_idempotency_number(state.lastIdempotencyNumber);
     return snapshot.SerializeAsString();
 }
 
+bool readSnapshotPart(cell_state &state, std::size_t most, std::string *part)
+{
+    messages::cell_snapshot snapshot;
+    const bool isWhole = state.placements.readSome(most, [&](std::uint64_t, const auto &placement) {
+        writePlacement(placement, snapshot.add_placements());
+    }) && state.jobs.readSome(most, [&](std::uint64_t, const auto &job) {
+        writeJob(job, snapshot.add_jobs());
+    }) && state.idempotency.readSome(most, [&](std::uint64_t, const auto &record) {
+        *snapshot.add_idempotency() = record;
+    });
+    snapshot.AppendToString(part);
+    return isWhole;
+}
+
+std::string snapshotOf(cell_state state)
+{
+    constexpr std::size_t all = SIZE_MAX;
+    auto data = startSnapshot(state);
+    readSnapshotPart(state, all, &data);
+    return data;
+}
+
 std::error_code restoreCell(const std::string &data, cell_state *state)
 {
     messages::cell_snapshot snapshot;
@@ -137,16 +151,13 @@
         fresh.targets[target.name()].registration = target;
     }
     for (const auto &placement : snapshot.placements()) {
-        fresh.placements.emplace(placement.id(), readPlacement(placement));
+        fresh.placements.add(placement.id(), readPlacement(placement));
     }
     for (const auto &job : snapshot.jobs()) {
-        fresh.jobs.emplace(job.submission().id(), readJob(job));
+        fresh.jobs.add(job.submission().id(), readJob(job));
     }
     fresh.endedJobs.assign(snapshot.ended_jobs().begin(), snapshot.ended_jobs().end());
-    for (const auto &record : snapshot.idempotency()) {
-        fresh.idempotency.emplace(record.key(), record);
-        fresh.idempotencyByAge.emplace_back(record.wall_ms(), record.key());
-    }
+    readIdempotency(snapshot, &fresh);
     readSums(&fresh);
     fresh.counts.accepted = snapshot.accepted();
     std::copy(snapshot.ended_counts().begin(), snapshot.ended_counts().end(),
--- a/modules/filbert_cell/cell_state.cpp
+++ b/modules/filbert_cell/cell_state.cpp
@@ -26,7 +26,7 @@
     job.submission.clear_payload();
     state.endedJobs.push_back(job.submission.id());
     while (state.endedJobs.size() > state.limits.endedJobs) {
-        state.jobs.erase(state.endedJobs.front());
+        state.jobs.take(state.endedJobs.front());
         state.endedJobs.pop_front();
     }
 }
@@ -34,28 +34,39 @@
 messages::idempotency_record &addIdempotency(cell_state &state, const std::string &key,
                                              std::int64_t wallMs)
 {
-    auto &record = state.idempotency[key];
+    const auto number = ++state.lastIdempotencyNumber;
+    state.idempotencyNumbers[key] = number;
+    auto &record = state.idempotency.add(number, {});
     record.set_key(key);
     record.set_wall_ms(wallMs);
-    state.idempotencyByAge.emplace_back(wallMs, key);
+    record.set_number(number);
     return record;
 }
 
+void dropIdempotency(cell_state &state, const std::string &key)
+{
+    state.idempotency.take(state.idempotencyNumbers.at(key));
+    state.idempotencyNumbers.erase(key);
+}
+
 void ageIdempotency(cell_state &state, std::int64_t wallMs)
 {
-    auto &ages = state.idempotencyByAge;
-    while (!ages.empty() && ages.front().first + state.limits.idempotencyMs < wallMs) {
-        const auto found = state.idempotency.find(ages.front().second);
-        const bool isCurrent =
-            found != state.idempotency.end() && found->second.wall_ms() == ages.front().first;
-        if (isCurrent && found->second.placement_id() != 0) {
-            // Still under way: it is looked at again a whole span later.
-            found->second.set_wall_ms(wallMs);
-            ages.emplace_back(wallMs, found->first);
-        } else if (isCurrent) {
-            state.idempotency.erase(found);
+    while (!state.idempotency.empty()) {
+        const auto &[number, oldest] = *state.idempotency.begin();
+        if (oldest.wall_ms() + state.limits.idempotencyMs >= wallMs) {
+            return;
+        }
+        const auto record = state.idempotency.take(number);
+        state.idempotencyNumbers.erase(record.key());
+        if (record.placement_id() == 0) {
+            continue;
         }
-        ages.pop_front();
+        // Still under way: it is looked at again a whole span later.
+        auto &again = addIdempotency(state, record.key(), wallMs);
+        const auto renewed = again.number();
+        again = record;
+        again.set_number(renewed);
+        again.set_wall_ms(wallMs);
     }
 }
 
@@ -147,11 +158,10 @@
 void recordJobResult(cell_state &state, ended_placement *ended, std::int64_t wallMs)
 {
     const auto &placement = ended->placement;
-    const auto found = state.jobs.find(placement.jobId);
-    if (found == state.jobs.end()) {
+    if (!state.jobs.contains(placement.jobId)) {
         return;
     }
-    auto &job = found->second;
+    auto &job = state.jobs.edit(placement.jobId);
     auto &task = job.tasks.at(static_cast<std::size_t>(placement.taskIndex));
     FILBERT_INVARIANT(task.state == task_state::Running && task.placement == placement.id,
                       "an ending placement is the one its task runs in");
@@ -182,15 +192,15 @@
 void recordAnswer(cell_state &state, const placement_record &placement,
                   const messages::placement_end &end)
 {
-    const auto found = state.idempotency.find(placement.idempotencyKey);
-    if (found == state.idempotency.end()) {
+    const auto *known = findIdempotency(state, placement.idempotencyKey);
+    if (known == nullptr) {
         return;
     }
     if (end.result() == messages::NOT_RUN) {
-        state.idempotency.erase(found); // it certainly did not run, so a resend may
+        dropIdempotency(state, placement.idempotencyKey); // it did not run, so a resend may
         return;
     }
-    auto &record = found->second;
+    auto &record = state.idempotency.edit(known->number());
     FILBERT_INVARIANT(record.placement_id() == placement.id,
                       "an idempotency key has one placement at a time");
     record.set_placement_id(0);
@@ -208,12 +218,11 @@
 bool endPlacement(cell_state &state, const messages::placement_end &end, std::int64_t wallMs,
                   apply_outcome *outcome)
 {
-    const auto found = state.placements.find(end.placement_id());
-    if (found == state.placements.end()) {
+    if (!state.placements.contains(end.placement_id())) {
         return false;
     }
-    ended_placement ended {std::move(found->second), end.result(), false, end.reason()};
-    state.placements.erase(found);
+    ended_placement ended {state.placements.take(end.placement_id()), end.result(), false,
+                           end.reason()};
     const auto &placement = ended.placement;
     auto &target = state.targets.at(placement.target);
     target.used -= placement.need;
@@ -280,10 +289,10 @@
     const auto name = place.idempotency_key().empty()
         ? std::string {}
         : idempotencyName(place.team(), "service/" + place.service(), place.idempotency_key());
-    if (const auto found = state.idempotency.find(name); found != state.idempotency.end()) {
-        outcome.stored = found->second;
+    if (const auto *known = findIdempotency(state, name)) {
+        outcome.stored = *known;
         outcome.isRepeated = true;
-        outcome.error = found->second.request_digest() == place.request_digest()
+        outcome.error = known->request_digest() == place.request_digest()
             ? error_kind::OutcomeUnknown
             : error_kind::KeyReused;
         return outcome;
@@ -309,15 +318,15 @@
     state.usedByTeam[place.team()] += need;
     if (place.job_id() != 0) {
         auto &task =
-            state.jobs.at(place.job_id()).tasks.at(static_cast<std::size_t>(place.task_index()));
+            state.jobs.edit(place.job_id()).tasks.at(static_cast<std::size_t>(place.task_index()));
         moveTask(state, task, task_state::Running);
         task.placement = place.id();
     }
-    state.placements.emplace(place.id(),
-                             placement_record {place.id(), place.job_id(), place.target_epoch(),
-                                               place.start_by(), place.target(), place.team(),
-                                               place.service(), name, need, place.task_index(),
-                                               place.idempotent()});
+    state.placements.add(place.id(),
+                         placement_record {place.id(), place.job_id(), place.target_epoch(),
+                                           place.start_by(), place.target(), place.team(),
+                                           place.service(), name, need, place.task_index(),
+                                           place.idempotent()});
     FILBERT_INVARIANT(fitsWithin(target.used, amountsOf(target.registration.capacity())),
                       "no target is overcommitted");
     FILBERT_INVARIANT(fitsWithin(state.usedByTeam[place.team()],
@@ -393,8 +402,8 @@
         ? std::string {}
         : idempotencyName(submission.team(), "queue/" + submission.queue(),
                           submission.idempotency_key());
-    if (const auto found = state.idempotency.find(name); found != state.idempotency.end()) {
-        outcome.jobId = found->second.job_id();
+    if (const auto *known = findIdempotency(state, name)) {
+        outcome.jobId = known->job_id();
         outcome.isRepeated = true;
         return outcome;
     }
@@ -404,7 +413,7 @@
         return outcome;
     }
     const auto id = state.nextJobId++;
-    auto &job = state.jobs[id];
+    auto &job = state.jobs.add(id, {});
     job.submission = submission;
     job.submission.set_id(id);
     job.submittedMs = wallMs;
@@ -424,12 +433,11 @@
 {
     apply_outcome outcome;
     outcome.jobId = change.id();
-    const auto found = state.jobs.find(change.id());
-    if (found == state.jobs.end()) {
+    if (!state.jobs.contains(change.id())) {
         outcome.error = error_kind::NotFound;
         return outcome;
     }
-    auto &job = found->second;
+    auto &job = state.jobs.edit(change.id());
     switch (change.action()) {
     case messages::CANCEL:
         job.isCancelled = true;
@@ -524,6 +532,12 @@
     return outcome;
 }
 
+const messages::idempotency_record *findIdempotency(const cell_state &state, const std::string &key)
+{
+    const auto found = state.idempotencyNumbers.find(key);
+    return found == state.idempotencyNumbers.end() ? nullptr : &state.idempotency.at(found->second);
+}
+
 bool hasEnded(const job_record &job)
 {
     return std::none_of(job.tasks.begin(), job.tasks.end(), [](const auto &task) {
--- a/modules/filbert_cell/cell_state.h
+++ b/modules/filbert_cell/cell_state.h
@@ -2,6 +2,7 @@
 
 #include "filbert_configuration/filbert_configuration.h"
 #include "filbert_policy/resource_amounts.h"
+#include "snapshot_map.h"
 
 #include <cstdint>
 #include <deque>
@@ -89,10 +90,11 @@
     std::deque<messages::configuration_delta> deltas; // the latest changes, oldest first
     std::deque<messages::audit_record> audit;
     std::map<std::string, target_record> targets;
-    std::unordered_map<std::uint64_t, placement_record> placements;
-    std::unordered_map<std::uint64_t, job_record> jobs;
-    std::unordered_map<std::string, messages::idempotency_record> idempotency;
-    std::deque<std::pair<std::int64_t, std::string>> idempotencyByAge;
+    snapshot_map<std::uint64_t, placement_record> placements;
+    snapshot_map<std::uint64_t, job_record> jobs;
+    snapshot_map<std::uint64_t, messages::idempotency_record> idempotency; // by age
+    std::unordered_map<std::string, std::uint64_t> idempotencyNumbers; // by the record's key
+    std::uint64_t lastIdempotencyNumber = 0;
     std::deque<std::uint64_t> endedJobs;
     std::unordered_map<std::string, resource_amounts> usedByTeam;
     task_counts counts;
@@ -133,10 +135,33 @@
 apply_outcome applyCommand(cell_state &state, const messages::command &command,
                            std::int64_t wallMs);
 
-/** @return the whole state, to be read back by restoreCell() */
-std::string snapshotOf(const cell_state &state);
+/** @param key full name of it, see idempotencyName() @return the record, or nullptr */
+const messages::idempotency_record *findIdempotency(const cell_state &state,
+                                                    const std::string &key);
 
-/** @param data of snapshotOf() @param state replaced @return StorageDamaged if it cannot be read */
+/** Starts a snapshot of the present moment; commands may go on.
+
+    @param state  of this member; one snapshot at a time, an unfinished one is given up
+    @return the first part: configuration, audit trail, targets and counts
+    @see readSnapshotPart
+*/
+std::string startSnapshot(cell_state &state);
+
+/** Reads the next part of the snapshot that startSnapshot() began. The parts in a row are what
+    restoreCell() reads.
+
+    @param state  of this member
+    @param most   records at the most
+    @param part   to append to
+    @return whether that was the last part
+*/
+bool readSnapshotPart(cell_state &state, std::size_t most, std::string *part);
+
+/** @return the whole state at once, to be read back by restoreCell(); for tests and trials */
+std::string snapshotOf(cell_state state);
+
+/** @param data all parts of a snapshot @param state replaced @return StorageDamaged if it cannot be
+ * read */
 std::error_code restoreCell(const std::string &data, cell_state *state);
 
 /** Whether every task of a job has ended. */
--- a/modules/filbert_cell/tests/cell_state_test.cpp
+++ b/modules/filbert_cell/tests/cell_state_test.cpp
@@ -128,6 +128,32 @@
     });
 }
 
+TEST_CASE("a snapshot read in parts is of the moment it was started at, whatever changes meanwhile")
+{
+    checkProperty([] {
+        auto state = smallCell();
+        const auto change = [&state](int number) {
+            applyCommand(state, randomCommand(static_cast<std::uint64_t>(number)), 10 + number);
+        };
+        int number = 0;
+        for (const int before = *rc::gen::inRange(1, 60); number < before;) {
+            change(++number);
+        }
+        const auto expected = snapshotOf(state);
+        auto data = startSnapshot(state);
+        const auto most = static_cast<std::size_t>(*rc::gen::inRange(1, 4));
+        while (!readSnapshotPart(state, most, &data)) {
+            for (int more = *rc::gen::inRange(0, 6); more > 0; --more) {
+                change(++number);
+            }
+        }
+        cell_state restored;
+        RC_ASSERT(!restoreCell(data, &restored));
+        RC_ASSERT(snapshotOf(restored) == expected);
+        RC_ASSERT(readSnapshotPart(state, most, &data)); // it has ended
+    });
+}
+
 TEST_CASE("a key is claimed once, answered again, and free only after a certain 'not run'")
 {
     auto state = smallCell();
--- a/modules/filbert_controller/controller.cpp
+++ b/modules/filbert_controller/controller.cpp
@@ -13,6 +13,7 @@
 namespace {
 
 constexpr std::size_t commandsPerEntry = 2'000;
+constexpr std::size_t expectedRecordBytes = 256;
 
 bool needsLeader(const messages::envelope &envelope)
 {
@@ -174,10 +175,15 @@
 {
     auto &effects = state.effects;
     if (effects.mustInstall) {
-        const auto error = store.saveSnapshot(state.log.snapshot, *state.log.snapshotData);
-        if (error) {
+        snapshot.reset(); // the state that it was read from goes
+        if (const auto error = effects.mustDropTail ? store.dropAfter(state.log.snapshot.index())
+                                                    : std::error_code {}) {
+            return error;
+        }
+        if (const auto error = store.saveSnapshot(state.log.snapshot, *state.log.snapshotData)) {
             return error;
         }
+        effects.mustDropTail = false;
     }
     if (!effects.mustPersist) {
         return {};
@@ -207,20 +213,56 @@
     }
 }
 
-std::error_code controller::compact()
+std::error_code controller::startSnapshot()
+{
+    snapshot.emplace();
+    snapshot->index = state.log.applied;
+    const auto records =
+        state.cell.placements.size() + state.cell.jobs.size() + state.cell.idempotency.size();
+    snapshot->data.reserve(records * expectedRecordBytes); // growing would copy it all in one turn
+    if (const auto error = store.startSnapshot(snapshotHeaderAt(state.log, snapshot->index))) {
+        return error;
+    }
+    snapshot->data += filbert::startSnapshot(state.cell);
+    return store.addSnapshotPart(snapshot->data);
+}
+
+std::error_code controller::continueSnapshot()
+{
+    std::string part;
+    const bool isLast = readSnapshotPart(state.cell, state.settings.snapshotPartRecords, &part);
+    snapshot->data += part;
+    if (const auto error = store.addSnapshotPart(part)) {
+        return error;
+    }
+    if (!isLast) {
+        return {};
+    }
+    if (const auto error = store.finishSnapshot()) {
+        return error;
+    }
+    log_line {"snapshot_taken"}.with("index", snapshot->index).with("bytes", snapshot->data.size());
+    compactLog(state.log, snapshot->index, std::move(snapshot->data));
+    snapshot.reset();
+    return {};
+}
+
+std::error_code controller::compact(time_point now)
 {
     const auto since = state.log.applied - state.log.snapshot.index();
-    if (since == 0
-        || (since < state.settings.snapshotEntries
-            && store.logBytes() < state.settings.snapshotBytes)) {
+    const bool isDue = since > 0 && now >= snapshotNotBefore
+        && (since >= state.settings.snapshotEntries
+            || store.logBytes() >= state.settings.snapshotBytes);
+    if (!snapshot && !isDue) {
+        return {};
+    }
+    const auto error = snapshot ? continueSnapshot() : startSnapshot();
+    if (error == error_kind::DiskFull) {
+        snapshot.reset();
+        snapshotNotBefore = now + state.settings.snapshotPause;
         return {};
     }
-    compactLog(state.log, state.log.applied, snapshotOf(state.cell));
-    const auto error = store.saveSnapshot(state.log.snapshot, *state.log.snapshotData);
-    log_line {"snapshot_taken"}
-        .with("index", state.log.snapshot.index())
-        .with("bytes", state.log.snapshotData->size());
-    return error == error_kind::DiskFull ? std::error_code {} : error;
+    return error;
 }
 
 std::error_code controller::flush(time_point now, std::int64_t wallMs)
@@ -255,7 +297,7 @@
     for (const auto &message : std::exchange(state.outbox, {})) {
         outbox.sendToGateway(message.gateway, message.envelope);
     }
-    return compact();
+    return compact(now);
 }
 
 bool controller::isQuiet() const
--- a/modules/filbert_controller/controller.h
+++ b/modules/filbert_controller/controller.h
@@ -2,6 +2,8 @@
 
 #include "controller_state.h"
 
+#include <optional>
+
 namespace filbert {
 
 /** Where a controller's messages go; a message may be lost, never changed. */
@@ -64,13 +66,24 @@
     std::error_code persist(time_point now);
     void install();
     void applyCommitted(time_point now);
-    std::error_code compact();
+    std::error_code compact(time_point now);
+    std::error_code startSnapshot();
+    std::error_code continueSnapshot();
 
     bool isQuiet() const;
 
+    /** A snapshot of the state that is being written, a part in each turn of the loop. */
+    struct open_snapshot
+    {
+        std::uint64_t index = 0;
+        std::string data;
+    };
+
     controller_state state;
     log_store &store;
     controller_outbox &outbox;
+    std::optional<open_snapshot> snapshot;
+    time_point snapshotNotBefore;
 };
 
 } // namespace filbert
--- a/modules/filbert_controller/controller_state.h
+++ b/modules/filbert_controller/controller_state.h
@@ -21,6 +21,8 @@
     milliseconds configurationLease {3'000};
     std::uint64_t snapshotEntries = 50'000;
     std::uint64_t snapshotBytes = 64 << 20;
+    std::size_t snapshotPartRecords = 1'000; // read and synced in one turn of the loop
+    milliseconds snapshotPause {10'000}; // after one that the disk had no room for
     std::size_t pendingCommands = 50'000;
 };
 
--- a/modules/filbert_controller/work_intake.cpp
+++ b/modules/filbert_controller/work_intake.cpp
@@ -20,11 +20,11 @@
     }
     const auto name =
         idempotencyName(request.team(), "service/" + request.service(), request.idempotency_key());
-    const auto found = state.cell.idempotency.find(name);
-    if (found == state.cell.idempotency.end()) {
+    const auto *known = findIdempotency(state.cell, name);
+    if (known == nullptr) {
         return false;
     }
-    const auto &record = found->second;
+    const auto &record = *known;
     if (record.request_digest() != request.request_digest()) {
         refuse(state, from, error_kind::KeyReused, "");
     } else if (record.placement_id() != 0) {
--- a/modules/filbert_replication/log_access.cpp
+++ b/modules/filbert_replication/log_access.cpp
@@ -150,6 +150,7 @@
         state.entries.clear();
         state.durable = state.incomingHeader.index();
         effects->persist.clear();
+        effects->mustDropTail = true; // or a restart would take it for what follows the snapshot
     }
     state.snapshot = state.incomingHeader;
     state.snapshotData = std::make_shared<const std::string>(std::move(state.incoming));
--- a/modules/filbert_replication/replicated_log.cpp
+++ b/modules/filbert_replication/replicated_log.cpp
@@ -11,6 +11,7 @@
 namespace {
 
 constexpr std::uint64_t learnerCatchUpEntries = 64;
+constexpr int refusalsOfLostEntries = 20; // in a row, with nowhere left to go back to
 
 void promoteCaughtUpLearner(replicated_log_state &state, time_point now,
                             replication_effects *effects)
@@ -83,6 +84,23 @@
     state.roundsSent.erase(state.roundsSent.begin(), sent);
 }
 
+/** Goes back to where logs may match. @return whether that is elsewhere than before */
+bool takeRefusal(const std::string &from, const messages::append_reply &reply,
+                 follower_progress *progress)
+{
+    const auto next = std::max(progress->match + 1, std::min(progress->next, reply.match() + 1));
+    const bool hasMoved = next != progress->next;
+    progress->isProbing = true;
+    progress->next = next;
+    if (!hasMoved && ++progress->refusals == refusalsOfLostEntries) {
+        log_line {"member_lost_entries", log_line::severity::Error}
+            .with("member", from)
+            .with("acknowledged", progress->match)
+            .with("held", reply.match());
+    }
+    return hasMoved;
+}
+
 void takeAppendReply(replicated_log_state &state, const std::string &from,
                      const messages::append_reply &reply, time_point now,
                      replication_effects *effects)
@@ -103,9 +121,9 @@
         progress.next = std::max(progress.next, progress.match + 1);
         progress.isProbing = false;
         progress.isTakingSnapshot = false;
-    } else {
-        progress.isProbing = true;
-        progress.next = std::max(progress.match + 1, std::min(progress.next, reply.match() + 1));
+        progress.refusals = 0;
+    } else if (!takeRefusal(from, reply, &progress)) {
+        return; // the next heartbeat probes again; an answer to each refusal would never end
     }
     advanceCommit(state, now, effects);
     if (state.role != replica_role::Leader) {
@@ -434,20 +452,25 @@
     return {};
 }
 
+messages::snapshot_header snapshotHeaderAt(const replicated_log_state &state, std::uint64_t index)
+{
+    messages::snapshot_header header;
+    header.set_index(index);
+    header.set_term(*termAt(state, index));
+    *header.mutable_members() = membersAt(state, index);
+    return header;
+}
+
 void compactLog(replicated_log_state &state, std::uint64_t index, std::string data)
 {
     FILBERT_INVARIANT(index <= state.applied, "a snapshot holds only what was applied");
     if (index <= state.snapshot.index()) {
         return;
     }
-    messages::snapshot_header header;
-    header.set_index(index);
-    header.set_term(*termAt(state, index));
-    *header.mutable_members() = membersAt(state, index);
+    state.snapshot = snapshotHeaderAt(state, index);
     while (!state.entries.empty() && state.entries.front().index() <= index) {
         state.entries.pop_front();
     }
-    state.snapshot = header;
     state.snapshotData = std::make_shared<const std::string>(std::move(data));
     for (auto &[name, progress] : state.followers) {
         progress.snapshotOffset = 0;
--- a/modules/filbert_replication/replicated_log.h
+++ b/modules/filbert_replication/replicated_log.h
@@ -40,6 +40,7 @@
     std::uint64_t snapshotOffset = 0;
     bool isTakingSnapshot = false;
     time_point lastSent;
+    int refusals = 0; // in a row, of what it had acknowledged
 };
 
 /** One member of a replicated log: consensus as plain state.
@@ -95,6 +96,7 @@
     std::vector<messages::log_entry> persist;
     std::vector<messages::replication_message> send; // only after the sync
     bool mustInstall = false; // replace the state by the snapshot in replicated_log_state
+    bool mustDropTail = false; // with mustInstall: stored entries behind the snapshot are void
     std::vector<messages::log_entry> committed; // to apply, in order
     bool hasRoleChanged = false;
 };
@@ -138,6 +140,9 @@
                                  const messages::member &which, time_point now,
                                  replication_effects *effects);
 
+/** What describes a snapshot of the state at an index. @param index applied and still held */
+messages::snapshot_header snapshotHeaderAt(const replicated_log_state &state, std::uint64_t index);
+
 /** Takes over a new snapshot of the applied state and drops the entries that it covers.
 
     @param index  the last applied index that it holds
--- a/modules/filbert_replication/tests/replicated_log_test.cpp
+++ b/modules/filbert_replication/tests/replicated_log_test.cpp
@@ -203,3 +203,61 @@
     CHECK(state.term == 1);
     CHECK(effects.send.empty());
 }
+
+TEST_CASE("a snapshot that the own log disagrees with makes the entries behind it void")
+{
+    auto state = memberOf("b");
+    replication_effects effects;
+    const auto fromLeader = [&](std::uint64_t term) {
+        messages::replication_message message;
+        message.set_from("a");
+        message.set_to("b");
+        message.mutable_append()->set_term(term);
+        message.mutable_append()->set_previous_index(1);
+        message.mutable_append()->set_previous_term(1);
+        return message;
+    };
+    auto append = fromLeader(3);
+    for (std::uint64_t index = 2; index <= 4; ++index) {
+        auto *entry = append.mutable_append()->add_entries();
+        entry->set_index(index);
+        entry->set_term(3);
+    }
+    stepMessage(state, append, {1}, &effects);
+    REQUIRE(lastIndex(state) == 4);
+
+    messages::replication_message snapshot;
+    snapshot.set_from("c");
+    snapshot.set_to("b");
+    auto *chunk = snapshot.mutable_snapshot();
+    chunk->set_term(4);
+    chunk->mutable_header()->set_index(2);
+    chunk->mutable_header()->set_term(2); // committed in term 4; this member's is of term 3
+    *chunk->mutable_header()->mutable_members() = threeMembers();
+    chunk->set_last(true);
+    effects = {};
+    stepMessage(state, snapshot, {2}, &effects);
+    CHECK(effects.mustInstall);
+    CHECK(effects.mustDropTail);
+    CHECK(lastIndex(state) == 2);
+}
+
+TEST_CASE("a member that lost what it had acknowledged is probed once a heartbeat, not for ever")
+{
+    auto leader = leaderAt({2'000});
+    replication_effects effects;
+    REQUIRE_FALSE(propose(leader, {"one", "two"}, {2'000}, &effects));
+    stepPersisted(leader, lastIndex(leader), {2'000}, &effects);
+    stepMessage(leader, accepted(leader, "b", lastIndex(leader)), {2'001}, &effects);
+    auto refused = accepted(leader, "b", 1);
+    refused.mutable_append_reply()->set_accepted(false);
+    effects = {};
+    std::size_t sent = 0;
+    for (int i = 0; i < 50; ++i) { // each answer to a refusal would bring the next one
+        stepMessage(leader, refused, {2'002}, &effects);
+        sent += std::exchange(effects.early, {}).size();
+    }
+    CHECK(sent <= 1);
+    stepTime(leader, {2'200}, &effects);
+    CHECK_FALSE(effects.early.empty());
+}
--- a/modules/filbert_storage/log_store.cpp
+++ b/modules/filbert_storage/log_store.cpp
@@ -20,6 +20,14 @@
 constexpr std::uint64_t segmentBytes = 16 << 20;
 constexpr std::uint32_t maxFrameBytes = 1 << 30;
 
+// Numbers of the frames of a snapshot file: the header, then parts, then the end. A file of format
+// 1 as first written has one frame for the whole state instead of parts and end.
+constexpr std::uint64_t snapshotHeaderFrame = 1;
+constexpr std::uint64_t wholeStateFrame = 2;
+constexpr std::uint64_t firstPartFrame = 1ULL << 32;
+constexpr std::uint64_t snapshotEndFrame = 1ULL << 33;
+constexpr std::size_t snapshotPartBytes = 1 << 20; // of a snapshot that is written at once
+
 /** In front of each frame's payload, in the host's byte order (little endian on all of ours). */
 struct frame_header
 {
@@ -200,6 +208,10 @@
             return damaged(damage, which.name, offset, "a frame cannot be read");
         }
         nextFrame = header.number + 1;
+        while (frame.drop_after() != 0 && !state->entries.empty()
+               && state->entries.back().index() > frame.drop_after()) {
+            state->entries.pop_back();
+        }
         state->term = frame.term();
         state->votedFor = frame.voted_for();
         for (const auto &entry : frame.entries()) {
@@ -237,11 +249,21 @@
     if (!state->snapshot.ParseFromArray(payload.data(), static_cast<int>(payload.size()))) {
         return damaged(damage, name, 0, "the header cannot be read");
     }
-    const auto offset = sizeof header + header.length;
-    if (!readFrame(content, offset, &header, &payload)) {
-        return damaged(damage, name, offset, "bad checksum of the state");
-    }
-    state->snapshotData.assign(payload);
+    std::size_t offset = 0;
+    std::uint64_t parts = 0;
+    do {
+        offset += sizeof header + header.length;
+        if (!readFrame(content, offset, &header, &payload)) {
+            return damaged(damage, name, offset, "bad checksum of the state");
+        }
+        const bool isPart = header.number == firstPartFrame + parts;
+        if (isPart || header.number == wholeStateFrame) {
+            state->snapshotData.append(payload);
+            ++parts;
+        } else if (header.number != snapshotEndFrame) {
+            return damaged(damage, name, offset, "a part of the state is missing");
+        }
+    } while (header.number != snapshotEndFrame && header.number != wholeStateFrame);
     return {};
 }
 
@@ -255,17 +277,36 @@
 std::error_code log_store::append(std::uint64_t newTerm, const std::string &newVote,
                                   const std::vector<messages::log_entry> &entries)
 {
-    const bool isNew = segments.empty() || segments.back().bytes >= segmentBytes;
-    if (isNew) {
-        startSegment();
-    }
-    auto &current = segments.back();
     messages::stored_frame message;
     message.set_term(newTerm);
     message.set_voted_for(newVote);
     for (const auto &entry : entries) {
         *message.add_entries() = entry;
     }
+    if (const auto error = writeFrame(message)) {
+        return error;
+    }
+    term = newTerm;
+    votedFor = newVote;
+    return {};
+}
+
+std::error_code log_store::dropAfter(std::uint64_t index)
+{
+    messages::stored_frame message;
+    message.set_term(term);
+    message.set_voted_for(votedFor);
+    message.set_drop_after(index);
+    return writeFrame(message);
+}
+
+std::error_code log_store::writeFrame(const messages::stored_frame &message)
+{
+    const bool isNew = segments.empty() || segments.back().bytes >= segmentBytes;
+    if (isNew) {
+        startSegment();
+    }
+    auto &current = segments.back();
     const auto frame = makeFrame(nextFrame, message.SerializeAsString());
     if (const auto error = files.append(current.name, frame)) {
         // What was written of the frame is taken back, so that a later frame does not follow it.
@@ -277,30 +318,60 @@
     }
     ++nextFrame;
     current.bytes += frame.size();
-    term = newTerm;
-    votedFor = newVote;
-    for (const auto &entry : entries) {
+    for (const auto &entry : message.entries()) {
         current.lastIndex = std::max(current.lastIndex, entry.index());
     }
     return {};
 }
 
 std::error_code log_store::saveSnapshot(const messages::snapshot_header &header,
-                                        const std::string &data)
+                                        std::string_view data)
 {
-    const std::string temporary {temporaryFile};
-    files.remove(temporary);
-    const auto content = makeFrame(1, header.SerializeAsString()) + makeFrame(2, data);
-    if (const auto error = files.append(temporary, content)) {
-        files.remove(temporary);
+    if (const auto error = startSnapshot(header)) {
         return error;
     }
-    if (files.syncFile(temporary)
-        || files.rename(temporary, numberedName(snapshotPrefix, header.index()))
+    for (std::size_t offset = 0; offset < data.size(); offset += snapshotPartBytes) {
+        if (const auto error = addSnapshotPart(data.substr(offset, snapshotPartBytes))) {
+            return error;
+        }
+    }
+    return finishSnapshot();
+}
+
+std::error_code log_store::startSnapshot(const messages::snapshot_header &header)
+{
+    files.remove(std::string {temporaryFile});
+    snapshotIndex = header.index();
+    snapshotParts = 0;
+    return writeSnapshotFrame(snapshotHeaderFrame, header.SerializeAsString());
+}
+
+std::error_code log_store::addSnapshotPart(std::string_view part)
+{
+    return writeSnapshotFrame(firstPartFrame + snapshotParts++, part);
+}
+
+std::error_code log_store::finishSnapshot()
+{
+    if (const auto error = writeSnapshotFrame(snapshotEndFrame, {})) {
+        return error;
+    }
+    if (files.rename(std::string {temporaryFile}, numberedName(snapshotPrefix, snapshotIndex))
         || files.syncFolder()) {
         return error_kind::StorageFailed;
     }
-    return removeCoveredSegments(header.index());
+    return removeCoveredSegments(snapshotIndex);
+}
+
+std::error_code log_store::writeSnapshotFrame(std::uint64_t number, std::string_view payload)
+{
+    const std::string temporary {temporaryFile};
+    if (const auto error = files.append(temporary, makeFrame(number, payload))) {
+        files.remove(temporary);
+        return error;
+    }
+    return files.syncFile(temporary) ? std::error_code {error_kind::StorageFailed}
+                                     : std::error_code {};
 }
 
 std::error_code log_store::removeCoveredSegments(std::uint64_t index)
--- a/modules/filbert_storage/log_store.h
+++ b/modules/filbert_storage/log_store.h
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace filbert {
@@ -65,12 +66,30 @@
     std::error_code append(std::uint64_t term, const std::string &votedFor,
                            const std::vector<messages::log_entry> &entries);
 
-    /** Writes and syncs a snapshot, then drops the segments that it covers.
+    /** Makes all stored entries behind an index void, as one synced frame. @param index the last
+       kept
+        @return as append() */
+    std::error_code dropAfter(std::uint64_t index);
+
+    /** Writes and syncs a whole snapshot, then drops the segments that it covers.
 
         @param header  index, term and members at the snapshot
         @param data    the state there
+        @return DiskFull if nothing changed for want of room, or StorageFailed
+        @see startSnapshot for one that is written while work goes on
     */
-    std::error_code saveSnapshot(const messages::snapshot_header &header, const std::string &data);
+    std::error_code saveSnapshot(const messages::snapshot_header &header, std::string_view data);
+
+    /** Starts to write a snapshot; one that was not finished is given up.
+        @param header  index, term and members at the snapshot @return as saveSnapshot() */
+    std::error_code startSnapshot(const messages::snapshot_header &header);
+
+    /** Writes and syncs the next part of it. @return as saveSnapshot() */
+    std::error_code addSnapshotPart(std::string_view part);
+
+    /** Makes the snapshot the one that open() reads, then drops the segments that it covers.
+        @return as saveSnapshot() */
+    std::error_code finishSnapshot();
 
     /** @return bytes in all live segments */
     std::uint64_t logBytes() const;
@@ -88,6 +107,8 @@
                                 storage_damage *damage);
     std::error_code readSnapshot(stored_state *state, storage_damage *damage);
     std::error_code startSegment();
+    std::error_code writeFrame(const messages::stored_frame &message);
+    std::error_code writeSnapshotFrame(std::uint64_t number, std::string_view payload);
     std::error_code removeCoveredSegments(std::uint64_t index);
 
     file_system &files;
@@ -95,6 +116,8 @@
     std::uint64_t nextFrame = 1;
     std::uint64_t term = 0;
     std::string votedFor;
+    std::uint64_t snapshotIndex = 0; // of the snapshot that is being written
+    std::uint64_t snapshotParts = 0; // of it so far
 };
 
 } // namespace filbert
--- a/modules/filbert_storage/tests/log_store_test.cpp
+++ b/modules/filbert_storage/tests/log_store_test.cpp
@@ -127,6 +127,52 @@
     CHECK(store.append(3, "", {entryOf(4, 3, "lost")}) == error_kind::StorageFailed);
 }
 
+TEST_CASE("a snapshot in parts counts once it is finished, and a missing part is damage")
+{
+    fake_file_system files;
+    fill(files, 3);
+    log_store store {files};
+    stored_state state;
+    storage_damage damage;
+    REQUIRE_FALSE(store.open(&state, &damage));
+    messages::snapshot_header header;
+    header.set_index(2);
+    REQUIRE_FALSE(store.startSnapshot(header));
+    REQUIRE_FALSE(store.addSnapshotPart("one "));
+    REQUIRE_FALSE(store.append(3, "me", {entryOf(4, 3, "meanwhile")}));
+    CHECK(reopen(files).snapshot.index() == 0);
+    REQUIRE_FALSE(store.addSnapshotPart("two"));
+    const auto unfinished = files.contentOf("snapshot.tmp");
+    REQUIRE_FALSE(store.finishSnapshot());
+    const auto whole = reopen(files);
+    CHECK(whole.snapshot.index() == 2);
+    CHECK(whole.snapshotData == "one two");
+    CHECK(whole.entries.size() == 2);
+
+    const std::string name = "snapshot-00000000000000000002";
+    std::error_code error;
+    files.contentOf(name) = unfinished;
+    reopen(files, &error, &damage);
+    CHECK(error == error_kind::StorageDamaged);
+    CHECK(damage.file == name);
+    CHECK(damage.offset == unfinished.size());
+}
+
+TEST_CASE("entries behind a point that were made void do not come back")
+{
+    fake_file_system files;
+    fill(files, 5);
+    log_store store {files};
+    stored_state state;
+    storage_damage damage;
+    REQUIRE_FALSE(store.open(&state, &damage));
+    REQUIRE_FALSE(store.dropAfter(3));
+    CHECK(reopen(files).entries.size() == 3);
+    CHECK(reopen(files).term == 3);
+    REQUIRE_FALSE(store.append(3, "me", {entryOf(4, 3, "again")}));
+    CHECK(reopen(files).entries.back().payload() == "again");
+}
+
 TEST_CASE("a crash loses nothing that was synced")
 {
     checkProperty([] {
