A gang whose task did not start is stopped and starts again as a whole; cores are slowed down before work is stopped

Cause: after the commit a target may still refuse one task of a gang; the others ran on without it, and 'throttling' stopped tasks at once. The line of a team kept tickets of cancelled jobs in its middle, so each pass went over them. Change: regroupGang() stops the rest of an idempotent gang and lets it wait until all are together, also under a new leader; heartbeat answers name tasks to throttle, which are stopped after 3 s if that did not help, or at once where memory is short; a team's line is compacted in constant time for each ended ticket; refusals count once a round; the random run asserts that no member loses what it acknowledged. 'Need times count' and 'offers' and 'learnName' stand once.

--- a/extras/random_run/random_cell.cpp
+++ b/extras/random_run/random_cell.cpp
@@ -115,6 +115,14 @@
     const auto holders = std::count_if(controllers.begin(), controllers.end(),
                                        [](const auto &host) { return host->hasValidLease(); });
     FILBERT_INVARIANT(holders <= 1, "one leader holds the lease");
+    for (const auto &host : controllers) {
+        if (!host->hasValidLease()) {
+            continue;
+        }
+        for (const auto &[name, progress] : host->running->view().log.followers) {
+            FILBERT_INVARIANT(!hasLostEntries(progress), "a member keeps what it acknowledged");
+        }
+    }
 }
 
 void random_cell::setUp()
--- a/extras/stand_in_target.cpp
+++ b/extras/stand_in_target.cpp
@@ -3,6 +3,7 @@
 #include "filbert_messages/filbert_messages.h"
 #include "filbert_transport/filbert_transport.h"
 
+#include <algorithm>
 #include <charconv>
 #include <deque>
 #include <fstream>
@@ -44,6 +45,7 @@
     messages::resources used;
     time_point endsAt; // of a job's task; 0 = a synchronous request
     bool willFail = false;
+    bool isThrottled = false;
 };
 
 /** One target: what it runs, under the lease that the gateways last gave it. */
@@ -261,7 +263,7 @@
             return;
         }
         const auto found = targets.find(order.target());
-        if (found != targets.end() && order.action() != "throttle") {
+        if (found != targets.end()) {
             stopPlacement(found->second, order.placement_id());
         }
         http_answer answer;
@@ -364,6 +366,9 @@
             auto *task = body.add_running();
             task->set_placement_id(placement);
             *task->mutable_used() = entry.used;
+            if (entry.isThrottled) {
+                task->mutable_used()->set_milli_cores(entry.used.milli_cores() / 2);
+            }
         }
         for (const auto &[placement, report] : target.finished) {
             *body.add_finished() = report;
@@ -388,6 +393,10 @@
         for (const auto placement : reply.acknowledged()) {
             target.finished.erase(placement);
         }
+        for (auto &[placement, entry] : target.running) {
+            const auto &named = reply.throttle();
+            entry.isThrottled = std::find(named.begin(), named.end(), placement) != named.end();
+        }
         for (const auto placement : reply.stop()) {
             stopPlacement(target, placement);
         }
--- a/modules/filbert_controller/commit_effects.cpp
+++ b/modules/filbert_controller/commit_effects.cpp
@@ -148,6 +148,7 @@
         const auto &placement = ended.placement;
         state.ending.erase(placement.id);
         state.stopping.erase(placement.id);
+        state.throttled.erase(placement.id);
         if (ended.result == messages::SUCCEEDED || ended.result == messages::FAILED) {
             noteResult(state.scheduler, placement.id, ended.result == messages::SUCCEEDED, now);
         }
@@ -164,6 +165,7 @@
             item.avoid = {job->second.failedTargets.begin(), job->second.failedTargets.end()};
             returnTask(state.scheduler, std::move(item), placement.taskIndex, now);
         }
+        regroupGang(state, job->second);
     }
 }
 
--- a/modules/filbert_controller/controller_state.h
+++ b/modules/filbert_controller/controller_state.h
@@ -18,6 +18,7 @@
 {
     policy_settings policy;
     milliseconds targetLease {4'000};
+    milliseconds throttleSpan {3'000}; // a throttled task is stopped if that long did not help
     milliseconds configurationLease {3'000};
     std::uint64_t snapshotEntries = 50'000;
     std::uint64_t snapshotBytes = 64 << 20;
@@ -93,6 +94,7 @@
     std::map<std::string, target_liveness> liveness;
     std::map<std::string, gateway_view> gateways;
     std::unordered_set<std::uint64_t> ending; // placements whose end is proposed
+    std::unordered_map<std::uint64_t, time_point> throttled; // placements, since when
     std::unordered_set<std::uint64_t> stopping; // ordered to stop; said again by heartbeats
     std::uint64_t nextTicket = 0;
     bool isDiskFull = false;
--- a/modules/filbert_controller/leadership.cpp
+++ b/modules/filbert_controller/leadership.cpp
@@ -1,5 +1,7 @@
 #include "leadership.h"
 
+#include "work_intake.h"
+
 #include <algorithm>
 
 namespace filbert {
@@ -98,9 +100,33 @@
     item.isIdempotent = submission.idempotent();
     const auto *queue = state.cell.configuration.queue(submission.queue());
     item.kind = queue == nullptr ? work_class::Batch : classOf(queue->policy());
+    if (item.kind == work_class::Gang && item.isIdempotent) {
+        const auto counts = countTasks(job);
+        item.together =
+            static_cast<std::int32_t>(counts.byState[static_cast<int>(task_state::Waiting)]
+                                      + counts.byState[static_cast<int>(task_state::Running)]);
+    }
     return item;
 }
 
+void regroupGang(controller_state &state, const job_record &job)
+{
+    const auto item = workOf(state, job);
+    if (item.kind != work_class::Gang || !item.isIdempotent) {
+        return;
+    }
+    setTogether(state.scheduler, item.ticket, item.together);
+    const auto counts = countTasks(job);
+    if (counts.byState[static_cast<int>(task_state::Waiting)] == 0) {
+        return;
+    }
+    for (const auto &task : job.tasks) {
+        if (task.placement != 0) {
+            sendStop(state, task.placement, "checkpoint");
+        }
+    }
+}
+
 void takeConfiguration(controller_state &state)
 {
     const auto &configuration = state.cell.configuration;
@@ -129,10 +155,16 @@
     state.gateways.clear();
     state.ending.clear();
     state.stopping.clear();
+    state.throttled.clear();
     takeConfiguration(state);
     takeTargets(state, now);
     takeRunning(state, now);
     takeWaiting(state, now);
+    for (const auto &[id, job] : state.cell.jobs) {
+        if (job.endedMs == 0 && !job.isCancelled) {
+            regroupGang(state, job);
+        }
+    }
     log_line {"leading"}
         .with("term", state.log.term)
         .with("applied", state.log.applied)
@@ -157,6 +189,7 @@
     state.gateways.clear();
     state.ending.clear();
     state.stopping.clear();
+    state.throttled.clear();
     log_line {"not_leading"}.with("term", state.log.term).with("leader", state.log.leader);
 }
 
--- a/modules/filbert_controller/leadership.h
+++ b/modules/filbert_controller/leadership.h
@@ -16,6 +16,10 @@
 /** @return the waiting work of a job, without tasks */
 work_item workOf(const controller_state &state, const job_record &job);
 
+/** Sees to it that the tasks of an idempotent gang run all or none: where one waits again, the
+   others are stopped, and all start together. Call it after any change of the job. */
+void regroupGang(controller_state &state, const job_record &job);
+
 /** @return a target as the scheduler sees it */
 target_view viewOf(const target_record &target);
 
--- a/modules/filbert_controller/target_leases.cpp
+++ b/modules/filbert_controller/target_leases.cpp
@@ -74,9 +74,11 @@
     return target.placements.empty() && state.scheduler.runningOnTarget[number].empty();
 }
 
-/** Throttles batch work where what runs uses more than the target has. */
+/** Slows batch work down where what runs uses more than the target has, and stops it where that
+    does not help: memory cannot be slowed down, and cores only for a while.
+*/
 void throttleOvercommitted(controller_state &state, const target_record &target,
-                           const messages::target_heartbeat &heartbeat,
+                           const messages::target_heartbeat &heartbeat, time_point now,
                            messages::heartbeat_reply *answer)
 {
     resource_amounts used;
@@ -85,14 +87,23 @@
     }
     const auto capacity = amountsOf(target.registration.capacity());
     for (const auto &task : heartbeat.running()) {
-        if (used.milliCores <= capacity.milliCores && used.memoryMb <= capacity.memoryMb) {
-            return;
+        const auto id = task.placement_id();
+        const bool hasMemory = used.memoryMb <= capacity.memoryMb;
+        if (hasMemory && used.milliCores <= capacity.milliCores) {
+            state.throttled.erase(id);
+            continue;
         }
-        const auto found = state.scheduler.running.find(task.placement_id());
-        if (found != state.scheduler.running.end() && found->second.kind == work_class::Batch
-            && found->second.isIdempotent) {
-            used -= amountsOf(task.used());
-            answer->add_stop(task.placement_id());
+        const auto found = state.scheduler.running.find(id);
+        if (found == state.scheduler.running.end() || found->second.kind != work_class::Batch
+            || !found->second.isIdempotent) {
+            continue;
+        }
+        const auto since = state.throttled.emplace(id, now).first->second;
+        used -= amountsOf(task.used());
+        if (hasMemory && now - since < state.settings.throttleSpan) {
+            answer->add_throttle(id);
+        } else {
+            answer->add_stop(id);
         }
     }
 }
@@ -161,7 +172,7 @@
             answer->add_acknowledged(task.placement_id());
         }
     }
-    throttleOvercommitted(state, target, heartbeat, answer);
+    throttleOvercommitted(state, target, heartbeat, now, answer);
     answer->set_lease_until(heartbeat.clock_ms() + lease.count);
     answer->set_drained(live.isLeaving && hasNoWork(state, target));
     reply(state, from, std::move(envelope));
--- a/modules/filbert_controller/tests/dispatch_test.cpp
+++ b/modules/filbert_controller/tests/dispatch_test.cpp
@@ -2,6 +2,8 @@
 #include "filbert_storage/tests/fake_file_system.h"
 
 #include <catch2/catch.hpp>
+#include <set>
+#include <vector>
 
 using namespace filbert;
 
@@ -72,6 +74,62 @@
         take(envelope);
     }
 
+    /** A heartbeat of t1 with tasks that run. */
+    void beatRunning(std::int64_t clockMs, const std::vector<std::uint64_t> &running,
+                     const resource_amounts &used)
+    {
+        messages::envelope envelope;
+        envelope.mutable_heartbeat()->set_name("t1");
+        envelope.mutable_heartbeat()->set_epoch(1);
+        envelope.mutable_heartbeat()->set_clock_ms(clockMs);
+        for (const auto id : running) {
+            auto *task = envelope.mutable_heartbeat()->add_running();
+            task->set_placement_id(id);
+            *task->mutable_used() = messageOf(used);
+        }
+        take(envelope);
+        pass(1);
+    }
+
+    /** Submits a job whose tasks need a core each. @return the placements that were started */
+    std::vector<std::uint64_t> startJob(const std::string &queue, int tasks)
+    {
+        sent.clear();
+        messages::envelope envelope;
+        auto *submit = envelope.mutable_submit();
+        submit->set_team("orders");
+        submit->set_queue(queue);
+        submit->set_service("quote");
+        submit->set_tasks(tasks);
+        submit->mutable_task()->set_milli_cores(1'000);
+        submit->set_idempotent(true);
+        take(envelope);
+        pass(1); // it is accepted, then decided, then started
+        pass(600);
+        return started();
+    }
+
+    /** @return placements of the start orders among what was sent */
+    std::vector<std::uint64_t> started() const
+    {
+        std::vector<std::uint64_t> placements;
+        for (const auto &envelope : sent) {
+            if (envelope.has_start()) {
+                placements.push_back(envelope.start().placement_id());
+            }
+        }
+        return placements;
+    }
+
+    void end(std::uint64_t placement, messages::task_result result)
+    {
+        messages::envelope envelope;
+        envelope.mutable_end()->set_placement_id(placement);
+        envelope.mutable_end()->set_result(result);
+        take(envelope);
+        pass(1);
+    }
+
     void configure()
     {
         messages::envelope envelope;
@@ -82,7 +140,13 @@
         team->set_name("orders");
         team->set_share(1);
         *team->add_keys() = makeKey("desk").stored;
-        apply->mutable_next()->add_queues()->set_name("quotes");
+        for (const auto policy : {messages::URGENT, messages::BATCH, messages::GANG}) {
+            auto *queue = apply->mutable_next()->add_queues();
+            queue->set_name(policy == messages::URGENT      ? "quotes"
+                                : policy == messages::BATCH ? "batches"
+                                                            : "gangs");
+            queue->set_policy(policy);
+        }
         auto *service = apply->mutable_next()->add_services();
         service->set_name("quote");
         service->set_queue("quotes");
@@ -177,11 +241,7 @@
     cell.pass(1);
     CHECK_FALSE(cell.sent.back().heartbeat_reply().drained());
 
-    messages::envelope end;
-    end.mutable_end()->set_placement_id(placement);
-    end.mutable_end()->set_result(messages::SUCCEEDED);
-    cell.take(end);
-    cell.pass(1);
+    cell.end(placement, messages::SUCCEEDED);
     cell.beat(1, 300);
     cell.pass(1);
     CHECK_FALSE(cell.sent.back().heartbeat_reply().drained()); // it does not leave
@@ -193,3 +253,53 @@
     cell.pass(1);
     CHECK(cell.sent.empty()); // and gets no more work
 }
+
+TEST_CASE("where one task of a gang does not start, the others are stopped and all start again")
+{
+    lone_controller cell;
+    cell.configure();
+    cell.announce(1);
+    cell.pass(1);
+    cell.beat(1, 100);
+    cell.pass(1);
+    const auto first = cell.startJob("gangs", 3);
+    REQUIRE(first.size() == 3);
+    cell.sent.clear();
+    cell.end(first[0], messages::NOT_RUN); // its target refused it after the commit
+    std::set<std::uint64_t> stopped;
+    for (const auto &envelope : cell.sent) {
+        if (envelope.has_stop()) {
+            stopped.insert(envelope.stop().placement_id());
+        }
+    }
+    CHECK(stopped == std::set<std::uint64_t> {first[1], first[2]});
+    cell.pass(2'000);
+    CHECK(cell.started().empty()); // not one of them alone
+    cell.end(first[1], messages::UNKNOWN);
+    cell.end(first[2], messages::SUCCEEDED); // it ended before the order came
+    cell.beat(1, 3'000);
+    cell.pass(2'000);
+    CHECK(cell.started().size() == 2);
+}
+
+TEST_CASE("batch work that overcommits a target is slowed down first, and stopped if it goes on")
+{
+    lone_controller cell;
+    cell.configure();
+    cell.announce(1);
+    cell.pass(1);
+    cell.beat(1, 100);
+    cell.pass(1);
+    const auto placements = cell.startJob("batches", 2);
+    REQUIRE(placements.size() == 2);
+    cell.beatRunning(200, placements, {3'000, 100, 0, 1}); // 6 of 4 cores
+    CHECK(cell.sent.back().heartbeat_reply().throttle_size() == 1);
+    CHECK(cell.sent.back().heartbeat_reply().stop_size() == 0);
+    cell.beatRunning(300, placements, {1'500, 100, 0, 1});
+    CHECK(cell.sent.back().heartbeat_reply().throttle_size() == 0);
+    cell.beatRunning(400, placements, {3'000, 100, 0, 1});
+    CHECK(cell.sent.back().heartbeat_reply().throttle_size() == 1);
+    cell.pass(3'500);
+    cell.beatRunning(3'900, placements, {3'000, 100, 0, 1});
+    CHECK(cell.sent.back().heartbeat_reply().stop_size() == 1);
+}
--- a/modules/filbert_controller/work_intake.cpp
+++ b/modules/filbert_controller/work_intake.cpp
@@ -89,6 +89,8 @@
     proposeCommand(state, std::move(command));
 }
 
+} // namespace
+
 void sendStop(controller_state &state, std::uint64_t placement, const char *action)
 {
     const auto found = state.cell.placements.find(placement);
@@ -109,8 +111,6 @@
     state.outbox.push_back({live->second.gateway, std::move(envelope)});
 }
 
-} // namespace
-
 void takeDispatch(controller_state &state, const reply_address &from,
                   const messages::dispatch_request &request, time_point now)
 {
@@ -190,13 +190,9 @@
             return;
         }
     }
-    auto gangNeed = need;
-    if (queue->policy() == messages::GANG) {
-        const auto count = static_cast<std::int64_t>(std::max(submission.tasks(), 1));
-        gangNeed = {need.milliCores * count, need.memoryMb * count, need.accelerators * count,
-                    count};
-    }
-    if (!fitsWithin(gangNeed, limitOf(*team))) {
+    const bool isGang = queue->policy() == messages::GANG;
+    const auto together = isGang ? static_cast<std::size_t>(std::max(submission.tasks(), 1)) : 1;
+    if (!fitsWithin(timesOf(need, together), limitOf(*team))) {
         refuse(state, from, error_kind::LimitReached, "the job alone exceeds the team's limit");
         return;
     }
--- a/modules/filbert_controller/work_intake.h
+++ b/modules/filbert_controller/work_intake.h
@@ -20,6 +20,10 @@
 void takeJobChange(controller_state &state, const reply_address &from,
                    const messages::job_change &change);
 
+/** Orders a running task to end. @param action "stop" or "checkpoint", see docs/API.md; heartbeats
+    say it again until the task has ended */
+void sendStop(controller_state &state, std::uint64_t placement, const char *action);
+
 /** Sends requests that wait for room to the next leader, at a planned stop. */
 void turnWaitingAway(controller_state &state);
 
--- a/modules/filbert_policy/placement_pass.cpp
+++ b/modules/filbert_policy/placement_pass.cpp
@@ -9,18 +9,13 @@
 
 constexpr milliseconds preemptionPause {2'000};
 constexpr milliseconds unknownRunTime {3'600'000};
+constexpr std::size_t keptEnded = 256; // tickets of ended work that a team's line may hold
 
 bool usesClasses(const scheduler_state &state)
 {
     return state.settings.kind == policy_kind::Filbert;
 }
 
-bool offers(const target_view &target, const std::string &service)
-{
-    return std::find(target.services.begin(), target.services.end(), service)
-        != target.services.end();
-}
-
 std::uint64_t releasesOf(const scheduler_state &state, const std::string &service)
 {
     const auto pool = state.index.pools.find(service);
@@ -62,16 +57,8 @@
     const auto placement = state.nextPlacement++;
     auto &team = state.teams[item.team];
     settleHistory(state, team, now);
-    running_task running {target,
-                          item.ticket,
-                          task,
-                          item.kind,
-                          item.team,
-                          item.service,
-                          item.team + "/" + (item.name.empty() ? item.service : item.name),
-                          item.need,
-                          now,
-                          item.isIdempotent};
+    running_task running {target,       item.ticket,     task,      item.kind, item.team,
+                          item.service, learnName(item), item.need, now,       item.isIdempotent};
     noteRunning(state, placement, std::move(running));
     result->placements.push_back({placement, item.ticket, task, target});
 }
@@ -245,10 +232,7 @@
     if (pool == state.index.pools.end()) {
         return false;
     }
-    const auto count = static_cast<std::int64_t>(item.tasks.size());
-    const auto &need = item.need;
-    return fitsWithin({need.milliCores * count, need.memoryMb * count, need.accelerators * count,
-                       need.slots * count},
+    return fitsWithin(timesOf(item.need, item.tasks.size()),
                       pool->second.capacity - pool->second.used);
 }
 
@@ -298,7 +282,8 @@
 /** Whether it is of any use to try a piece of work now. */
 bool isWorthTrying(const scheduler_state &state, const work_item &item, time_point now)
 {
-    if (item.notBefore > now || item.tasks.empty()) {
+    const bool isIncomplete = item.tasks.size() < static_cast<std::size_t>(item.together);
+    if (item.notBefore > now || item.tasks.empty() || isIncomplete) {
         return false;
     }
     const bool mayReserve = item.kind == work_class::Gang && usesClasses(state)
@@ -313,19 +298,25 @@
 bool isWithinLimit(const scheduler_state &state, const work_item &item)
 {
     const auto &team = state.teams.at(item.team);
-    auto need = item.need;
-    if (item.kind == work_class::Gang) {
-        const auto count = static_cast<std::int64_t>(item.tasks.size());
-        need = {need.milliCores * count, need.memoryMb * count, need.accelerators * count, count};
-    }
-    return fitsWithin(team.used + need, team.limit);
+    const auto together = item.kind == work_class::Gang ? item.tasks.size() : 1;
+    return fitsWithin(team.used + timesOf(item.need, together), team.limit);
 }
 
-void removeEnded(const scheduler_state &state, std::deque<std::uint64_t> *queue)
+/** Takes tickets that do not wait any more out of a team's line, in constant time for each. */
+void removeEnded(const scheduler_state &state, const team_view &team, work_class kind,
+                 std::deque<std::uint64_t> *queue)
 {
     while (!queue->empty() && !state.waiting.contains(queue->front())) {
         queue->pop_front();
     }
+    const auto waiting = team.waitingCount[static_cast<std::size_t>(kind)];
+    if (queue->size() <= 2 * waiting + keptEnded) {
+        return;
+    }
+    std::unordered_set<std::uint64_t> seen; // a ticket that waits again stands in line twice
+    std::erase_if(*queue, [&](auto ticket) {
+        return !state.waiting.contains(ticket) || !seen.insert(ticket).second;
+    });
 }
 
 void finishItem(scheduler_state &state, std::uint64_t ticket)
@@ -343,7 +334,7 @@
 {
     for (const auto kind : classes) {
         auto &queue = team.waiting[static_cast<std::size_t>(kind)];
-        removeEnded(state, &queue);
+        removeEnded(state, team, kind, &queue);
         std::size_t looked = 0;
         for (std::size_t i = 0; i < queue.size() && looked < state.settings.jobsLookedAt; ++i) {
             const auto ticket = queue[i];
--- a/modules/filbert_policy/resource_amounts.h
+++ b/modules/filbert_policy/resource_amounts.h
@@ -3,6 +3,7 @@
 #include "filbert_messages/filbert_messages.h"
 
 #include <algorithm>
+#include <cstddef>
 #include <cstdint>
 #include <limits>
 
@@ -47,6 +48,14 @@
     return a -= b;
 }
 
+/** @return the need of so many tasks together */
+inline resource_amounts timesOf(const resource_amounts &need, std::size_t count)
+{
+    const auto times = static_cast<std::int64_t>(count);
+    return {need.milliCores * times, need.memoryMb * times, need.accelerators * times,
+            need.slots * times};
+}
+
 /** @return whether a need is within what there is, in every resource */
 inline bool fitsWithin(const resource_amounts &need, const resource_amounts &room)
 {
--- a/modules/filbert_policy/scheduler.cpp
+++ b/modules/filbert_policy/scheduler.cpp
@@ -11,11 +11,6 @@
 
 constexpr double seenDecay = 0.9;
 
-std::string learnName(const work_item &item)
-{
-    return item.team + "/" + (item.name.empty() ? item.service : item.name);
-}
-
 void refreshEligibility(scheduler_state &state, const std::string &name)
 {
     const auto found = state.index.byName.find(name);
@@ -164,6 +159,20 @@
     enqueue(state, std::move(item));
 }
 
+void setTogether(scheduler_state &state, std::uint64_t ticket, std::int32_t together)
+{
+    const auto found = state.waiting.find(ticket);
+    if (found != state.waiting.end()) {
+        found->second.together = together;
+        found->second.isBlocked = false;
+    }
+}
+
+std::string learnName(const work_item &item)
+{
+    return item.team + "/" + (item.name.empty() ? item.service : item.name);
+}
+
 void dropWork(scheduler_state &state, std::uint64_t ticket)
 {
     const auto found = state.waiting.find(ticket);
@@ -328,8 +337,10 @@
                hold != state.heldPools.end() && hold->second == ticket) {
         reason.text = "freed room is being gathered for it";
     } else if (item.kind == work_class::Gang) {
-        reason.text =
-            "room for all " + std::to_string(item.tasks.size()) + " tasks at once is waited for";
+        const bool isIncomplete = item.tasks.size() < static_cast<std::size_t>(item.together);
+        reason.text = isIncomplete
+            ? "one of its tasks ended early; the others are being stopped to start again with it"
+            : "room for all " + std::to_string(item.tasks.size()) + " tasks at once is waited for";
     } else {
         reason.text = "targets are full; teams below their share come first";
     }
--- a/modules/filbert_policy/scheduler.h
+++ b/modules/filbert_policy/scheduler.h
@@ -60,6 +60,7 @@
     resource_amounts need; // declared, or learned if that is more
     std::vector<std::int32_t> tasks; // that wait; a request has one, number 0
     std::int32_t size = 1; // of the whole job
+    std::int32_t together = 1; // tasks that must wait before any is started: all of a gang's
     std::vector<std::string> avoid;
     time_point since;
     time_point giveUpAt; // urgent only
@@ -200,6 +201,12 @@
 /** Forgets waiting work; constant time. */
 void dropWork(scheduler_state &state, std::uint64_t ticket);
 
+/** Changes how many tasks of waiting work must start together. @param ticket may be unknown */
+void setTogether(scheduler_state &state, std::uint64_t ticket, std::int32_t together);
+
+/** @return the name that sizes and run times of such work are learned under */
+std::string learnName(const work_item &item);
+
 /** Takes over what runs already, when a leader starts. */
 void noteRunning(scheduler_state &state, std::uint64_t placement, running_task &&task);
 
--- a/modules/filbert_policy/target_index.cpp
+++ b/modules/filbert_policy/target_index.cpp
@@ -246,14 +246,18 @@
     return -1;
 }
 
+bool offers(const target_view &target, const std::string &service)
+{
+    return std::find(target.services.begin(), target.services.end(), service)
+        != target.services.end();
+}
+
 std::int64_t findFirstTarget(const target_index &index, const std::string &service,
                              const resource_amounts &need)
 {
     const auto found =
         std::find_if(index.targets.begin(), index.targets.end(), [&](const auto &target) {
-            return isOpen(target) && fitsWithin(need, roomOf(target))
-                && std::find(target.services.begin(), target.services.end(), service)
-                != target.services.end();
+            return isOpen(target) && fitsWithin(need, roomOf(target)) && offers(target, service);
         });
     return found == index.targets.end() ? -1 : found - index.targets.begin();
 }
@@ -262,9 +266,7 @@
                   const resource_amounts &need)
 {
     return std::any_of(index.targets.begin(), index.targets.end(), [&](const auto &target) {
-        return fitsWithin(need, target.capacity)
-            && std::find(target.services.begin(), target.services.end(), service)
-            != target.services.end();
+        return fitsWithin(need, target.capacity) && offers(target, service);
     });
 }
 
--- a/modules/filbert_policy/target_index.h
+++ b/modules/filbert_policy/target_index.h
@@ -98,6 +98,9 @@
 bool couldEverFit(const target_index &index, const std::string &service,
                   const resource_amounts &need);
 
+/** @return whether a target runs tasks of a service */
+bool offers(const target_view &target, const std::string &service);
+
 /** @return room left on a target */
 resource_amounts roomOf(const target_view &target);
 
--- a/modules/filbert_replication/replicated_log.cpp
+++ b/modules/filbert_replication/replicated_log.cpp
@@ -11,7 +11,7 @@
 namespace {
 
 constexpr std::uint64_t learnerCatchUpEntries = 64;
-constexpr int refusalsOfLostEntries = 20; // in a row, with nowhere left to go back to
+constexpr int refusalsOfLostEntries = 3; // in a row, of probes with nowhere left to go back to
 
 void promoteCaughtUpLearner(replicated_log_state &state, time_point now,
                             replication_effects *effects)
@@ -85,20 +85,27 @@
 }
 
 /** Goes back to where logs may match. @return whether that is elsewhere than before */
-bool takeRefusal(const std::string &from, const messages::append_reply &reply,
-                 follower_progress *progress)
+bool takeRefusal(const replicated_log_state &state, const std::string &from,
+                 const messages::append_reply &reply, follower_progress *progress)
 {
     const auto next = std::max(progress->match + 1, std::min(progress->next, reply.match() + 1));
     const bool hasMoved = next != progress->next;
     progress->isProbing = true;
     progress->next = next;
-    if (!hasMoved && ++progress->refusals == refusalsOfLostEntries) {
+    // Of a later round than the last refusal, it answers a probe from here; others were on their
+    // way.
+    const bool isOfProbe = reply.round() > progress->refusedRound;
+    progress->refusedRound = state.round;
+    if (hasMoved || !isOfProbe) {
+        return hasMoved;
+    }
+    if (++progress->refusals == refusalsOfLostEntries) {
         log_line {"member_lost_entries", log_line::severity::Error}
             .with("member", from)
             .with("acknowledged", progress->match)
             .with("held", reply.match());
     }
-    return hasMoved;
+    return false;
 }
 
 void takeAppendReply(replicated_log_state &state, const std::string &from,
@@ -122,7 +129,7 @@
         progress.isProbing = false;
         progress.isTakingSnapshot = false;
         progress.refusals = 0;
-    } else if (!takeRefusal(from, reply, &progress)) {
+    } else if (!takeRefusal(state, from, reply, &progress)) {
         return; // the next heartbeat probes again; an answer to each refusal would never end
     }
     advanceCommit(state, now, effects);
@@ -482,6 +489,11 @@
     return state.role == replica_role::Leader && now < state.leaseUntil && !state.handOverUntil;
 }
 
+bool hasLostEntries(const follower_progress &progress)
+{
+    return progress.refusals >= refusalsOfLostEntries;
+}
+
 bool isReadyLeader(const replicated_log_state &state)
 {
     return state.role == replica_role::Leader && !state.handOverUntil
--- a/modules/filbert_replication/replicated_log.h
+++ b/modules/filbert_replication/replicated_log.h
@@ -41,6 +41,7 @@
     bool isTakingSnapshot = false;
     time_point lastSent;
     int refusals = 0; // in a row, of what it had acknowledged
+    std::uint64_t refusedRound = 0; // the round in which the last refusal came
 };
 
 /** One member of a replicated log: consensus as plain state.
@@ -159,6 +160,9 @@
 /** Whether it leads and has applied everything of earlier terms. */
 bool isReadyLeader(const replicated_log_state &state);
 
+/** Whether a member refuses what it had acknowledged: its disk lost synced data. */
+bool hasLostEntries(const follower_progress &progress);
+
 /** @return index of the last entry */
 std::uint64_t lastIndex(const replicated_log_state &state);
 
