--- a/extras/planted_faults.sh
+++ b/extras/planted_faults.sh
@@ -1,10 +1,11 @@
 #!/usr/bin/env bash
 # Plants one fault at a time into a copy of the sources and says which check of the random run
-# catches it. Usage: extras/planted_faults.sh [SEEDS] [STEPS]
+# or of the tests catches it. Usage: extras/planted_faults.sh [SEEDS] [STEPS] [NAMES as a regular expression]
 set -uo pipefail
 root=$(cd "$(dirname "$0")/.." && pwd)
 seeds=${1:-40}
 steps=${2:-40000}
+names=${3:-.}
 copy=$(mktemp -d)
 trap 'rm -rf "$copy"' EXIT
 git -C "$root" ls-files -z | (cd "$root" && xargs -0 cp --parents -t "$copy")
@@ -14,6 +15,7 @@
 missed=0
 
 plant() { # NAME FILE SED-EXPRESSION
+    [[ $1 =~ $names ]] || return 0
     cp "$2" "$copy/kept"
     sed -i -E "$3" "$2"
     if cmp -s "$2" "$copy/kept"; then
--- a/modules/filbert_controller/tests/dispatch_test.cpp
+++ b/modules/filbert_controller/tests/dispatch_test.cpp
@@ -303,3 +303,21 @@
     cell.beatRunning(3'900, placements, {3'000, 100, 0, 1});
     CHECK(cell.sent.back().heartbeat_reply().stop_size() == 1);
 }
+
+TEST_CASE("a target that is being given up gets no new lease, however late its heartbeat comes")
+{
+    lone_controller cell;
+    cell.configure();
+    cell.announce(1);
+    cell.pass(1);
+    cell.beat(1, 100);
+    cell.pass(1);
+    cell.now = cell.now + milliseconds {6'000};
+    cell.running->takeTime(cell.now); // the lease has ended: its removal is proposed
+    cell.sent.clear();
+    cell.beat(1, 200);
+    cell.running->flush(cell.now, 1);
+    REQUIRE(cell.sent.size() == 1);
+    CHECK(cell.sent[0].heartbeat_reply().announce_again());
+    CHECK(cell.sent[0].heartbeat_reply().lease_until() == 0);
+}
--- a/modules/filbert_replication/tests/replicated_log_test.cpp
+++ b/modules/filbert_replication/tests/replicated_log_test.cpp
@@ -261,3 +261,45 @@
     stepTime(leader, {2'200}, &effects);
     CHECK_FALSE(effects.early.empty());
 }
+
+TEST_CASE("two learners and the leader are no quorum of three voters")
+{
+    auto state = leaderAt(later);
+    replication_effects effects;
+    const auto agree = [&](const std::string &member) {
+        stepMessage(state, accepted(state, member, lastIndex(state)), later, &effects);
+    };
+    stepPersisted(state, lastIndex(state), later, &effects);
+    agree("b");
+    for (const char *name : {"d", "e"}) {
+        messages::member added;
+        added.set_identity(name);
+        REQUIRE_FALSE(changeMembership(state, true, added, later, &effects));
+        stepPersisted(state, lastIndex(state), later, &effects);
+        if (name == std::string_view {"d"}) {
+            agree("b");
+        }
+    }
+    const auto before = state.commit;
+    agree("d");
+    agree("e");
+    CHECK(state.commit == before);
+    agree("c");
+    CHECK(state.commit > before);
+}
+
+TEST_CASE("of two voters both must hold an entry")
+{
+    auto state = leaderAt(later);
+    replication_effects effects;
+    stepPersisted(state, lastIndex(state), later, &effects);
+    stepMessage(state, accepted(state, "b", lastIndex(state)), later, &effects);
+    messages::member gone;
+    gone.set_identity("c");
+    REQUIRE_FALSE(changeMembership(state, false, gone, later, &effects));
+    const auto before = state.commit;
+    stepPersisted(state, lastIndex(state), later, &effects);
+    CHECK(state.commit == before);
+    stepMessage(state, accepted(state, "b", lastIndex(state)), later, &effects);
+    CHECK(state.commit == lastIndex(state));
+}
--- a/modules/filbert_storage/tests/log_store_test.cpp
+++ b/modules/filbert_storage/tests/log_store_test.cpp
@@ -75,6 +75,20 @@
     CHECK(state.votedFor.empty());
 }
 
+TEST_CASE("term and vote are read back, without entries too")
+{
+    fake_file_system files;
+    fill(files, 1);
+    CHECK(reopen(files).votedFor == "me");
+    log_store store {files};
+    stored_state state;
+    storage_damage damage;
+    REQUIRE_FALSE(store.open(&state, &damage));
+    REQUIRE_FALSE(store.append(9, "another", {}));
+    CHECK(reopen(files).term == 9);
+    CHECK(reopen(files).votedFor == "another");
+}
+
 TEST_CASE("a torn last frame is cut off wherever it was torn")
 {
     fake_file_system whole;
