Silent connections are noticed by targets' heartbeats and replaced; refusals tell the truth about all tries

Requests on a kept connection that went silent waited for their deadline (167 client time-outs). A request whose first try had run and whose second found no room was refused as not_run (history check: load1-212). Targets lost their leases since heartbeats waited 2 s on each silent connection. With all connections between processes silent there was no leader for 2.6 s, and after a cut of 4 s none for 30 s: handshakes that were swallowed last that long in the message library. Ruled out: the relay itself (new connections passed at once) and elections (2 s at the most). Change: start_by of a synchronous request is 1.5 s away; the leader notifies gateways of what its target's heartbeats ended; unreachable targets are quarantined by evidence that is not of one moment; every try counts in what a refusal says, also in the random run's check; connections between processes are renewed when a peer is silent for 400 ms (controllers) or 500 ms (gateways), between messages; handshakes last 1 s at most.

--- a/extras/commit_bench.cpp
+++ b/extras/commit_bench.cpp
@@ -41,6 +41,14 @@
         return clients[address]->send(envelope.SerializeAsString());
     }
 
+    void renew(const std::string &address) override
+    {
+        const auto client = clients.find(address);
+        if (client != clients.end()) {
+            client->second->reconnect();
+        }
+    }
+
     void prepare(const std::string &address) override
     {
         auto &client = clients[address];
--- a/extras/random_run/fake_hosts.h
+++ b/extras/random_run/fake_hosts.h
@@ -217,16 +217,31 @@
     }
 
     void prepare(const std::string & /*address*/) override { }
+    void renew(const std::string & /*address*/) override { }
 
     void call(target_call &&out, handler onAnswer) override
     {
-        toTarget(std::move(out),
-                 [this, life = lives, onAnswer](std::error_code error, http_answer &&answer) {
-                     if (running && lives == life) {
-                         running->takeTime(now());
-                         onAnswer(error, std::move(answer));
-                     }
-                 });
+        const auto id = out.id;
+        auto isEnded = std::make_shared<bool>(false);
+        handler once = [this, life = lives, onAnswer, isEnded](std::error_code error,
+                                                               http_answer &&answer) {
+            if (running && lives == life && !std::exchange(*isEnded, true)) {
+                running->takeTime(now());
+                onAnswer(error, std::move(answer));
+            }
+        };
+        if (id != 0) {
+            cancellable[id] = once;
+        }
+        toTarget(std::move(out), once);
+    }
+
+    void cancel(std::uint64_t id) override
+    {
+        const auto call = cancellable.extract(id);
+        if (!call.empty()) {
+            call.mapped()(error_kind::TargetLost, {});
+        }
     }
 
     void setGateways(int /*gateways*/) override { }
@@ -241,6 +256,7 @@
     std::unique_ptr<controller_links> links;
     std::unique_ptr<gateway> running;
     std::map<std::uint64_t, on_answer> waiting;
+    std::map<std::uint64_t, handler> cancellable; // calls of targets, ended ones too
     skewed_clock clock;
     std::uint64_t lastRequest = 0;
     int lives = 0;
--- a/extras/random_run/random_cell.h
+++ b/extras/random_run/random_cell.h
@@ -83,9 +83,8 @@
     void actAsCaller();
     void sendService(const std::string &service, const std::string &body, const std::string &key,
                      const std::string &token);
-    void takeServiceAnswer(const std::string &service, const std::string &body,
-                           const std::string &key, std::uint64_t withdrawalsSeen,
-                           http_answer &&answer);
+    void takeServiceAnswer(const std::string &body, const std::string &key,
+                           std::uint64_t withdrawalsSeen, http_answer &&answer);
     void submitJob();
     void cancelJob();
     void actAsOperator();
--- a/extras/random_run/random_cell_callers.cpp
+++ b/extras/random_run/random_cell_callers.cpp
@@ -56,16 +56,14 @@
     const bool isWithdrawn = token == spareKey.token && isSpareWithdrawn;
     const auto seen = isWithdrawn ? configurationChanges + 1 : 0;
     ++summary.unanswered;
-    anyGateway().request(std::move(request),
-                         [this, service, body, key, seen](http_answer &&answer) {
-                             --summary.unanswered;
-                             takeServiceAnswer(service, body, key, seen, std::move(answer));
-                         });
+    anyGateway().request(std::move(request), [this, body, key, seen](http_answer &&answer) {
+        --summary.unanswered;
+        takeServiceAnswer(body, key, seen, std::move(answer));
+    });
 }
 
-void random_cell::takeServiceAnswer(const std::string &service, const std::string &body,
-                                    const std::string &key, std::uint64_t withdrawalsSeen,
-                                    http_answer &&answer)
+void random_cell::takeServiceAnswer(const std::string &body, const std::string &key,
+                                    std::uint64_t withdrawalsSeen, http_answer &&answer)
 {
     note(static_cast<std::uint64_t>(answer.status));
     if (answer.status == 200) {
@@ -83,9 +81,7 @@
         return;
     }
     if (key.empty()) {
-        if (service != "quote") {
-            checks.toldNotRun(body);
-        }
+        checks.toldNotRun(body);
         return;
     }
     auto &order = dieOrders.at(key);
--- a/extras/stand_in_target.cpp
+++ b/extras/stand_in_target.cpp
@@ -14,6 +14,7 @@
 
 DEFINE_string(name, "target", "name; with --count above 1, a number is added");
 DEFINE_string(listen, "127.0.0.1:7200", "IP:port for orders");
+DEFINE_string(announce, "", "IP:port that gateways reach it at; empty = --listen");
 DEFINE_string(gateways, "127.0.0.1:7000", "IP:port of gateways, comma-separated");
 DEFINE_string(key, "", "token of a target's key");
 DEFINE_string(failure_domain, "d1", "failure domain");
@@ -34,7 +35,7 @@
 
 constexpr int statusRefused = 412;
 constexpr int statusAccepted = 202;
-constexpr milliseconds callTimeout {2'000};
+constexpr milliseconds callTimeout {1'000}; // a quarter of a lease, so that others can be tried
 constexpr milliseconds stopCheckPeriod {100};
 constexpr milliseconds drainPatience {10'000}; // then it stops although no gateway answered
 constexpr int exitWrongSettings = 2;
@@ -60,6 +61,7 @@
     std::deque<std::uint64_t> startedByAge;
     bool isAnnounced = false;
     bool isCalling = false;
+    bool mayBeSilent = false; // the last call got no answer, so the next has a new connection
     bool isDrained = false; // it leaves, and the cell has said that no more work will come
     std::size_t gateway = 0;
 };
@@ -319,10 +321,12 @@
                         {"content-type", "application/json"}};
         call.body = writeJson(body);
         call.timeout = callTimeout;
+        call.needsNewConnection = target.mayBeSilent;
         client.send(
             std::move(call),
             [&target, onAnswer = std::move(onAnswer)](std::error_code error, http_answer &&answer) {
                 target.isCalling = false;
+                target.mayBeSilent = static_cast<bool>(error);
                 if (error || answer.status != 200) {
                     ++target.gateway; // another one may do better
                     return;
@@ -337,7 +341,7 @@
             return;
         }
         messages::target_registration body;
-        body.set_address(FLAGS_listen);
+        body.set_address(FLAGS_announce.empty() ? FLAGS_listen : FLAGS_announce);
         body.set_failure_domain(FLAGS_failure_domain);
         body.set_epoch(target.epoch);
         body.mutable_capacity()->set_milli_cores(FLAGS_milli_cores);
--- a/modules/filbert_controller/commit_effects.cpp
+++ b/modules/filbert_controller/commit_effects.cpp
@@ -142,10 +142,25 @@
     }
 }
 
-void afterEnds(controller_state &state, const apply_outcome &outcome, time_point now)
+/** Tells whichever gateway waits for a synchronous request that no answer will come. */
+void noticeGateways(controller_state &state, const ended_placement &ended)
+{
+    for (const auto &[name, gateway] : state.gateways) {
+        messages::envelope envelope;
+        envelope.mutable_notice()->set_placement_id(ended.placement.id);
+        envelope.mutable_notice()->set_result(ended.result);
+        state.outbox.push_back({name, std::move(envelope)});
+    }
+}
+
+void afterEnds(controller_state &state, const apply_outcome &outcome, const reply_address &to,
+               time_point now)
 {
     for (const auto &ended : outcome.ended) {
         const auto &placement = ended.placement;
+        if (placement.jobId == 0 && to.exchange == 0) {
+            noticeGateways(state, ended);
+        }
         state.ending.erase(placement.id);
         state.stopping.erase(placement.id);
         state.throttled.erase(placement.id);
@@ -245,11 +260,11 @@
         break;
     case body::kEnd:
         state.ending.erase(command.end().placement_id());
-        afterEnds(state, outcome, now);
+        afterEnds(state, outcome, to, now);
         answerDone(state, to);
         break;
     case body::kRemoveTarget:
-        afterEnds(state, outcome, now);
+        afterEnds(state, outcome, to, now);
         dropTarget(state.scheduler, command.remove_target());
         state.liveness.erase(command.remove_target());
         break;
--- a/modules/filbert_controller/controller.cpp
+++ b/modules/filbert_controller/controller.cpp
@@ -68,7 +68,7 @@
         takeDispatch(state, from, envelope.dispatch(), now);
         break;
     case body::kEnd:
-        takeEnd(state, from, envelope.end());
+        takeEnd(state, from, envelope.end(), now);
         break;
     case body::kAnnounce:
         takeAnnouncement(state, from, envelope.announce());
--- a/modules/filbert_controller/controller_state.h
+++ b/modules/filbert_controller/controller_state.h
@@ -18,6 +18,7 @@
 {
     policy_settings policy;
     milliseconds targetLease {4'000};
+    milliseconds requestStartSpan {1'500}; // a synchronous request starts by then or not at all
     milliseconds throttleSpan {3'000}; // a throttled task is stopped if that long did not help
     milliseconds configurationLease {3'000};
     std::uint64_t snapshotEntries = 50'000;
@@ -46,7 +47,8 @@
 struct target_liveness
 {
     std::string gateway; // that its last heartbeat came through
-    std::int64_t clockMs = 0;
+    std::int64_t clockMs = 0; // the target's own, in its last heartbeat
+    time_point heardAt; // when that came
     std::int64_t epoch = 0;
     time_point leaseEnds; // by then it has surely stopped everything
     bool isHeard = false; // in this leader's time
--- a/modules/filbert_controller/target_leases.cpp
+++ b/modules/filbert_controller/target_leases.cpp
@@ -28,6 +28,15 @@
     return task.succeeded() ? messages::SUCCEEDED : messages::FAILED;
 }
 
+/** Whether the gateway of a synchronous request that has run had time enough to bring its answer.
+    One with a key gets longer: without the answer, all that can be kept is that it ran. */
+bool isAnswerOverdue(const controller_state &state, const placement_record &placement,
+                     const messages::target_heartbeat &heartbeat)
+{
+    const auto span = placement.idempotencyKey.empty() ? 0 : state.settings.targetLease.count;
+    return placement.startBy + span < heartbeat.clock_ms();
+}
+
 /** Ends what the target does not run any more, with as much as is certain about it. */
 void settlePlacements(controller_state &state, const target_record &target,
                       const messages::target_heartbeat &heartbeat)
@@ -46,8 +55,7 @@
         end.set_placement_id(task.placement_id());
         end.set_result(resultOf(task, found->second));
         end.set_reason(task.detail());
-        const bool isSynchronous = found->second.jobId == 0;
-        if (!isSynchronous || found->second.startBy < heartbeat.clock_ms()) {
+        if (found->second.jobId != 0 || isAnswerOverdue(state, found->second, heartbeat)) {
             proposeEnd(state, std::move(end)); // else its gateway has time to bring the answer
         }
     }
@@ -150,6 +158,7 @@
     const auto lease = state.settings.targetLease;
     live.gateway = from.gateway;
     live.clockMs = heartbeat.clock_ms();
+    live.heardAt = now;
     live.leaseEnds = now + clockRateMargin(lease);
     if (!live.isHeard || live.isLeaving != heartbeat.leaving()) {
         live.isHeard = true;
--- a/modules/filbert_controller/work_intake.cpp
+++ b/modules/filbert_controller/work_intake.cpp
@@ -40,8 +40,18 @@
     return true;
 }
 
+/** The latest start, in the target's clock. A lost start order is known as such once it has passed,
+    so it is near for requests whose callers wait, but never beyond the target's lease. */
+std::int64_t startByOf(const controller_state &state, const target_liveness &live, bool isRequest,
+                       time_point now)
+{
+    const auto leaseEnd = live.clockMs + state.settings.targetLease.count;
+    const auto near = live.clockMs + (now - live.heardAt + state.settings.requestStartSpan).count;
+    return isRequest ? std::min(leaseEnd, near) : leaseEnd;
+}
+
 messages::placement placementOf(const controller_state &state, const placement_decision &decision,
-                                const running_task &task)
+                                const running_task &task, time_point now)
 {
     const auto &target = state.scheduler.index.targets[decision.target];
     const auto &live = state.liveness.at(target.name);
@@ -52,17 +62,18 @@
     place.set_team(task.team);
     place.set_service(task.service);
     *place.mutable_task() = messageOf(task.need);
-    place.set_start_by(live.clockMs + state.settings.targetLease.count);
+    const bool isRequest = state.dispatches.contains(decision.ticket);
+    place.set_start_by(startByOf(state, live, isRequest, now));
     place.set_idempotent(task.isIdempotent);
     return place;
 }
 
-void proposePlacement(controller_state &state, const placement_decision &decision)
+void proposePlacement(controller_state &state, const placement_decision &decision, time_point now)
 {
     const auto &task = state.scheduler.running.at(decision.placement);
     messages::command command;
     auto *place = command.mutable_place();
-    *place = placementOf(state, decision, task);
+    *place = placementOf(state, decision, task, now);
     const auto open = state.dispatches.find(decision.ticket);
     if (open != state.dispatches.end()) {
         const auto &request = open->second.request;
@@ -76,13 +87,14 @@
     proposeCommand(state, std::move(command));
 }
 
-void proposeGang(controller_state &state, const std::vector<placement_decision> &decisions)
+void proposeGang(controller_state &state, const std::vector<placement_decision> &decisions,
+                 time_point now)
 {
     messages::command command;
     for (const auto &decision : decisions) {
         const auto &task = state.scheduler.running.at(decision.placement);
         auto *place = command.mutable_place_gang()->add_placements();
-        *place = placementOf(state, decision, task);
+        *place = placementOf(state, decision, task, now);
         place->set_job_id(decision.ticket);
         place->set_task_index(decision.task);
     }
@@ -150,8 +162,12 @@
                              open_dispatch {from, request, now + milliseconds {request.wait_ms()}});
 }
 
-void takeEnd(controller_state &state, const reply_address &from, const messages::placement_end &end)
+void takeEnd(controller_state &state, const reply_address &from, const messages::placement_end &end,
+             time_point now)
 {
+    if (!end.silent_target().empty()) {
+        noteUnreachable(state.scheduler, end.silent_target(), end.placement_id(), now);
+    }
     const auto found = state.cell.placements.find(end.placement_id());
     if (found == state.cell.placements.end()) {
         messages::envelope done;
@@ -251,9 +267,9 @@
             same.push_back(result.placements[i++]);
         }
         if (isGang) {
-            proposeGang(state, same);
+            proposeGang(state, same, now);
         } else {
-            proposePlacement(state, first);
+            proposePlacement(state, first, now);
             ++i;
         }
     }
--- a/modules/filbert_controller/work_intake.h
+++ b/modules/filbert_controller/work_intake.h
@@ -9,8 +9,8 @@
                   const messages::dispatch_request &request, time_point now);
 
 /** A gateway says how a synchronous request or a start order ended. */
-void takeEnd(controller_state &state, const reply_address &from,
-             const messages::placement_end &end);
+void takeEnd(controller_state &state, const reply_address &from, const messages::placement_end &end,
+             time_point now);
 
 /** A job is handed in; answered once it is durable. */
 void takeSubmission(controller_state &state, const reply_address &from,
--- a/modules/filbert_gateway/controller_links.cpp
+++ b/modules/filbert_gateway/controller_links.cpp
@@ -9,7 +9,7 @@
 
 constexpr milliseconds retryPause {50};
 constexpr milliseconds silentLeaderPause {500};
-constexpr milliseconds silentSpan {3'000};
+constexpr milliseconds silentSpan {1'000};
 constexpr milliseconds switchPause {200};
 constexpr int messageFormat = 1;
 
@@ -74,6 +74,9 @@
     silentAddress = leader();
     silentUntil = now + silentSpan;
     lastSwitch = now;
+    for (const auto &address : addresses) {
+        transport.renew(address); // whatever lost track of one connection may have lost them all
+    }
     tryNext(now);
     for (auto &[id, which] : open) {
         if (which.isUnanswered && which.rule == resend_rule::WhenUnanswered) {
--- a/modules/filbert_gateway/controller_links.h
+++ b/modules/filbert_gateway/controller_links.h
@@ -20,6 +20,9 @@
     /** Connects beforehand, so that a later send() need not wait. @param address "tcp://IP:port" */
     virtual void prepare(const std::string &address) = 0;
 
+    /** Replaces the connection, which may have gone silent, by a new one. */
+    virtual void renew(const std::string &address) = 0;
+
     /** @param address "tcp://IP:port" @return false if it certainly was not sent */
     virtual bool send(const std::string &address, const messages::envelope &envelope) = 0;
 };
--- a/modules/filbert_gateway/gateway.cpp
+++ b/modules/filbert_gateway/gateway.cpp
@@ -209,6 +209,8 @@
         sendStartOrder(*self, envelope.start());
     } else if (envelope.has_stop()) {
         sendStopOrder(*self, envelope.stop());
+    } else if (envelope.has_notice()) {
+        takeNotice(*self, envelope.notice());
     }
 }
 
--- a/modules/filbert_gateway/gateway.h
+++ b/modules/filbert_gateway/gateway.h
@@ -22,6 +22,7 @@
 /** One order or request to a target. */
 struct target_call
 {
+    std::uint64_t id = 0; // for cancel(); 0 = it is never cancelled
     std::string address; // IP:port
     std::string path;
     std::vector<http_header> headers;
@@ -39,6 +40,10 @@
     virtual ~target_port() = default;
     virtual void call(target_call &&call, handler onAnswer) = 0;
 
+    /** Ends a call whose answer will not come: ConnectionFailed if not a byte of it has left, else
+        TargetLost. @param id of the call; one that has ended already is passed over */
+    virtual void cancel(std::uint64_t id) = 0;
+
     /** Divides a target's connections over the gateways. @param gateways how many there are */
     virtual void setGateways(int gateways) = 0;
 };
--- a/modules/filbert_gateway/gateway_metrics.cpp
+++ b/modules/filbert_gateway/gateway_metrics.cpp
@@ -27,6 +27,11 @@
                    .Help("Requests that were sent to another target")
                    .Register(*registry)
                    .Add({})}
+    , silentConnections {prometheus::BuildCounter()
+                             .Name("filbert_gateway_silent_connections_total")
+                             .Help("Connections to targets that brought no answer to ended work")
+                             .Register(*registry)
+                             .Add({})}
     , configurationVersion {prometheus::BuildGauge()
                                 .Name("filbert_gateway_configuration_version")
                                 .Help("Version of the configuration in force")
--- a/modules/filbert_gateway/gateway_metrics.h
+++ b/modules/filbert_gateway/gateway_metrics.h
@@ -24,6 +24,10 @@
     /** Counts a retry of an idempotent request. */
     void countRetry() { retries.Increment(); }
 
+    /** Counts a connection to a target that brought no answer though the target had ended the work.
+     */
+    void countSilentConnection() { silentConnections.Increment(); }
+
     void setConfigurationVersion(std::int64_t version)
     {
         configurationVersion.Set(static_cast<double>(version));
@@ -37,6 +41,7 @@
     prometheus::Family<prometheus::Counter> &requests;
     prometheus::Family<prometheus::Histogram> &latencies;
     prometheus::Counter &retries;
+    prometheus::Counter &silentConnections;
     prometheus::Gauge &configurationVersion;
 };
 
--- a/modules/filbert_gateway/gateway_parts.h
+++ b/modules/filbert_gateway/gateway_parts.h
@@ -6,10 +6,17 @@
 #include <functional>
 #include <map>
 #include <string>
+#include <unordered_map>
 #include <unordered_set>
 
 namespace filbert {
 
+/** A synchronous request that a target has. */
+struct open_call
+{
+    bool isKnownNotRun = false; // the leader has learned so from the target's heartbeats
+};
+
 /** What the routes of a gateway share. */
 struct gateway::parts
 {
@@ -24,6 +31,7 @@
     double retryTokens = 10;
     std::unordered_set<std::uint64_t> used; // placements, see isFirstUse()
     std::deque<std::uint64_t> usedByAge;
+    std::unordered_map<std::uint64_t, open_call> atTargets; // by placement
     std::multimap<time_point, std::function<void()>> later;
     bool isHelloOpen = false;
     bool isStopping = false;
--- a/modules/filbert_gateway/service_calls.cpp
+++ b/modules/filbert_gateway/service_calls.cpp
@@ -31,6 +31,7 @@
     time_point deadline;
     std::vector<std::string> avoid;
     int tries = 0;
+    bool mayHaveRun = false; // in an earlier try
 };
 
 using call_ptr = std::shared_ptr<service_call>;
@@ -40,8 +41,14 @@
 void finishWith(gateway::parts &parts, const call_ptr &call, error_kind kind,
                 const std::string &detail, milliseconds retryAfter = {})
 {
-    parts.metrics.countRequest(call->service.name(), kind, parts.now - call->startedAt);
-    parts.answerProblem(call->request.id, kind, detail, retryAfter);
+    // What the last try came to is not all that is to be said if an earlier one may have run.
+    const bool isLastOnly = call->mayHaveRun && errorRow(kind).outcome == work_outcome::NotRun;
+    const auto whole = isLastOnly ? error_kind::TargetLost : kind;
+    const auto text = isLastOnly
+        ? "an earlier try may have run; the last one: " + std::string {errorRow(kind).name}
+        : detail;
+    parts.metrics.countRequest(call->service.name(), whole, parts.now - call->startedAt);
+    parts.answerProblem(call->request.id, whole, text, retryAfter);
 }
 
 void sendEnd(gateway::parts &parts, messages::placement_end &&end, milliseconds patience,
@@ -53,9 +60,11 @@
                         std::move(onAnswer));
 }
 
-void endNotRun(gateway::parts &parts, std::uint64_t placement, const std::string &reason)
+void endNotRun(gateway::parts &parts, std::uint64_t placement, const std::string &reason,
+               const std::string &silentTarget = {})
 {
     messages::placement_end end;
+    end.set_silent_target(silentTarget);
     end.set_placement_id(placement);
     end.set_result(messages::NOT_RUN);
     end.set_reason(reason);
@@ -106,11 +115,14 @@
                       const messages::dispatch_reply &grant, std::error_code error,
                       http_answer &&answer)
 {
+    const auto open = parts.atTargets.extract(grant.placement_id());
+    const bool isKnownNotRun = error && !open.empty() && open.mapped().isKnownNotRun;
     const bool isCrossed = !error && !belongsTo(answer, grant.placement_id());
-    const bool isNotRun = error == error_kind::ConnectionFailed
+    const bool isNotRun = isKnownNotRun || error == error_kind::ConnectionFailed
         || (!error && !isCrossed && answer.status == refusedByTarget);
     if (isNotRun) {
-        endNotRun(parts, grant.placement_id(), error ? "no connection" : "the target refused");
+        endNotRun(parts, grant.placement_id(), error ? "no connection" : "the target refused",
+                  isKnownNotRun ? grant.target() : "");
         call->avoid.push_back(grant.target());
         if (mayTryAgain(parts, call)) {
             tryCall(parts, call);
@@ -123,6 +135,7 @@
         // It may be running there still, so its room stays taken until the target's heartbeats say
         // more. Only an idempotent request may be sent to another one meanwhile.
         call->avoid.push_back(grant.target());
+        call->mayHaveRun = true;
         if (call->service.idempotent() && mayTryAgain(parts, call)) {
             tryCall(parts, call);
             return;
@@ -152,7 +165,9 @@
 void callTarget(gateway::parts &parts, const call_ptr &call, const messages::dispatch_reply &grant)
 {
     ++call->tries;
+    parts.atTargets[grant.placement_id()] = {};
     target_call out;
+    out.id = grant.placement_id();
     out.address = grant.address();
     out.path = "/v1/run";
     out.headers = {{"filbert-placement", std::to_string(grant.placement_id())},
@@ -253,6 +268,20 @@
     }
 }
 
+void takeNotice(gateway::parts &parts, const messages::placement_notice &notice)
+{
+    const auto open = parts.atTargets.find(notice.placement_id());
+    if (open == parts.atTargets.end()) {
+        return;
+    }
+    log_line {"target_connection_silent", log_line::severity::Warning}
+        .with("placement", notice.placement_id())
+        .with("result", messages::task_result_Name(notice.result()));
+    open->second.isKnownNotRun = notice.result() == messages::NOT_RUN;
+    parts.metrics.countSilentConnection();
+    parts.targets.cancel(notice.placement_id());
+}
+
 void callService(gateway::parts &parts, http_request &&request, const std::string &name)
 {
     if (!isInForce(parts.lease, parts.now)) {
--- a/modules/filbert_gateway/service_calls.h
+++ b/modules/filbert_gateway/service_calls.h
@@ -12,4 +12,7 @@
 /** Gives back a grant that came too late or twice; nothing was started under it. */
 void endStrayGrant(gateway::parts &parts, const messages::dispatch_reply &grant);
 
+/** The leader says that a target has no answer for a request, or gave it on a silent connection. */
+void takeNotice(gateway::parts &parts, const messages::placement_notice &notice);
+
 } // namespace filbert
--- a/modules/filbert_gateway/tests/gateway_test.cpp
+++ b/modules/filbert_gateway/tests/gateway_test.cpp
@@ -52,6 +52,7 @@
     }
 
     void prepare(const std::string & /*address*/) override { }
+    void renew(const std::string & /*address*/) override { ++renewals; }
 
     bool send(const std::string & /*address*/, const messages::envelope &envelope) override
     {
@@ -70,6 +71,7 @@
         onAnswers.push_back(std::move(onAnswer));
     }
 
+    void cancel(std::uint64_t id) override { cancelled.push_back(id); }
     void setGateways(int /*gateways*/) override { }
 
     /** Answers the oldest message to the controller. */
@@ -135,6 +137,8 @@
     std::deque<messages::envelope> toController;
     std::deque<target_call> calls;
     std::deque<handler> onAnswers;
+    std::vector<std::uint64_t> cancelled;
+    int renewals = 0;
     std::vector<http_answer> answers;
     controller_links links;
     time_point now {1'000};
@@ -245,3 +249,61 @@
     CHECK(cell.toController.size() == 1);
     CHECK(cell.calls.size() == 1);
 }
+
+TEST_CASE(
+    "a request on a silent connection goes elsewhere once its target's heartbeats show its end")
+{
+    lone_gateway cell;
+    cell.grant(grantOf(smallConfiguration(cell.desk), 1));
+    const auto notice = [&](std::uint64_t placement, messages::task_result result) {
+        messages::envelope envelope;
+        envelope.mutable_notice()->set_placement_id(placement);
+        envelope.mutable_notice()->set_result(result);
+        cell.running.takeOrder(envelope, cell.now);
+    };
+    notice(9, messages::NOT_RUN); // another gateway's
+    CHECK(cell.cancelled.empty());
+
+    cell.request("die"); // not idempotent, but it certainly did not run
+    cell.dispatched(1);
+    notice(1, messages::NOT_RUN);
+    CHECK(cell.cancelled == std::vector<std::uint64_t> {1});
+    cell.targetAnswers(error_kind::TargetLost);
+    REQUIRE_FALSE(cell.toController.empty());
+    CHECK(cell.toController.back().dispatch().avoid(0) == "t1");
+    CHECK(cell.toController.front().end().silent_target() == "t1"); // evidence against it
+    cell.toController.clear();
+
+    cell.request("die"); // it ran, and only its answer is lost
+    cell.dispatched(2);
+    notice(2, messages::UNKNOWN);
+    cell.targetAnswers(error_kind::TargetLost);
+    CHECK(cell.lastProblem() == "target_lost may_have_run");
+    CHECK(cell.toController.empty());
+}
+
+TEST_CASE("a refusal says not run only if that is true of every try")
+{
+    lone_gateway cell;
+    cell.grant(grantOf(smallConfiguration(cell.desk), 1));
+    cell.request("quote");
+    cell.dispatched(1);
+    cell.targetAnswers(error_kind::TargetLost);
+    messages::envelope full;
+    full.mutable_refused()->set_kind(static_cast<int>(error_kind::NoCapacity));
+    cell.answer(full);
+    CHECK(cell.lastProblem() == "target_lost may_have_run");
+
+    cell.request("quote");
+    cell.answer(full);
+    CHECK(cell.lastProblem() == "no_capacity not_run");
+}
+
+TEST_CASE("connections to controllers are renewed when the leader is silent")
+{
+    lone_gateway cell;
+    cell.pass(400);
+    CHECK(cell.renewals == 0);
+    cell.pass(200);
+    CHECK(cell.renewals == 1);
+}
--- a/modules/filbert_policy/scheduler.cpp
+++ b/modules/filbert_policy/scheduler.cpp
@@ -233,11 +233,34 @@
         setProbing(state.index, task.target, false);
         return;
     }
-    health.failedJobs.insert(task.ticket);
+    noteFailure(state, target.name, task.ticket, now);
+}
+
+void noteFailure(scheduler_state &state, const std::string &target, std::uint64_t ticket,
+                 time_point now)
+{
+    const auto found = state.index.byName.find(target);
+    if (found == state.index.byName.end()) {
+        return;
+    }
+    auto &health = state.health[target];
+    health.failedJobs.insert(ticket);
+    const bool isProbing = state.index.targets[found->second].isProbing;
     if (!health.isQuarantined
-        && (health.failedJobs.size() >= state.settings.quarantineJobs || target.isProbing)) {
-        quarantine(state, target.name, health, now);
+        && (health.failedJobs.size() >= state.settings.quarantineJobs || isProbing)) {
+        quarantine(state, target, health, now);
+    }
+}
+
+void noteUnreachable(scheduler_state &state, const std::string &target, std::uint64_t placement,
+                     time_point now)
+{
+    auto &health = state.health[target];
+    if (placement < health.nextEvidence) {
+        return;
     }
+    health.nextEvidence = state.nextPlacement;
+    noteFailure(state, target, placement, now);
 }
 
 void reviewQuarantines(scheduler_state &state, time_point now)
--- a/modules/filbert_policy/scheduler.h
+++ b/modules/filbert_policy/scheduler.h
@@ -106,6 +106,7 @@
 struct target_health
 {
     std::set<std::uint64_t> failedJobs; // in a row
+    std::uint64_t nextEvidence = 0; // placements from here on may count as unreachable
     time_point quarantinedUntil;
     milliseconds nextQuarantine;
     bool isQuarantined = false;
@@ -216,6 +217,19 @@
 /** Learns from a task's end: sizes and times of its name, failures of its target. */
 void noteResult(scheduler_state &state, std::uint64_t placement, bool succeeded, time_point now);
 
+/** Counts a failure that lies with a target; after several of different work in a row it gets none.
+
+    @param target  name of it; one that has gone is passed over
+    @param ticket  what failed there
+*/
+void noteFailure(scheduler_state &state, const std::string &target, std::uint64_t ticket,
+                 time_point now);
+
+/** Counts a placement that never reached its target. Those decided before the last one that was
+    counted were lost together with it, and are no further evidence. @see noteFailure */
+void noteUnreachable(scheduler_state &state, const std::string &target, std::uint64_t placement,
+                     time_point now);
+
 /** Learns from a target's report on a running task. */
 void noteUsage(scheduler_state &state, std::uint64_t placement, const resource_amounts &used);
 
--- a/modules/filbert_transport/http_client.cpp
+++ b/modules/filbert_transport/http_client.cpp
@@ -1,5 +1,6 @@
 #include "http_client.h"
 
+#include <algorithm>
 #include <charconv>
 #include <cstring>
 #include <deque>
@@ -14,6 +15,7 @@
 constexpr int spareSeconds = 2;
 constexpr std::size_t maxAnswerBytes = 8 << 20;
 constexpr std::uint16_t keptWarmSeconds = 15;
+constexpr milliseconds keptSpan {keptWarmSeconds * millisecondsPerSecond};
 
 } // namespace
 
@@ -22,6 +24,7 @@
 {
     std::vector<int> idle;
     int opened = 0;
+    time_point keptAreDoubtfulUntil; // kept connections may have gone silent
     std::deque<std::shared_ptr<exchange>> waiting;
 };
 
@@ -140,7 +143,7 @@
     info.protocol = protocols[0].name;
     info.local_protocol_name = protocols[0].name;
     info.ssl_connection = LCCSCF_HTTP_NO_FOLLOW_REDIRECT;
-    if (!call->call.needsNewConnection) {
+    if (!call->call.needsNewConnection && monotonicNow() >= call->endpoint->keptAreDoubtfulUntil) {
         info.ssl_connection |= LCCSCF_PIPELINE;
     }
     if (usesTls) {
@@ -301,12 +304,29 @@
         }
     }
     for (const auto &call : late) {
-        if (call->wsi != nullptr) {
-            lws_set_wsi_user(call->wsi, nullptr);
-            lws_set_timeout(call->wsi, PENDING_TIMEOUT_USER_OK, LWS_TO_KILL_ASYNC);
-            call->wsi = nullptr;
-        }
-        finish(*call, call->hasLeft ? error_kind::Timeout : error_kind::ConnectionFailed);
+        abandon(*call, error_kind::Timeout);
+    }
+}
+
+void http_client::abandon(exchange &call, std::error_code error)
+{
+    if (call.wsi != nullptr) {
+        lws_set_wsi_user(call.wsi, nullptr);
+        lws_set_timeout(call.wsi, PENDING_TIMEOUT_USER_OK, LWS_TO_KILL_ASYNC);
+        call.wsi = nullptr;
+    }
+    if (call.hasLeft) {
+        call.endpoint->keptAreDoubtfulUntil = monotonicNow() + keptSpan;
+    }
+    finish(call, call.hasLeft ? error : error_kind::ConnectionFailed);
+}
+
+void http_client::cancel(std::uint64_t id)
+{
+    const auto found = std::find_if(
+        live.begin(), live.end(), [id](const auto &entry) { return entry.second->call.id == id; });
+    if (id != 0 && found != live.end()) {
+        abandon(*found->second, error_kind::TargetLost);
     }
 }
 
--- a/modules/filbert_transport/http_client.h
+++ b/modules/filbert_transport/http_client.h
@@ -14,6 +14,7 @@
 /** One call of another HTTP server. */
 struct http_call
 {
+    std::uint64_t id = 0; // for cancel(); 0 = it is never cancelled
     std::string endpoint; // IP:port
     std::string method = "POST";
     std::string path = "/";
@@ -48,6 +49,12 @@
     /** @param call what to send @param onAnswer called once, never from inside send() */
     void send(http_call &&call, handler onAnswer);
 
+    /** Ends a call at once, with ConnectionFailed if not a byte of it has left, else TargetLost,
+       and takes new connections to its endpoint for a while: the kept ones may be as silent as its
+       was.
+        @param id of the call; one that has ended already is passed over */
+    void cancel(std::uint64_t id);
+
     /** Sets how many connections an endpoint gets from now on. @param connections at least 1 */
     void setConnections(int connections);
 
@@ -65,6 +72,7 @@
     int appendHeaders(lws *wsi, exchange &call, unsigned char **position, std::size_t room);
     int writeBody(lws *wsi, exchange &call);
     static void finish(exchange &call, std::error_code error);
+    static void abandon(exchange &call, std::error_code error);
     void checkDeadlines();
 
     lws_protocols protocols[2];
--- a/modules/filbert_transport/message_socket.cpp
+++ b/modules/filbert_transport/message_socket.cpp
@@ -9,6 +9,7 @@
 constexpr int queuedMessages = 200'000;
 constexpr int heartbeatMs = 1'500;
 constexpr int silentMs = 3'000;
+constexpr int handshakeMs = 1'000; // one that a silent connection swallowed would last 30 s
 constexpr int reconnectMs = 50;
 constexpr int reconnectMaxMs = 500;
 constexpr int messagesPerDrain = 512;
@@ -23,6 +24,7 @@
     socket.set(zmq::sockopt::heartbeat_ivl, heartbeatMs);
     socket.set(zmq::sockopt::heartbeat_timeout, silentMs);
     socket.set(zmq::sockopt::heartbeat_ttl, silentMs);
+    socket.set(zmq::sockopt::handshake_ivl, handshakeMs);
 }
 
 bool hasInput(zmq::socket_t &socket)
@@ -90,14 +92,15 @@
 struct message_client::shared_socket
 {
     zmq::socket_t socket;
+    std::string endpoint;
     handler onMessage;
 };
 
 message_client::message_client(event_loop &loop, zmq::context_t &context, const std::string &name,
                                const std::string &endpoint, const curve_keys &keys,
                                handler onMessage)
-    : shared {std::make_shared<shared_socket>(
-        shared_socket {zmq::socket_t {context, zmq::socket_type::dealer}, std::move(onMessage)})}
+    : shared {std::make_shared<shared_socket>(shared_socket {
+        zmq::socket_t {context, zmq::socket_type::dealer}, endpoint, std::move(onMessage)})}
 {
     auto &socket = shared->socket;
     setCommonOptions(socket);
@@ -132,6 +135,12 @@
 
 message_client::~message_client() = default;
 
+void message_client::reconnect()
+{
+    shared->socket.disconnect(shared->endpoint);
+    shared->socket.connect(shared->endpoint);
+}
+
 bool message_client::send(const std::string &message)
 {
     return shared->socket.send(zmq::buffer(message), zmq::send_flags::dontwait).has_value();
--- a/modules/filbert_transport/message_socket.h
+++ b/modules/filbert_transport/message_socket.h
@@ -68,6 +68,10 @@
     /** @param message the bytes @return false if there is no connection or its queue is full */
     bool send(const std::string &message);
 
+    /** Gives the connection up for a new one: use it as soon as the peer is silent, which the
+        connection's own heartbeats notice only seconds later. What was queued is gone. */
+    void reconnect();
+
 private:
     struct shared_socket;
     std::shared_ptr<shared_socket> shared;
--- a/programs/filbert_controller.cpp
+++ b/programs/filbert_controller.cpp
@@ -12,6 +12,9 @@
 DEFINE_string(name, "", "name of this controller, for logs");
 DEFINE_string(data_folder, "", "folder of this controller's own files");
 DEFINE_string(listen, "127.0.0.1:7100", "IP:port for messages of gateways and other controllers");
+DEFINE_string(
+    advertise, "",
+    "IP:port that others reach --listen at, kept with --initialise=first; empty = --listen");
 DEFINE_string(http, "127.0.0.1:7101", "IP:port for /healthz, /readyz and /metrics");
 DEFINE_string(curve_site, "", "file of CURVE keys; empty = no encryption, loopback only");
 DEFINE_string(initialise, "",
@@ -29,6 +32,7 @@
 
 constexpr std::size_t identityBytes = 8;
 constexpr milliseconds tickPeriod {10};
+constexpr milliseconds silentSpan {400}; // four heartbeats
 constexpr int exitWrongSettings = 2;
 constexpr int exitStorage = 3;
 
@@ -45,7 +49,11 @@
         , identity {identity}
         , site {site}
         , onMessage {std::move(onMessage)}
-        , server {loop, context, endpoint, site.serverKeys(), this->onMessage}
+        , server {loop, context, endpoint, site.serverKeys(),
+                  [this](const std::string &peer, std::string &&text) {
+                      heardAt[peer] = monotonicNow();
+                      this->onMessage(peer, std::move(text));
+                  }}
     {
     }
 
@@ -64,7 +72,29 @@
         clients[member.address()]->send(bytes); // what is lost is sent again by the protocol above
     }
 
-    /** Connects beforehand: the first message to a member that is not connected would be lost. */
+    /** Connects beforehand: the first message to a member that is not connected would be lost. So
+        would one that is sent as its connection is renewed; both are done between messages.
+
+        A member that nothing comes from may not hear either, since its connection is silent.
+    */
+    void keepConnected(const messages::member &member)
+    {
+        connect(member);
+        const auto now = monotonicNow();
+        auto &renewed = renewedAt[member.identity()];
+        if (now - heardAt[member.identity()] < silentSpan || now - renewed < silentSpan) {
+            return;
+        }
+        renewed = now;
+        clients[member.address()]->reconnect();
+    }
+
+    void sendToGateway(const std::string &gateway, const messages::envelope &envelope) override
+    {
+        server.send(gateway, envelope.SerializeAsString());
+    }
+
+private:
     void connect(const messages::member &member)
     {
         auto &client = clients[member.address()];
@@ -77,17 +107,13 @@
         }
     }
 
-    void sendToGateway(const std::string &gateway, const messages::envelope &envelope) override
-    {
-        server.send(gateway, envelope.SerializeAsString());
-    }
-
-private:
     event_loop &loop;
     zmq::context_t &context;
     std::string identity;
     curve_site site;
     handler onMessage;
+    std::map<std::string, time_point> heardAt; // by the peer's name
+    std::map<std::string, time_point> renewedAt; // by the member's identity
     message_server server;
     std::map<std::string, std::unique_ptr<message_client>> clients;
 };
@@ -108,7 +134,7 @@
         messages::member self;
         self.set_identity(identity);
         self.set_name(FLAGS_name);
-        self.set_address("tcp://" + FLAGS_listen);
+        self.set_address("tcp://" + (FLAGS_advertise.empty() ? FLAGS_listen : FLAGS_advertise));
         if (store.append(1, "", {makeFirstEntry(self)})) {
             return exitStorage;
         }
@@ -124,6 +150,8 @@
     check.require(!FLAGS_data_folder.empty(), "--data_folder: expected a path");
     check.requireEndpoint("listen", FLAGS_listen);
     check.requireEndpoint("http", FLAGS_http);
+    check.require(FLAGS_advertise.empty() || isEndpoint(FLAGS_advertise),
+                  "--advertise: expected IP:port");
     curve_site site;
     check.require(!readCurveSite(FLAGS_curve_site, &site),
                   "--curve_site: expected a readable file of 'self', 'controller', 'allow' lines");
@@ -205,7 +233,7 @@
         running->takeTime(monotonicNow());
         for (const auto &member : running->view().log.members.members()) {
             if (member.identity() != stored.identity) {
-                outbox.connect(member);
+                outbox.keepConnected(member);
             }
         }
         const bool isDone = running->isReadyToStop() || monotonicNow() >= stopBy;
--- a/programs/filbert_gateway.cpp
+++ b/programs/filbert_gateway.cpp
@@ -53,6 +53,14 @@
         return clients[address]->send(envelope.SerializeAsString());
     }
 
+    void renew(const std::string &address) override
+    {
+        const auto client = clients.find(address);
+        if (client != clients.end()) {
+            client->second->reconnect();
+        }
+    }
+
     void prepare(const std::string &address) override
     {
         auto &client = clients[address];
@@ -88,11 +96,14 @@
 
     void call(target_call &&call, handler onAnswer) override
     {
-        client.send({std::move(call.address), "POST", std::move(call.path), std::move(call.headers),
-                     std::move(call.body), call.timeout, call.needsNewConnection},
+        client.send({call.id, std::move(call.address), "POST", std::move(call.path),
+                     std::move(call.headers), std::move(call.body), call.timeout,
+                     call.needsNewConnection},
                     std::move(onAnswer));
     }
 
+    void cancel(std::uint64_t id) override { client.cancel(id); }
+
     void setGateways(int gateways) override
     {
         client.setConnections(FLAGS_target_connections / gateways);
--- a/scripts/cell.sh
+++ b/scripts/cell.sh
@@ -65,7 +65,10 @@
     done
     for ((i = 1; i <= gateways; i++)); do gateway_port[i]=${ports[next++]}; done
     for ((i = 1; i <= targets; i++)); do target_port[i]=${ports[next++]}; done
-    controllers_flag=$(printf '127.0.0.1:%s,' "${message_port[@]}")
+    member_port=("${message_port[@]}") # where controllers are reached
+    [ "$controllers" -eq 0 ] || member_port=([0]= "${message_port[@]}")
+    unset 'member_port[0]'
+    controllers_flag=$(printf '127.0.0.1:%s,' "${member_port[@]}")
     gateways_flag=$(printf '127.0.0.1:%s,' "${gateway_port[@]}")
 }
 
@@ -73,7 +76,7 @@
 start_controller() {
     local folder="$work/c$1"
     local flags=(--name="c$1" --curve_site="$work/site/c$1.site" --data_folder="$folder" --listen="127.0.0.1:${message_port[$1]}"
-        --http="127.0.0.1:${health_port[$1]}")
+        --http="127.0.0.1:${health_port[$1]}" --advertise="127.0.0.1:${member_port[$1]}")
     if [ ! -e "$folder/identity" ]; then
         local kind=member
         [ "$1" = 1 ] && kind=first
@@ -88,6 +91,22 @@
         --controllers="$controllers_flag" --curve_site="$work/site/g$1.site" --bootstrap_operator_key="$bootstrap_key" --drain_ms=500
 }
 
+# start_relay NAME PORT: a relay in front of a port; sets relay_port.
+start_relay() {
+    relay_port=$(free_ports 1)
+    start "$1" "$bin/filbert-relay" "$relay_port" "$2"
+}
+
+# relay_controllers COUNT: a relay in front of each, so that they are reached through it only.
+relay_controllers() {
+    local n
+    for ((n = 1; n <= $1; n++)); do
+        start_relay "rc$n" "${message_port[$n]}"
+        member_port[n]=$relay_port
+    done
+    controllers_flag=$(printf '127.0.0.1:%s,' "${member_port[@]}")
+}
+
 # start_target NUMBER SERVICES [FLAGS...]
 start_target() {
     local number=$1 services=$2
@@ -107,6 +126,65 @@
     bootstrap=$(sed -n 's/^bootstrap: //p' <<<"$made")
 }
 
+# check WHAT COMMAND...: says whether it succeeds; counts failures.
+failures=0
+check() {
+    local what=$1
+    shift
+    if "$@" >"$work/check.out" 2>&1; then
+        echo "right: $what"
+    else
+        echo "WRONG: $what"
+        tail -n 5 "$work/check.out"
+        failures=$((failures + 1))
+    fi
+}
+
+# write_cell FILE ORDERS-KEYS TARGET-KEY: the configuration of the fault tests.
+write_cell() {
+    cat >"$1" <<YAML
+cell: faults
+teams:
+  - {name: orders, share: 2, upper_limit: {slots: 22}, keys: [$2]}
+queues:
+  - {name: quotes, policy: urgent}
+  - {name: proofs, policy: batch}
+services:
+  - {name: quote, queue: quotes, idempotent: true, task: {milli_cores: 100}, deadline_ms: 8000}
+  - {name: die, queue: quotes, idempotent: false, task: {milli_cores: 100}, deadline_ms: 8000}
+principals:
+  - {name: ops, role: operator, keys: [$operator_stored]}
+  - {name: shops, role: target, keys: [$3]}
+YAML
+}
+
+# Loads run in the background, one at a time; needs desk_token and rate.
+load_number=0
+# load_during SECONDS FLAGS...
+load_during() {
+    load_number=$((load_number + 1))
+    local seconds=$1
+    shift
+    "$bin/filbert-load" --gateways="$gateways_flag" --key="$desk_token" --rate="$rate" \
+        --seconds="$seconds" --services='quote,quote,die!,die' --body="load$load_number" \
+        --deadline_ms=6000 --record="$work/load$load_number.calls" "$@" \
+        >"$work/load$load_number.out" 2>>"$work/load.log" &
+    load_id=$!
+}
+end_load() { wait $load_id; load_code=$?; sed 's/^/  /' "$work/load$load_number.out"; }
+
+check_histories() {
+    local i
+    for i in $(seq 1 $load_number); do
+        check "history of load $i" "$bin/filbert-history-check" "$work/load$i.calls" "$work"/t*.starts
+        tail -n 1 "$work/check.out"
+    done
+}
+
+all_ready() { [ "$(ctl status | grep -c ' ready ')" = "${#target_port[@]}" ]; }
+leader_name() { ctl members list | awk '/leader$/ {print $2}'; }
+has_leader() { [ -n "$(leader_name)" ]; }
+
 ctl() {
     "$bin/filbertctl" --gateways="$gateways_flag" "$@"
 }
@@ -118,8 +196,9 @@
 # start_cell CONTROLLERS GATEWAYS TARGETS: controllers and gateways, one cell; targets are planned.
 start_cell() {
     plan_ports "$@"
+    [ -z "${relayed:-}" ] || relay_controllers "$1"
     local names=() n
-    for ((n = 1; n <= $1; n++)); do names+=("c$n=127.0.0.1:${message_port[$n]}"); done
+    for ((n = 1; n <= $1; n++)); do names+=("c$n=127.0.0.1:${member_port[$n]}"); done
     for ((n = 1; n <= $2; n++)); do names+=("g$n"); done
     "$bin/filbertctl" keys site "$work/site" "${names[@]}" bench >/dev/null || return 1
     make_key root
@@ -131,7 +210,7 @@
     eventually 20 ctl members list || return 1
     for ((i = 2; i <= $1; i++)); do
         start_controller "$i" || return 1
-        eventually 20 ctl members add "127.0.0.1:${message_port[$i]}" \
+        eventually 20 ctl members add "127.0.0.1:${member_port[$i]}" \
             --identity="$(cat "$work/c$i.identity")" --member_name="c$i" || return 1
         eventually 20 is_voter "$i" || return 1
     done
--- a/tests/faults.sh
+++ b/tests/faults.sh
@@ -8,62 +8,19 @@
 source "$root/scripts/cell.sh"
 trap 'stop_everything; [ -n "${KEEP:-}" ] || rm -rf "$work"' EXIT
 rate=${1:-100}
-failures=0
-
-check() { # WHAT COMMAND...
-    local what=$1
-    shift
-    if "$@" >"$work/check.out" 2>&1; then
-        echo "right: $what"
-    else
-        echo "WRONG: $what"
-        tail -n 5 "$work/check.out"
-        failures=$((failures + 1))
-    fi
-}
 
 start_cell 3 2 3 || { tail -n 3 "$work"/*.log; exit 1; }
 make_key desk; desk_token=$token desk_stored=$stored
 make_key spare; spare_token=$token spare_stored=$stored
 make_key workshop; target_token=$token
-cat >"$work/cell.yaml" <<YAML
-cell: faults
-teams:
-  - {name: orders, share: 2, upper_limit: {slots: 22}, keys: [$desk_stored, $spare_stored]}
-queues:
-  - {name: quotes, policy: urgent}
-  - {name: proofs, policy: batch}
-services:
-  - {name: quote, queue: quotes, idempotent: true, task: {milli_cores: 100}, deadline_ms: 8000}
-  - {name: die, queue: quotes, idempotent: false, task: {milli_cores: 100}, deadline_ms: 8000}
-principals:
-  - {name: ops, role: operator, keys: [$operator_stored]}
-  - {name: shops, role: target, keys: [$stored]}
-YAML
+write_cell "$work/cell.yaml" "$desk_stored, $spare_stored" "$stored"
 check "the configuration is applied" ctl apply "$work/cell.yaml"
 # run_target NUMBER: each start records into the same file.
 run_target() { start_target "$1" quote,die --key="$target_token" --work_ms=5; }
 for i in 1 2 3; do run_target $i; done
-all_ready() { [ "$(ctl status | grep -c ' ready ')" = 3 ]; }
 check "three targets are ready" eventually 20 all_ready
-leader_name() { ctl members list | awk '/leader$/ {print $2}'; }
-has_leader() { [ -n "$(leader_name)" ]; }
 leader_number() { local name; name=$(leader_name); [ "$name" = "" ] && name=c1; echo "${name#c}"; }
 
-load_number=0
-# load_during SECONDS FLAGS... : starts a load in the background.
-load_during() {
-    load_number=$((load_number + 1))
-    local seconds=$1
-    shift
-    "$bin/filbert-load" --gateways="$gateways_flag" --key="$desk_token" --rate="$rate" \
-        --seconds="$seconds" --services='quote,quote,die!,die' --body="load$load_number" \
-        --deadline_ms=6000 --record="$work/load$load_number.calls" "$@" \
-        >"$work/load$load_number.out" 2>>"$work/load.log" &
-    load_id=$!
-}
-end_load() { wait $load_id; load_code=$?; sed 's/^/  /' "$work/load$load_number.out"; }
-
 # Jobs that are acknowledged must be found again whatever happens.
 export FILBERT_KEY=$desk_token
 for i in $(seq 1 10); do
@@ -143,10 +100,7 @@
     check "job $job is found again and has ended" ctl wait "$job" --wait_ms=30000
 done
 export FILBERT_KEY=$operator_token
-for i in $(seq 1 $load_number); do
-    check "history of load $i" "$bin/filbert-history-check" "$work/load$i.calls" "$work"/t*.starts
-    tail -n 1 "$work/check.out"
-done
+check_histories
 for name in t1 t2 t3 g1 g2 c1 c2 c3; do
     check "$name stops gracefully" stop_gracefully $name
 done
