Refused requests are tried again with pauses; unreachable targets are passed over, on the word of two gateways

Cause: with start_by 1.5 s away, 31 of 2,547 requests ended as target_refused while controllers were killed, and 11 to 17 of 1,378 as targets were: three tries within milliseconds met the same lease that was being renewed, or the same dead targets until their leases ended. Change: what certainly did not run is tried up to ten times within the deadline and the retry budget, with pauses that double and vary; a gateway passes over what it could not reach for 1 s; the leader quarantines a target that two gateways could not reach with no success between, and forgets that when it starts anew; an urgent request rather goes to a target it should avoid than nowhere.

--- a/modules/filbert_controller/commit_effects.cpp
+++ b/modules/filbert_controller/commit_effects.cpp
@@ -51,6 +51,7 @@
         live.clockMs == 0 || live.isRemovalProposed || live.epoch != registration.epoch();
     if (isNewStart) {
         // Nothing starts there before its first heartbeat has told its clock and what it runs.
+        forgetUnreachable(state.scheduler, registration.name());
         live = {};
         live.epoch = registration.epoch();
         live.gateway = to.gateway;
--- a/modules/filbert_controller/work_intake.cpp
+++ b/modules/filbert_controller/work_intake.cpp
@@ -10,6 +10,7 @@
 
 constexpr std::uint64_t requestTicketBit = 1ULL << 63;
 constexpr milliseconds retryWhenFull {1'000};
+constexpr std::size_t unreachableWitnesses = 2; // gateways, where there are so many
 constexpr int maxTasksOfJob = 100'000;
 
 bool isAnswered(controller_state &state, const reply_address &from,
@@ -165,8 +166,12 @@
 void takeEnd(controller_state &state, const reply_address &from, const messages::placement_end &end,
              time_point now)
 {
-    if (!end.silent_target().empty()) {
-        noteUnreachable(state.scheduler, end.silent_target(), end.placement_id(), now);
+    if (!end.unreachable_target().empty()) {
+        // One gateway that is cut off must not take targets from all others.
+        const auto witnesses = std::min<std::size_t>(state.gateways.size(), unreachableWitnesses);
+        noteUnreachable(state.scheduler,
+                        {end.unreachable_target(), end.placement_id(), from.gateway, witnesses},
+                        now);
     }
     const auto found = state.cell.placements.find(end.placement_id());
     if (found == state.cell.placements.end()) {
--- a/modules/filbert_gateway/gateway_parts.h
+++ b/modules/filbert_gateway/gateway_parts.h
@@ -5,6 +5,7 @@
 #include <deque>
 #include <functional>
 #include <map>
+#include <random>
 #include <string>
 #include <unordered_map>
 #include <unordered_set>
@@ -29,10 +30,12 @@
     time_point now;
     time_point nextHello;
     double retryTokens = 10;
+    std::minstd_rand random {static_cast<std::uint32_t>(std::hash<std::string> {}(settings.name))};
     std::unordered_set<std::uint64_t> used; // placements, see isFirstUse()
     std::deque<std::uint64_t> usedByAge;
     std::unordered_map<std::uint64_t, open_call> atTargets; // by placement
     std::multimap<time_point, std::function<void()>> later;
+    std::map<std::string, time_point> unreachableUntil; // targets, as seen from this host
     bool isHelloOpen = false;
     bool isStopping = false;
 
--- a/modules/filbert_gateway/service_calls.cpp
+++ b/modules/filbert_gateway/service_calls.cpp
@@ -15,7 +15,12 @@
 constexpr milliseconds endPatience {10'000};
 constexpr milliseconds recordPatience {2'000};
 constexpr milliseconds underWayPause {200};
-constexpr int maxTries = 3;
+constexpr int maxTries = 3; // of what may have run
+constexpr int maxTriesNotRun = 10; // of what certainly did not
+constexpr milliseconds firstBackoff {10};
+constexpr int maxBackoffDoublings = 6;
+constexpr milliseconds unreachableSpan {1'000}; // a target that could not be reached is passed over
+constexpr std::size_t avoidedTargets = 2; // the last ones; a small cell has few more
 constexpr std::int64_t answerPartOfDeadline = 10; // a tenth is left for the target's answer
 constexpr int refusedByTarget = 412; // the target says that it did not start it
 constexpr std::size_t maxIdempotencyKeyBytes = 200;
@@ -61,10 +66,10 @@
 }
 
 void endNotRun(gateway::parts &parts, std::uint64_t placement, const std::string &reason,
-               const std::string &silentTarget = {})
+               const std::string &unreachableTarget = {})
 {
     messages::placement_end end;
-    end.set_silent_target(silentTarget);
+    end.set_unreachable_target(unreachableTarget);
     end.set_placement_id(placement);
     end.set_result(messages::NOT_RUN);
     end.set_reason(reason);
@@ -100,9 +105,28 @@
     return true;
 }
 
-bool mayTryAgain(gateway::parts &parts, const call_ptr &call)
+bool mayTryAgain(gateway::parts &parts, const call_ptr &call, int tries)
 {
-    return call->tries < maxTries && parts.now < call->deadline && takeRetryToken(parts);
+    return call->tries < tries && parts.now < call->deadline && takeRetryToken(parts);
+}
+
+void avoidTarget(service_call &call, const std::string &target)
+{
+    call.avoid.push_back(target);
+    if (call.avoid.size() > avoidedTargets) {
+        call.avoid.erase(call.avoid.begin());
+    }
+}
+
+/** Tries again after a pause that doubles, from half of it to the whole: what made one target
+   refuse, such as a lease that is being renewed, often holds for others at the same moment. */
+void tryLater(gateway::parts &parts, const call_ptr &call)
+{
+    const auto doublings = std::min(call->tries - 1, maxBackoffDoublings);
+    const auto longest = firstBackoff.count << doublings;
+    std::uniform_int_distribution<std::int64_t> pause {longest / 2, longest};
+    parts.later.emplace(parts.now + milliseconds {pause(parts.random)},
+                        [&parts, call] { tryCall(parts, call); });
 }
 
 /** Whether the answer names the placement that it was asked for. */
@@ -121,11 +145,14 @@
     const bool isNotRun = isKnownNotRun || error == error_kind::ConnectionFailed
         || (!error && !isCrossed && answer.status == refusedByTarget);
     if (isNotRun) {
+        if (error) {
+            parts.unreachableUntil[grant.target()] = parts.now + unreachableSpan;
+        }
         endNotRun(parts, grant.placement_id(), error ? "no connection" : "the target refused",
-                  isKnownNotRun ? grant.target() : "");
-        call->avoid.push_back(grant.target());
-        if (mayTryAgain(parts, call)) {
-            tryCall(parts, call);
+                  error ? grant.target() : "");
+        avoidTarget(*call, grant.target());
+        if (mayTryAgain(parts, call, maxTriesNotRun)) {
+            tryLater(parts, call);
         } else {
             finishWith(parts, call, error_kind::TargetRefused, "", milliseconds {1'000});
         }
@@ -134,9 +161,9 @@
     if (error || isCrossed) {
         // It may be running there still, so its room stays taken until the target's heartbeats say
         // more. Only an idempotent request may be sent to another one meanwhile.
-        call->avoid.push_back(grant.target());
+        avoidTarget(*call, grant.target());
         call->mayHaveRun = true;
-        if (call->service.idempotent() && mayTryAgain(parts, call)) {
+        if (call->service.idempotent() && mayTryAgain(parts, call, maxTries)) {
             tryCall(parts, call);
             return;
         }
@@ -238,6 +265,11 @@
     }
     dispatch->set_configuration_version(parts.lease.configuration.version());
     dispatch->mutable_avoid()->Assign(call->avoid.begin(), call->avoid.end());
+    std::erase_if(parts.unreachableUntil,
+                  [&](const auto &entry) { return entry.second <= parts.now; });
+    for (const auto &[target, until] : parts.unreachableUntil) {
+        dispatch->add_avoid(target);
+    }
     const auto left = call->deadline - parts.now;
     dispatch->set_wait_ms(left.count - left.count / answerPartOfDeadline);
     // Sent twice, it may be granted twice; the second grant is given back, see endStrayGrant().
--- a/modules/filbert_gateway/tests/gateway_test.cpp
+++ b/modules/filbert_gateway/tests/gateway_test.cpp
@@ -1,5 +1,6 @@
 #include "filbert_gateway/filbert_gateway.h"
 
+#include <algorithm>
 #include <catch2/catch.hpp>
 #include <deque>
 
@@ -208,6 +209,7 @@
     cell.request("die");
     cell.dispatched(2);
     cell.targetAnswers(error_kind::ConnectionFailed); // not a byte left, so it did not run
+    cell.pass(10);
     REQUIRE(cell.toController.size() == 2);
     CHECK(cell.toController[0].end().result() == messages::NOT_RUN);
     CHECK(cell.toController[1].dispatch().avoid(0) == "t2");
@@ -218,6 +220,7 @@
     cell.targetAnswers(error_kind::TargetLost);
     REQUIRE(cell.toController.size() == 1);
     CHECK(cell.toController[0].dispatch().avoid(0) == "t3");
+    CHECK(cell.toController[0].dispatch().avoid(1) == "t2"); // could not be reached just now
     cell.dispatched(4);
     cell.targetAnswers({}, 200, 3); // the answer to another placement
     REQUIRE(cell.toController.size() == 1);
@@ -269,9 +272,10 @@
     notice(1, messages::NOT_RUN);
     CHECK(cell.cancelled == std::vector<std::uint64_t> {1});
     cell.targetAnswers(error_kind::TargetLost);
+    cell.pass(10);
     REQUIRE_FALSE(cell.toController.empty());
     CHECK(cell.toController.back().dispatch().avoid(0) == "t1");
-    CHECK(cell.toController.front().end().silent_target() == "t1"); // evidence against it
+    CHECK(cell.toController.front().end().unreachable_target() == "t1"); // evidence against it
     cell.toController.clear();
 
     cell.request("die"); // it ran, and only its answer is lost
@@ -307,3 +311,36 @@
     cell.pass(200);
     CHECK(cell.renewals == 1);
 }
+
+TEST_CASE("refusals of targets are tried again within bounds, with growing pauses")
+{
+    lone_gateway cell;
+    cell.grant(grantOf(smallConfiguration(cell.desk), 1));
+    constexpr int refusedByTarget = 412;
+    cell.request("die");
+    int tries = 0;
+    std::vector<std::int64_t> pauses;
+    while (cell.answers.empty()) {
+        ++tries;
+        REQUIRE(tries <= 10);
+        while (!cell.toController.front().has_dispatch()) {
+            cell.toController.pop_front(); // ends and hellos
+        }
+        CHECK(cell.toController.front().dispatch().avoid_size() <= 2); // those that refused last
+        cell.dispatched(static_cast<std::uint64_t>(tries));
+        cell.targetAnswers({}, refusedByTarget, static_cast<std::uint64_t>(tries));
+        const auto isAsked = [&] {
+            return std::any_of(cell.toController.begin(), cell.toController.end(),
+                               [](const auto &each) { return each.has_dispatch(); });
+        };
+        pauses.push_back(0);
+        for (; cell.answers.empty() && !isAsked(); pauses.back() += 5) {
+            cell.pass(5);
+        }
+    }
+    pauses.pop_back(); // the last refusal was the answer
+    CHECK(pauses.front() <= 15);
+    CHECK(pauses.back() >= 320);
+    CHECK(tries == 10);
+    CHECK(cell.lastProblem() == "target_refused not_run");
+}
--- a/modules/filbert_policy/placement_pass.cpp
+++ b/modules/filbert_policy/placement_pass.cpp
@@ -46,7 +46,11 @@
 std::int64_t chooseTarget(const scheduler_state &state, const work_item &item)
 {
     if (state.settings.kind == policy_kind::Filbert) {
-        return findTarget(state.index, item.service, item.need, item.avoid);
+        const auto found = findTarget(state.index, item.service, item.need, item.avoid);
+        const bool isChoosy = item.kind != work_class::Urgent || item.avoid.empty();
+        // A caller waits: a target that failed a moment ago is better than none.
+        return found >= 0 || isChoosy ? found
+                                      : findTarget(state.index, item.service, item.need, {});
     }
     return findFirstTarget(state.index, item.service, item.need);
 }
--- a/modules/filbert_policy/scheduler.cpp
+++ b/modules/filbert_policy/scheduler.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 namespace filbert {
 
@@ -229,6 +230,7 @@
         known.seen.memoryMb =
             static_cast<std::int64_t>(static_cast<double>(known.seen.memoryMb) * seenDecay);
         health.failedJobs.clear();
+        health.witnesses.clear();
         health.nextQuarantine = {};
         setProbing(state.index, task.target, false);
         return;
@@ -252,15 +254,25 @@
     }
 }
 
-void noteUnreachable(scheduler_state &state, const std::string &target, std::uint64_t placement,
-                     time_point now)
+void noteUnreachable(scheduler_state &state, const unreachable_report &report, time_point now)
 {
-    auto &health = state.health[target];
-    if (placement < health.nextEvidence) {
+    auto &health = state.health[report.target];
+    health.witnesses.insert(report.gateway);
+    if (report.placement < health.nextEvidence || health.witnesses.size() < report.witnesses) {
         return;
     }
     health.nextEvidence = state.nextPlacement;
-    noteFailure(state, target, placement, now);
+    noteFailure(state, report.target, report.placement, now);
+}
+
+void forgetUnreachable(scheduler_state &state, const std::string &target)
+{
+    auto &health = state.health[target];
+    if (!std::exchange(health.witnesses, {}).empty()) {
+        health.failedJobs.clear();
+        health.isQuarantined = false;
+        health.nextQuarantine = {};
+    }
 }
 
 void reviewQuarantines(scheduler_state &state, time_point now)
--- a/modules/filbert_policy/scheduler.h
+++ b/modules/filbert_policy/scheduler.h
@@ -107,6 +107,7 @@
 {
     std::set<std::uint64_t> failedJobs; // in a row
     std::uint64_t nextEvidence = 0; // placements from here on may count as unreachable
+    std::set<std::string> witnesses; // gateways that could not reach it, since the last success
     time_point quarantinedUntil;
     milliseconds nextQuarantine;
     bool isQuarantined = false;
@@ -225,10 +226,21 @@
 void noteFailure(scheduler_state &state, const std::string &target, std::uint64_t ticket,
                  time_point now);
 
+/** A placement that never reached its target. */
+struct unreachable_report
+{
+    std::string target;
+    std::uint64_t placement = 0;
+    std::string gateway; // that could not bring it there
+    std::size_t witnesses = 1; // different gateways that must have said so before it counts
+};
+
 /** Counts a placement that never reached its target. Those decided before the last one that was
     counted were lost together with it, and are no further evidence. @see noteFailure */
-void noteUnreachable(scheduler_state &state, const std::string &target, std::uint64_t placement,
-                     time_point now);
+void noteUnreachable(scheduler_state &state, const unreachable_report &report, time_point now);
+
+/** A target has started anew, so that what kept requests from it has gone. */
+void forgetUnreachable(scheduler_state &state, const std::string &target);
 
 /** Learns from a target's report on a running task. */
 void noteUsage(scheduler_state &state, std::uint64_t placement, const resource_amounts &used);
--- a/modules/filbert_policy/tests/scheduler_test.cpp
+++ b/modules/filbert_policy/tests/scheduler_test.cpp
@@ -224,3 +224,43 @@
     CHECK(addWork(state, workOf(2, work_class::Urgent, "a", 1, {9'000, 1, 0, 1}), {0})
           == error_kind::NeverFits);
 }
+
+TEST_CASE("a target that requests cannot reach gets none, on the word of two gateways and not of "
+          "one moment")
+{
+    auto state = cellOf(1);
+    state.nextPlacement = 100;
+    const auto report = [&](std::uint64_t placement, const std::string &gateway) {
+        noteUnreachable(state, {"t0", placement, gateway, 2}, {1'000});
+        return state.health["t0"].isQuarantined;
+    };
+    for (std::uint64_t placement = 100; placement < 120; ++placement) {
+        state.nextPlacement = placement + 1;
+        CHECK_FALSE(report(placement, "g1")); // that gateway may be cut off itself
+    }
+    CHECK_FALSE(report(119, "g2"));
+    for (std::uint64_t placement = 100; placement < 120; ++placement) {
+        CHECK_FALSE(report(placement, "g2")); // lost in the same moment as the last one
+    }
+    state.nextPlacement = 121;
+    CHECK_FALSE(report(120, "g1"));
+    state.nextPlacement = 122;
+    CHECK(report(121, "g2"));
+    forgetUnreachable(state, "t0");
+    CHECK_FALSE(state.health["t0"].isQuarantined);
+}
+
+TEST_CASE("an urgent request goes to a target that it should avoid rather than to none")
+{
+    auto state = cellOf(2);
+    auto item = workOf(1, work_class::Urgent, "a", 1);
+    item.avoid = {"t0"};
+    addWork(state, std::move(item), {0});
+    auto result = schedule(state, {0});
+    REQUIRE(result.placements.size() == 1);
+    CHECK(state.index.targets[result.placements[0].target].name == "t1");
+    item = workOf(2, work_class::Urgent, "a", 1);
+    item.avoid = {"t0", "t1"};
+    addWork(state, std::move(item), {0});
+    CHECK(schedule(state, {0}).placements.size() == 1);
+}
