Histories of configuration changes are checked for linearizability in the random run

Cause: races, resends and lost answers of operators were checked one by one; an order of all of them that explains every answer was not asked for.

--- a/extras/random_run/random_cell.cpp
+++ b/extras/random_run/random_cell.cpp
@@ -194,6 +194,8 @@
     }
     FILBERT_INVARIANT(view.cell.configuration.version() >= knownVersion,
                       "an accepted configuration never reverts");
+    FILBERT_INVARIANT(isConfigurationHistoryRight(changes),
+                      "the history of configuration changes is linearizable");
     for (const auto &host : controllers) {
         FILBERT_INVARIANT(host->running && host->running->view().log.digest == view.log.digest,
                           "all members hold the same state");
--- a/extras/random_run/random_cell.h
+++ b/extras/random_run/random_cell.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "configuration_history.h"
 #include "fake_hosts.h"
 #include "fake_target.h"
 #include "promise_checks.h"
@@ -89,6 +90,7 @@
     void cancelJob();
     void actAsOperator();
     void apply(std::int64_t base, bool hasSpareKey, const std::string &requestId);
+    void noteChangeAnswer(std::size_t number, const http_answer &answer);
     void learnVersion();
     void watchInForce(std::int64_t version, std::uint64_t change);
     messages::configuration makeConfiguration(bool hasSpareKey, int variant) const;
@@ -118,6 +120,7 @@
     std::map<std::uint64_t, messages::job_submission> acceptedJobs;
     std::map<std::int64_t, std::string> digestOfVersion;
     std::map<std::string, std::int64_t> versionOfRequest;
+    std::vector<history_operation<configuration_call>> changes; // checked at the end
     made_key operatorKey;
     made_key teamKey;
     made_key spareKey;
--- a/extras/random_run/random_cell_operators.cpp
+++ b/extras/random_run/random_cell_operators.cpp
@@ -56,6 +56,7 @@
     if (!isQuiet) {
         time.after(static_cast<std::int64_t>(500 + time.below(3'000)), [this] { actAsOperator(); });
     }
+    learnVersion(); // for the next change; a lost answer would leave this operator behind for ever
     const auto requestId = "request-" + std::to_string(++lastBody);
     const auto base = time.chance(900) ? knownVersion : knownVersion - 1;
     const bool hasSpareKey = time.chance(500);
@@ -77,8 +78,11 @@
     body.set_request_id(requestId);
     isSpareWithdrawn = false;
     const auto change = ++configurationChanges;
+    const auto number = changes.size();
+    changes.push_back({time.now.ms, neverReturned, {requestId, base}});
     anyGateway().request(requestOf("PUT", "/v1/configuration", operatorKey.token, writeJson(body)),
-                         [this, hasSpareKey, requestId, change](http_answer &&answer) {
+                         [this, hasSpareKey, requestId, change, number](http_answer &&answer) {
+                             noteChangeAnswer(number, answer);
                              messages::apply_reply reply;
                              std::string detail;
                              if (answer.status != 200 || readJson(answer.body, &reply, &detail)) {
@@ -100,6 +104,23 @@
                          });
 }
 
+void random_cell::noteChangeAnswer(std::size_t number, const http_answer &answer)
+{
+    auto &change = changes[number];
+    messages::apply_reply reply;
+    messages::problem problem;
+    std::string detail;
+    if (answer.status == 200 && !readJson(answer.body, &reply, &detail)) {
+        change.call.result = change_result::Accepted;
+        change.call.version = reply.version();
+    } else if (!readJson(answer.body, &problem, &detail) && problem.kind() == "conflict") {
+        change.call.result = change_result::Conflict;
+    } else {
+        return; // whatever else was answered, it may have been taken
+    }
+    change.returnedAt = time.now.ms;
+}
+
 void random_cell::learnVersion()
 {
     anyGateway().request(requestOf("GET", "/v1/members", operatorKey.token, ""),
