--- a/extras/commit_bench.cpp
+++ b/extras/commit_bench.cpp
@@ -3,6 +3,7 @@
 */
 
 #include "filbert_gateway/filbert_gateway.h"
+#include "filbert_gateway/socket_transport.h"
 #include "filbert_transport/filbert_transport.h"
 
 #include <algorithm>
@@ -23,62 +24,18 @@
 
 using steady = std::chrono::steady_clock;
 
-class bench_transport : public controller_transport
-{
-public:
-    using handler = std::function<void(const std::string &, const messages::envelope &)>;
-
-    bench_transport(event_loop &loop, handler onMessage)
-        : loop {loop}
-        , onMessage {std::move(onMessage)}
-    {
-        readCurveSite(FLAGS_curve_site, &site);
-    }
-
-    bool send(const std::string &address, const messages::envelope &envelope) override
-    {
-        prepare(address);
-        return clients[address]->send(envelope.SerializeAsString());
-    }
-
-    void renew(const std::string &address) override
-    {
-        const auto client = clients.find(address);
-        if (client != clients.end()) {
-            client->second->reconnect();
-        }
-    }
-
-    void prepare(const std::string &address) override
-    {
-        auto &client = clients[address];
-        if (!client) {
-            client = std::make_unique<message_client>(loop, context, "bench", address,
-                                                      site.clientKeys(address),
-                                                      [this, address](std::string &&text) {
-                                                          messages::envelope answer;
-                                                          answer.ParseFromString(text);
-                                                          onMessage(address, answer);
-                                                      });
-        }
-    }
-
-private:
-    event_loop &loop;
-    zmq::context_t context {1};
-    curve_site site;
-    handler onMessage;
-    std::map<std::string, std::unique_ptr<message_client>> clients;
-};
-
 int run()
 {
     event_loop loop;
     std::unique_ptr<controller_links> links;
-    bench_transport transport {loop,
-                               [&](const std::string &address, const messages::envelope &envelope) {
-                                   links->takeAnswer(address, envelope, monotonicNow());
-                               }};
+    zmq::context_t context {1};
+    curve_site site;
+    readCurveSite(FLAGS_curve_site, &site);
+    socket_transport transport {
+        loop, context, "bench", site,
+        [&](const std::string &address, const messages::envelope &envelope) {
+            links->takeAnswer(address, envelope, monotonicNow());
+        }};
     std::vector<std::string> addresses;
     for (const auto &address : splitList(FLAGS_controllers)) {
         addresses.push_back("tcp://" + address);
--- a/modules/filbert_controller/controller.h
+++ b/modules/filbert_controller/controller.h
@@ -16,6 +16,13 @@
     virtual void sendToGateway(const std::string &gateway, const messages::envelope &envelope) = 0;
 };
 
+/** A snapshot of the state that is being written, a part in each turn of the loop. */
+struct open_snapshot
+{
+    std::uint64_t index = 0;
+    std::string data;
+};
+
 /** One controller with its disk: takes messages and time, and carries out what follows in the one
     order that is safe. It reads no clock; the program around it does.
 
@@ -72,13 +79,6 @@
 
     bool isQuiet() const;
 
-    /** A snapshot of the state that is being written, a part in each turn of the loop. */
-    struct open_snapshot
-    {
-        std::uint64_t index = 0;
-        std::string data;
-    };
-
     controller_state state;
     log_store &store;
     controller_outbox &outbox;
--- a/modules/filbert_transport/curve_site.h
+++ b/modules/filbert_transport/curve_site.h
@@ -29,7 +29,7 @@
     bool isEncrypted() const { return !secretKey.empty(); }
 
     /** @return the keys for listening */
-    curve_keys serverKeys() const { return {publicKey, secretKey, {}, allowed}; }
+    curve_keys serverKeys() const { return {publicKey, secretKey, {}}; }
 
     /** @param endpoint of a controller @return the keys for connecting there; an unknown controller
         gets a key that fits nobody, so that the connection is never made in the clear */
--- a/modules/filbert_transport/message_socket.h
+++ b/modules/filbert_transport/message_socket.h
@@ -16,7 +16,6 @@
     std::string publicKey; // Z85, 40 characters
     std::string secretKey;
     std::string serverKey; // of the process that a message_client connects to
-    std::vector<std::string> allowedKeys; // who may connect to a message_server
 };
 
 /** The listening end: takes messages of many processes and answers them by name (ROUTER).
@@ -31,7 +30,7 @@
     /** @param loop      runs it; outlives it
         @param context   of the process
         @param endpoint  "tcp://IP:port"
-        @param keys      own keys and who is let in
+        @param keys      own keys; a connection_guard says who is let in
         @param onMessage called for each message
     */
     message_server(event_loop &loop, zmq::context_t &context, const std::string &endpoint,
--- a/programs/filbert_gateway.cpp
+++ b/programs/filbert_gateway.cpp
@@ -1,6 +1,7 @@
 /** @file filbert-gateway: the entry host's process, between callers, targets and controllers. */
 
 #include "filbert_gateway/filbert_gateway.h"
+#include "filbert_gateway/socket_transport.h"
 #include "filbert_transport/filbert_transport.h"
 
 #include <gflags/gflags.h>
@@ -33,60 +34,6 @@
 constexpr int exitWrongSettings = 2;
 constexpr std::size_t bootstrapParts = 3;
 
-/** Messages to controllers over ZeroMQ. */
-class socket_transport : public controller_transport
-{
-public:
-    using handler = std::function<void(const std::string &address, const messages::envelope &)>;
-
-    socket_transport(event_loop &loop, zmq::context_t &context, const std::string &name,
-                     const curve_site &site, handler onMessage)
-        : loop {loop}
-        , context {context}
-        , name {name}
-        , site {site}
-        , onMessage {std::move(onMessage)}
-    {
-    }
-
-    bool send(const std::string &address, const messages::envelope &envelope) override
-    {
-        prepare(address);
-        return clients[address]->send(envelope.SerializeAsString());
-    }
-
-    void renew(const std::string &address) override
-    {
-        const auto client = clients.find(address);
-        if (client != clients.end()) {
-            client->second->reconnect();
-        }
-    }
-
-    void prepare(const std::string &address) override
-    {
-        auto &client = clients[address];
-        if (!client) {
-            client = std::make_unique<message_client>(loop, context, name, address,
-                                                      site.clientKeys(address),
-                                                      [this, address](std::string &&text) {
-                                                          messages::envelope answer;
-                                                          if (answer.ParseFromString(text)) {
-                                                              onMessage(address, answer);
-                                                          }
-                                                      });
-        }
-    }
-
-private:
-    event_loop &loop;
-    zmq::context_t &context;
-    std::string name;
-    curve_site site;
-    handler onMessage;
-    std::map<std::string, std::unique_ptr<message_client>> clients;
-};
-
 /** Calls of targets over HTTP. */
 class client_targets : public target_port
 {
