--- a/modules/filbert_transport/curve_site.cpp
+++ b/modules/filbert_transport/curve_site.cpp
@@ -31,7 +31,7 @@
     }
     const auto found = controllers.find(endpoint);
     const auto server = found == controllers.end() ? makeCurvePair().publicKey : found->second;
-    return {publicKey, secretKey, server, {}};
+    return {publicKey, secretKey, server};
 }
 
 std::error_code readCurveSite(const std::string &path, curve_site *site)
