--- a/modules/filbert_policy/tests/scheduler_test.cpp
+++ b/modules/filbert_policy/tests/scheduler_test.cpp
@@ -264,3 +264,22 @@
     addWork(state, std::move(item), {0});
     CHECK(schedule(state, {0}).placements.size() == 1);
 }
+
+TEST_CASE("a wave of cancellations leaves nothing behind that later passes would go over")
+{
+    constexpr std::uint64_t wave = 50'000;
+    auto state = cellOf(1);
+    state.settings.maxJobsWaiting = 2 * wave;
+    addWork(state, workOf(1, work_class::Batch, "a", 1, {9'000, 500, 0, 1}), {0}); // fits nowhere
+    for (std::uint64_t ticket = 2; ticket <= wave; ++ticket) {
+        addWork(state, workOf(ticket, work_class::Batch, "a", 1), {0});
+    }
+    for (std::uint64_t ticket = 2; ticket <= wave; ++ticket) {
+        dropWork(state, ticket);
+    }
+    schedule(state, {1});
+    const auto &line = state.teams["a"].waiting[static_cast<std::size_t>(work_class::Batch)];
+    CHECK(state.teams["a"].waitingCount[static_cast<std::size_t>(work_class::Batch)] == 1);
+    CHECK(line.size() < 1'000);
+    CHECK(line.front() == 1); // what waits keeps its place
+}
