--- a/modules/filbert_storage/tests/log_store_test.cpp
+++ b/modules/filbert_storage/tests/log_store_test.cpp
@@ -220,6 +220,54 @@
     });
 }
 
+TEST_CASE("whatever stands in the files, they are read as what was written or refused")
+{
+    checkProperty([] {
+        constexpr std::uint64_t count = 6;
+        fake_file_system files;
+        fill(files, count);
+        const bool hasSnapshot = *rc::gen::arbitrary<bool>();
+        if (hasSnapshot) {
+            log_store store {files};
+            stored_state state;
+            storage_damage damage;
+            RC_ASSERT(!store.open(&state, &damage));
+            messages::snapshot_header header;
+            header.set_index(2);
+            RC_ASSERT(!store.saveSnapshot(header, "state at two"));
+        }
+        const auto name = hasSnapshot && *rc::gen::arbitrary<bool>()
+            ? std::string {"snapshot-00000000000000000002"}
+            : firstSegment;
+        auto &content = files.contentOf(name);
+        for (int changes = *rc::gen::inRange(1, 4); changes > 0; --changes) {
+            const auto at = *rc::gen::inRange<std::size_t>(0, content.size());
+            switch (*rc::gen::inRange(0, 3)) {
+            case 0:
+                content[at] = static_cast<char>(*rc::gen::inRange(0, 256));
+                break;
+            case 1:
+                content.insert(at, *rc::gen::container<std::string>(rc::gen::arbitrary<char>()));
+                break;
+            default:
+                content.resize(at + 1);
+            }
+        }
+        std::error_code error;
+        const auto state = reopen(files, &error);
+        RC_ASSERT(!error || error == error_kind::StorageDamaged);
+        if (error) {
+            return;
+        }
+        RC_ASSERT(!hasSnapshot || state.snapshotData == "state at two");
+        auto index = state.snapshot.index();
+        for (const auto &entry : state.entries) {
+            RC_ASSERT(entry.index() == ++index);
+            RC_ASSERT(entry.payload() == "payload-" + std::to_string(index));
+        }
+    });
+}
+
 TEST_CASE("a second process is kept out of a folder")
 {
     const auto folder = std::filesystem::temp_directory_path()
