--- a/modules/filbert_controller/tests/dispatch_test.cpp
+++ b/modules/filbert_controller/tests/dispatch_test.cpp
@@ -155,6 +155,16 @@
         pass(1);
     }
 
+    /** Configures the cell and makes t1 ready for work. */
+    void makeReady()
+    {
+        configure();
+        announce(1);
+        pass(1);
+        beat(1, 100);
+        pass(1);
+    }
+
     void dispatch(const std::string &key = "")
     {
         messages::envelope envelope;
@@ -180,11 +190,7 @@
 TEST_CASE("a request whose target restarts under it waits on instead of being refused")
 {
     lone_controller cell;
-    cell.configure();
-    cell.announce(1);
-    cell.pass(1);
-    cell.beat(1, 100);
-    cell.pass(1);
+    cell.makeReady();
     cell.sent.clear();
     cell.announce(2); // in the same batch, so that the decision is for the earlier start
     cell.dispatch();
@@ -204,11 +210,7 @@
 TEST_CASE("a full disk refuses work as not run, and takes it again when there is room")
 {
     lone_controller cell;
-    cell.configure();
-    cell.announce(1);
-    cell.pass(1);
-    cell.beat(1, 100);
-    cell.pass(1);
+    cell.makeReady();
     cell.files.capacity = cell.files.bytes();
     cell.sent.clear();
     cell.dispatch();
@@ -228,11 +230,7 @@
 TEST_CASE("a leaving target is drained once all that was decided for it has ended")
 {
     lone_controller cell;
-    cell.configure();
-    cell.announce(1);
-    cell.pass(1);
-    cell.beat(1, 100);
-    cell.pass(1);
+    cell.makeReady();
     cell.dispatch();
     cell.pass(1);
     const auto placement = cell.sent.back().dispatched().placement_id();
@@ -257,11 +255,7 @@
 TEST_CASE("where one task of a gang does not start, the others are stopped and all start again")
 {
     lone_controller cell;
-    cell.configure();
-    cell.announce(1);
-    cell.pass(1);
-    cell.beat(1, 100);
-    cell.pass(1);
+    cell.makeReady();
     const auto first = cell.startJob("gangs", 3);
     REQUIRE(first.size() == 3);
     cell.sent.clear();
@@ -285,11 +279,7 @@
 TEST_CASE("batch work that overcommits a target is slowed down first, and stopped if it goes on")
 {
     lone_controller cell;
-    cell.configure();
-    cell.announce(1);
-    cell.pass(1);
-    cell.beat(1, 100);
-    cell.pass(1);
+    cell.makeReady();
     const auto placements = cell.startJob("batches", 2);
     REQUIRE(placements.size() == 2);
     cell.beatRunning(200, placements, {3'000, 100, 0, 1}); // 6 of 4 cores
@@ -307,11 +297,7 @@
 TEST_CASE("a target that is being given up gets no new lease, however late its heartbeat comes")
 {
     lone_controller cell;
-    cell.configure();
-    cell.announce(1);
-    cell.pass(1);
-    cell.beat(1, 100);
-    cell.pass(1);
+    cell.makeReady();
     cell.now = cell.now + milliseconds {6'000};
     cell.running->takeTime(cell.now); // the lease has ended: its removal is proposed
     cell.sent.clear();
