Read once more: one way to say that a placement did not start, no work items built for ends that need none

Cause: reading the whole change. regroupGang() runs at each end of a job's task and built a work item (six strings) to find out that most jobs are no gangs, and counted a gang's tasks twice. target_routes.cpp built by hand what endNotRun() builds, with its own copies of two constants. Ten scripts repeated their first lines. Change: startsTogether() and countOpen(), asked first; endNotRun() is called; begin in scripts/cell.sh.

--- a/extras/measure_commits.sh
+++ b/extras/measure_commits.sh
@@ -3,12 +3,10 @@
 # longest gap when the leader is killed. Usage: extras/measure_commits.sh [SECONDS]
 set -uo pipefail
 root=$(cd "$(dirname "$0")/.." && pwd)
-bin=${FILBERT_BIN:-$root/build-release/bin}
 source "$root/scripts/cell.sh"
 seconds=${1:-3}
 for members in 1 3 5; do
-    work=$(mktemp -d)
-    trap 'stop_everything; rm -rf "$work"' EXIT
+    begin
     start_cell $members 1 1 || exit 1
     for window in 1 10 100 1000; do
         echo "members=$members $("$bin/filbert-commit-bench" --controllers="$controllers_flag" --curve_site="$work/site/bench.site" --window=$window --seconds="$seconds" 2>/dev/null)"
--- a/extras/measure_configuration.sh
+++ b/extras/measure_configuration.sh
@@ -3,10 +3,8 @@
 # and of a changing cell. Usage: extras/measure_configuration.sh [CHANGES]
 set -uo pipefail
 root=$(cd "$(dirname "$0")/.." && pwd)
-bin=${FILBERT_BIN:-$root/build-release/bin}
-work=$(mktemp -d)
 source "$root/scripts/cell.sh"
-trap 'stop_everything; rm -rf "$work"' EXIT
+begin
 changes=${1:-10}
 start_cell 3 7 1 || exit 1
 write() { # SHARE
--- a/extras/measure_gateways.sh
+++ b/extras/measure_gateways.sh
@@ -3,14 +3,12 @@
 # Usage: extras/measure_gateways.sh [COUNT...]
 set -uo pipefail
 root=$(cd "$(dirname "$0")/.." && pwd)
-bin=${FILBERT_BIN:-$root/build-release/bin}
 source "$root/scripts/cell.sh"
 counts=("$@")
 [ ${#counts[@]} -gt 0 ] || counts=(1 4 7)
 bytes() { awk '/lo:/ {print $2}' /proc/net/dev; }
 for count in "${counts[@]}"; do
-    work=$(mktemp -d)
-    trap 'stop_everything; rm -rf "$work"' EXIT
+    begin
     start_cell 3 "$count" 1 || exit 1
     sleep 1
     from=$(bytes)
--- a/extras/measure_latency.sh
+++ b/extras/measure_latency.sh
@@ -3,10 +3,8 @@
 # Usage: extras/measure_latency.sh [SECONDS] [RATE...]
 set -uo pipefail
 root=$(cd "$(dirname "$0")/.." && pwd)
-bin=${FILBERT_BIN:-$root/build-release/bin}
-work=$(mktemp -d)
 source "$root/scripts/cell.sh"
-trap 'stop_everything; rm -rf "$work"' EXIT
+begin
 seconds=${1:-5}
 shift || true
 rates=("$@")
--- a/extras/measure_overload.sh
+++ b/extras/measure_overload.sh
@@ -4,10 +4,8 @@
 # Usage: extras/measure_overload.sh [SECONDS] [WORK_MS]
 set -uo pipefail
 root=$(cd "$(dirname "$0")/.." && pwd)
-bin=${FILBERT_BIN:-$root/build-release/bin}
-work=$(mktemp -d)
 source "$root/scripts/cell.sh"
-trap 'stop_everything; rm -rf "$work"' EXIT
+begin
 seconds=${1:-10}
 work_ms=${2:-20}
 start_cell 3 2 3 || exit 1
--- a/extras/measure_targets.sh
+++ b/extras/measure_targets.sh
@@ -3,7 +3,6 @@
 # GATEWAYS gateways; heartbeats every HEARTBEAT_MS. Usage: extras/measure_targets.sh [COUNT...]
 set -uo pipefail
 root=$(cd "$(dirname "$0")/.." && pwd)
-bin=${FILBERT_BIN:-$root/build-release/bin}
 source "$root/scripts/cell.sh"
 counts=("$@")
 [ ${#counts[@]} -gt 0 ] || counts=(250 500 1000 2000)
@@ -11,8 +10,7 @@
 gateways=${GATEWAYS:-2}
 seconds=10
 for count in "${counts[@]}"; do
-    work=$(mktemp -d)
-    trap 'stop_everything; rm -rf "$work"' EXIT
+    begin
     start_cell 3 "$gateways" 2 || exit 1
     make_key workshop
     cat >"$work/cell.yaml" <<YAML
--- a/modules/filbert_controller/leadership.cpp
+++ b/modules/filbert_controller/leadership.cpp
@@ -22,6 +22,20 @@
     }
 }
 
+/** Whether the tasks of a job run all or none for as long as it lasts: an idempotent gang. */
+bool startsTogether(const controller_state &state, const messages::job_submission &submission)
+{
+    const auto *queue = state.cell.configuration.queue(submission.queue());
+    return submission.idempotent() && queue != nullptr && queue->policy() == messages::GANG;
+}
+
+/** @return how many tasks have not ended */
+std::int32_t countOpen(const task_counts &counts)
+{
+    return static_cast<std::int32_t>(counts.byState[static_cast<int>(task_state::Waiting)]
+                                     + counts.byState[static_cast<int>(task_state::Running)]);
+}
+
 void takeTargets(controller_state &state, time_point now)
 {
     for (const auto &[name, target] : state.cell.targets) {
@@ -100,23 +114,19 @@
     item.isIdempotent = submission.idempotent();
     const auto *queue = state.cell.configuration.queue(submission.queue());
     item.kind = queue == nullptr ? work_class::Batch : classOf(queue->policy());
-    if (item.kind == work_class::Gang && item.isIdempotent) {
-        const auto counts = countTasks(job);
-        item.together =
-            static_cast<std::int32_t>(counts.byState[static_cast<int>(task_state::Waiting)]
-                                      + counts.byState[static_cast<int>(task_state::Running)]);
+    if (startsTogether(state, submission)) {
+        item.together = countOpen(countTasks(job));
     }
     return item;
 }
 
 void regroupGang(controller_state &state, const job_record &job)
 {
-    const auto item = workOf(state, job);
-    if (item.kind != work_class::Gang || !item.isIdempotent) {
-        return;
+    if (!startsTogether(state, job.submission)) {
+        return; // most ends are of other jobs, and each end comes here
     }
-    setTogether(state.scheduler, item.ticket, item.together);
     const auto counts = countTasks(job);
+    setTogether(state.scheduler, job.submission.id(), countOpen(counts));
     if (counts.byState[static_cast<int>(task_state::Waiting)] == 0) {
         return;
     }
--- a/modules/filbert_gateway/gateway_parts.h
+++ b/modules/filbert_gateway/gateway_parts.h
@@ -12,6 +12,8 @@
 
 namespace filbert {
 
+constexpr int refusedByTarget = 412; // its answer for what it did not and will not start
+
 /** A synchronous request that a target has. */
 struct open_call
 {
--- a/modules/filbert_gateway/service_calls.cpp
+++ b/modules/filbert_gateway/service_calls.cpp
@@ -22,7 +22,6 @@
 constexpr milliseconds unreachableSpan {1'000}; // a target that could not be reached is passed over
 constexpr std::size_t avoidedTargets = 2; // the last ones; a small cell has few more
 constexpr std::int64_t answerPartOfDeadline = 10; // a tenth is left for the target's answer
-constexpr int refusedByTarget = 412; // the target says that it did not start it
 constexpr std::size_t maxIdempotencyKeyBytes = 200;
 
 /** One request on its way from a caller through a target and back. */
@@ -65,17 +64,6 @@
                         std::move(onAnswer));
 }
 
-void endNotRun(gateway::parts &parts, std::uint64_t placement, const std::string &reason,
-               const std::string &unreachableTarget = {})
-{
-    messages::placement_end end;
-    end.set_unreachable_target(unreachableTarget);
-    end.set_placement_id(placement);
-    end.set_result(messages::NOT_RUN);
-    end.set_reason(reason);
-    sendEnd(parts, std::move(end), endPatience, [](std::error_code, const auto &) {});
-}
-
 void answerCaller(gateway::parts &parts, const call_ptr &call, http_answer &&answer)
 {
     parts.metrics.countRequest(call->service.name(), error_kind::None, parts.now - call->startedAt);
@@ -293,6 +281,17 @@
 
 } // namespace
 
+void endNotRun(gateway::parts &parts, std::uint64_t placement, const std::string &reason,
+               const std::string &unreachableTarget)
+{
+    messages::placement_end end;
+    end.set_unreachable_target(unreachableTarget);
+    end.set_placement_id(placement);
+    end.set_result(messages::NOT_RUN);
+    end.set_reason(reason);
+    sendEnd(parts, std::move(end), endPatience, [](std::error_code, const auto &) {});
+}
+
 void endStrayGrant(gateway::parts &parts, const messages::dispatch_reply &grant)
 {
     if (grant.placement_id() != 0 && parts.isFirstUse(grant.placement_id())) {
--- a/modules/filbert_gateway/service_calls.h
+++ b/modules/filbert_gateway/service_calls.h
@@ -9,6 +9,14 @@
 /** A caller's synchronous request to a service. @param name of the service */
 void callService(gateway::parts &parts, http_request &&request, const std::string &name);
 
+/** Tells the leader that a placement certainly did not start.
+
+    @param reason             in words, for the job's owner
+    @param unreachableTarget  its target, if the request could not be brought there; else empty
+*/
+void endNotRun(gateway::parts &parts, std::uint64_t placement, const std::string &reason,
+               const std::string &unreachableTarget = {});
+
 /** Gives back a grant that came too late or twice; nothing was started under it. */
 void endStrayGrant(gateway::parts &parts, const messages::dispatch_reply &grant);
 
--- a/modules/filbert_gateway/target_routes.cpp
+++ b/modules/filbert_gateway/target_routes.cpp
@@ -1,6 +1,7 @@
 #include "target_routes.h"
 
 #include "gateway_parts.h"
+#include "service_calls.h"
 
 #include <utility>
 
@@ -9,9 +10,7 @@
 namespace {
 
 constexpr milliseconds orderPatience {4'000};
-constexpr milliseconds endPatience {10'000};
 constexpr int statusOk = 200;
-constexpr int refusedByTarget = 412;
 
 /** Checks the key and reads the body; answers by itself where that fails. */
 bool readFromTarget(gateway::parts &parts, const http_request &request,
@@ -78,13 +77,7 @@
             if (!isNotRun) {
                 return; // started, or its heartbeats will tell
             }
-            messages::envelope envelope;
-            auto *end = envelope.mutable_end();
-            end->set_placement_id(id);
-            end->set_result(messages::NOT_RUN);
-            end->set_reason(error ? "no connection" : "the target refused");
-            parts.links.request(std::move(envelope), endPatience, resend_rule::WhenUnanswered,
-                                parts.now, [](std::error_code, const auto &) {});
+            endNotRun(parts, id, error ? "no connection" : "the target refused");
         });
 }
 
--- a/scripts/cell.sh
+++ b/scripts/cell.sh
@@ -1,9 +1,17 @@
 #!/usr/bin/env bash
 # Functions that start and stop a small cell on loopback; sourced by demo.sh and the fault tests.
-# Needs: bin (folder of the programs), work (folder for files and logs).
+# Needs: root (of the sources), and bin (folder of the programs) and work (folder for files and logs),
+# which begin sets.
 
 declare -A process_of
 
+# begin: finds the programs and makes the folder for files and logs; both end with the script.
+begin() {
+    bin=${FILBERT_BIN:-$root/build-release/bin}
+    work=$(mktemp -d)
+    trap 'stop_everything; [ -n "${KEEP:-}" ] || rm -rf "$work"' EXIT
+}
+
 # Prints free TCP ports of 127.0.0.1, one a line.
 free_ports() {
     "$bin/filbert-free-ports" "$1"
--- a/tests/bad_input.sh
+++ b/tests/bad_input.sh
@@ -2,10 +2,8 @@
 # Wrong, oversized, slow and foreign input at every door. Needs FILBERT_BIN.
 set -uo pipefail
 root=$(cd "$(dirname "$0")/.." && pwd)
-bin=${FILBERT_BIN:-$root/build-release/bin}
-work=$(mktemp -d)
 source "$root/scripts/cell.sh"
-trap 'stop_everything; rm -rf "$work"' EXIT
+begin
 failures=0
 start_cell 1 1 1 || { tail -n 3 "$work"/*.log; exit 1; }
 make_key desk; desk_token=$token desk_stored=$stored
--- a/tests/faults.sh
+++ b/tests/faults.sh
@@ -3,10 +3,8 @@
 # Usage: tests/faults.sh [RATE]; needs FILBERT_BIN.
 set -uo pipefail
 root=$(cd "$(dirname "$0")/.." && pwd)
-bin=${FILBERT_BIN:-$root/build-release/bin}
-work=$(mktemp -d)
 source "$root/scripts/cell.sh"
-trap 'stop_everything; [ -n "${KEEP:-}" ] || rm -rf "$work"' EXIT
+begin
 rate=${1:-100}
 
 start_cell 3 2 3 || { tail -n 3 "$work"/*.log; exit 1; }
--- a/tests/silent_connections.sh
+++ b/tests/silent_connections.sh
@@ -3,10 +3,8 @@
 # behind relays; afterwards the history is checked. Needs FILBERT_BIN.
 set -uo pipefail
 root=$(cd "$(dirname "$0")/.." && pwd)
-bin=${FILBERT_BIN:-$root/build-release/bin}
-work=$(mktemp -d)
 source "$root/scripts/cell.sh"
-trap 'stop_everything; [ -n "${KEEP:-}" ] || rm -rf "$work"' EXIT
+begin
 rate=${1:-100}
 relayed=1
 most_ms=5000 # to notice a silent connection and answer over another
--- a/tests/tls.sh
+++ b/tests/tls.sh
@@ -3,10 +3,8 @@
 # without a restart. Needs FILBERT_BIN.
 set -uo pipefail
 root=$(cd "$(dirname "$0")/.." && pwd)
-bin=${FILBERT_BIN:-$root/build-release/bin}
-work=$(mktemp -d)
 source "$root/scripts/cell.sh"
-trap 'stop_everything; rm -rf "$work"' EXIT
+begin
 certificates="$work/tls"
 check "certificates are made" "$bin/filbertctl" keys tls "$certificates" g1=127.0.0.1 t1=127.0.0.1
 check "of another authority too" "$bin/filbertctl" keys tls "$work/other" g1=127.0.0.1 t1=127.0.0.1
