--- a/modules/filbert_core/clock.cpp
+++ b/modules/filbert_core/clock.cpp
@@ -1,28 +1,29 @@
 #include "clock.h"
 
 #include <chrono>
+#include <ctime>
 
 namespace filbert {
 
 namespace {
 
-template <typename Clock>
-std::int64_t sinceEpochMs()
-{
-    using std::chrono::duration_cast;
-    return duration_cast<std::chrono::milliseconds>(Clock::now().time_since_epoch()).count();
-}
+constexpr std::int64_t millisecondsPerSecond = 1'000;
+constexpr std::int64_t nanosecondsPerMillisecond = 1'000'000;
 
 } // namespace
 
 time_point monotonicNow()
 {
-    return {sinceEpochMs<std::chrono::steady_clock>()};
+    timespec now {};
+    clock_gettime(CLOCK_BOOTTIME, &now);
+    return {now.tv_sec * millisecondsPerSecond + now.tv_nsec / nanosecondsPerMillisecond};
 }
 
 std::int64_t wallClockMs()
 {
-    return sinceEpochMs<std::chrono::system_clock>();
+    using std::chrono::duration_cast;
+    const auto now = std::chrono::system_clock::now();
+    return duration_cast<std::chrono::milliseconds>(now.time_since_epoch()).count();
 }
 
 } // namespace filbert
--- a/modules/filbert_core/clock.h
+++ b/modules/filbert_core/clock.h
@@ -68,7 +68,8 @@
     return {lease.count + lease.count / 20 + 1};
 }
 
-/** The host's monotonic clock. @return milliseconds since an arbitrary start of this host */
+/** The host's monotonic clock, which goes on while the host is suspended: a lease must not outlive
+    a sleep. @return milliseconds since the host's start */
 time_point monotonicNow();
 
 /** The host's wall clock, for the audit trail only. @return milliseconds since 1970, UTC */
--- a/modules/filbert_core/log_line.cpp
+++ b/modules/filbert_core/log_line.cpp
@@ -1,7 +1,12 @@
 #include "log_line.h"
 
+#include "clock.h"
+#include "output_log.h"
+
 #include <algorithm>
 #include <glog/logging.h>
+#include <memory>
+#include <unistd.h>
 
 namespace filbert {
 
@@ -30,6 +35,32 @@
     out << '"';
 }
 
+constexpr std::size_t gatheredBytes = 256 << 10; // a second of the most lines that are let through
+
+/** Hands glog's messages to an output_log. */
+class output_sink : public google::LogSink
+{
+public:
+    explicit output_sink(int linesPerSecond)
+        : output {STDOUT_FILENO, linesPerSecond, gatheredBytes}
+    {
+    }
+
+    void send(google::LogSeverity severity, const char *, const char *, int,
+              const google::LogMessageTime &, const char *message, std::size_t length) override
+    {
+        std::string line = "ts_ms=" + std::to_string(wallClockMs()) + " level=";
+        line += google::GetLogSeverityName(severity);
+        line += ' ';
+        line.append(message, length);
+        output.add(line, monotonicNow());
+    }
+
+    output_log output;
+};
+
+std::unique_ptr<output_sink> outputSink;
+
 } // namespace
 
 log_line::log_line(std::string_view event, severity level)
@@ -71,6 +102,24 @@
     google::InitGoogleLogging(program);
 }
 
+void startOutputLog(const char *program, int linesPerSecond)
+{
+    for (int severity = 0; severity < google::NUM_SEVERITIES; ++severity) {
+        google::SetLogDestination(severity, ""); // no files
+    }
+    FLAGS_stderrthreshold = google::NUM_SEVERITIES;
+    google::InitGoogleLogging(program);
+    outputSink = std::make_unique<output_sink>(linesPerSecond);
+    google::AddLogSink(outputSink.get());
+}
+
+void flushLog()
+{
+    if (outputSink) {
+        outputSink->output.flush();
+    }
+}
+
 void silenceLog()
 {
     FLAGS_minloglevel = google::GLOG_FATAL;
--- a/modules/filbert_core/log_line.h
+++ b/modules/filbert_core/log_line.h
@@ -52,6 +52,17 @@
 /** Sets up the log: to standard error, one line an event. @param program name of the program */
 void startLog(const char *program);
 
+/** Sets up the log to standard output instead, bounded and never blocking.
+
+    Lines are gathered and written by flushLog(). Where nobody reads them, or where there are more a
+    second than the bound, lines are left out and their number is logged.
+    @param linesPerSecond  the bound
+*/
+void startOutputLog(const char *program, int linesPerSecond);
+
+/** Writes out what startOutputLog() has gathered, as far as that goes without waiting. */
+void flushLog();
+
 /** Keeps all events below a program's end out of the log; for tests and benchmarks. */
 void silenceLog();
 
--- /dev/null
+++ b/modules/filbert_dispatch/admission_desk.cpp
@@ -0,0 +1,175 @@
+#include "admission_desk.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace filbert {
+
+namespace {
+
+constexpr milliseconds callerSpan {1'500}; // three missed hellos
+constexpr milliseconds quickPolicy {100}; // one that urgent steps can wait for
+constexpr milliseconds answerGrace {1'200}; // on top of the service's own time
+constexpr std::size_t callersForQuick = 3; // one in so many is kept for quick policies
+
+std::vector<std::string> freeCallers(const dispatch_state &state, time_point now)
+{
+    std::vector<std::string> free;
+    for (const auto &[name, caller] : state.callers) {
+        if (caller.openRequest == 0 && now - caller.heardAt < callerSpan) {
+            free.push_back(name);
+        }
+    }
+    return free;
+}
+
+void release(dispatch_state &state, const std::string &caller, std::uint64_t id)
+{
+    const auto found = state.callers.find(caller);
+    if (found != state.callers.end() && found->second.openRequest == id) {
+        found->second.openRequest = 0;
+    }
+}
+
+bool isStillWanted(const dispatch_state &state, const task_name &step)
+{
+    const auto job = state.jobs.find(step.job);
+    return job != state.jobs.end() && job->second.open.contains({step.occurrence, step.step});
+}
+
+void sendTo(dispatch_state &state, const std::string &caller, std::uint64_t id,
+            open_admission &open, time_point now)
+{
+    open.caller = caller;
+    open.sentAt = now;
+    state.callers[caller].openRequest = id;
+    admission_call call;
+    call.caller = caller;
+    call.request.set_id(id);
+    *call.request.mutable_step() = referenceTo(open.step);
+    for (const auto &target : open.targets) {
+        call.request.add_targets(target);
+    }
+    state.effects.admissions.push_back(std::move(call));
+}
+
+void reviewOpen(dispatch_state &state, time_point now)
+{
+    for (auto entry = state.openAdmissions.begin(); entry != state.openAdmissions.end();) {
+        auto &[id, open] = *entry;
+        const bool isLate =
+            !open.caller.empty() && now - open.sentAt > open.expected + answerGrace;
+        const bool isWanted = isStillWanted(state, open.step);
+        if (isLate) {
+            log_line {"admission_unanswered", log_line::severity::Warning}
+                .with("step", stepTextOf(open.step))
+                .with("caller", open.caller);
+            release(state, open.caller, id);
+            open.caller.clear();
+        }
+        if (open.caller.empty() && !isWanted) {
+            state.admissions.erase(open.step);
+            entry = state.openAdmissions.erase(entry);
+            continue;
+        }
+        ++entry;
+    }
+}
+
+} // namespace
+
+milliseconds admissionTime(const messages::admission_policy &policy, std::size_t targets)
+{
+    return {std::llround(policy.decide_ms() + policy.per_target_ms() * static_cast<double>(targets))};
+}
+
+const std::string *usableTicket(const dispatch_state &state, const admission_view &view,
+                                const messages::admission_policy &policy,
+                                const std::string &target, time_point now)
+{
+    const auto found = view.admitted.find(target);
+    const bool isGood = found != view.admitted.end()
+        && now - found->second.issuedAt
+            < milliseconds {policy.ticket_ms()} - state.settings.ticketMargin;
+    return isGood ? &found->second.text : nullptr;
+}
+
+void requestAdmission(dispatch_state &state, const task_name &step,
+                      const messages::work_queue &queue, std::vector<std::string> targets,
+                      time_point now)
+{
+    auto &view = state.admissions[step];
+    if (view.openRequest != 0 || now < view.notBefore || targets.empty()) {
+        return;
+    }
+    const auto id = ++state.lastAdmission;
+    view.openRequest = id;
+    auto &open = state.openAdmissions[id];
+    open.step = step;
+    open.expected = admissionTime(queue.admission(), targets.size());
+    open.targets = std::move(targets);
+    open.priority = queue.priority();
+}
+
+void takeCaller(dispatch_state &state, const std::string &name, time_point now)
+{
+    state.callers[name].heardAt = now;
+}
+
+void takeAdmission(dispatch_state &state, const messages::admission_answer &answer, time_point now)
+{
+    const auto found = state.openAdmissions.find(answer.id());
+    if (found == state.openAdmissions.end()) {
+        return;
+    }
+    auto &open = found->second;
+    release(state, open.caller, answer.id());
+    if (!answer.is_answered()) {
+        open.caller.clear(); // stepAdmissions() sends it to another
+        return;
+    }
+    auto &view = state.admissions[open.step];
+    view.openRequest = 0;
+    view.asked.insert(open.targets.begin(), open.targets.end());
+    for (const auto &ticket : answer.admitted()) {
+        view.admitted[ticket.target()] = {ticket.ticket(), now};
+    }
+    log_line {"admission"}
+        .with("step", stepTextOf(open.step))
+        .with("caller", open.caller)
+        .with("asked", open.targets.size())
+        .with("admitted", answer.admitted_size())
+        .with("took_ms", (now - open.sentAt).count);
+    state.openAdmissions.erase(found);
+    state.isChanged = true;
+}
+
+void stepAdmissions(dispatch_state &state, time_point now)
+{
+    reviewOpen(state, now);
+    std::vector<std::uint64_t> waiting;
+    for (const auto &[id, open] : state.openAdmissions) {
+        if (open.caller.empty()) {
+            waiting.push_back(id);
+        }
+    }
+    if (waiting.empty()) {
+        return;
+    }
+    std::stable_sort(waiting.begin(), waiting.end(), [&](auto a, auto b) {
+        return state.openAdmissions[a].priority < state.openAdmissions[b].priority;
+    });
+    auto free = freeCallers(state, now);
+    const auto kept = state.callers.size() / callersForQuick;
+    for (const auto id : waiting) {
+        auto &open = state.openAdmissions[id];
+        const bool isQuick = open.expected <= quickPolicy;
+        if (free.size() <= (isQuick ? 0 : kept)) {
+            continue;
+        }
+        sendTo(state, free.back(), id, open, now);
+        free.pop_back();
+    }
+}
+
+} // namespace filbert
--- /dev/null
+++ b/modules/filbert_dispatch/admission_desk.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include "dispatch_state.h"
+
+namespace filbert {
+
+/** Asks the policy service which targets may run a step, unless that is being asked already.
+
+    The service takes one call at a time from each process, so that calls are spread over those that
+    have said hello; a part of these is kept for policies that decide quickly.
+
+    @param step     index 0
+    @param targets  to name, the most wanted first
+*/
+void requestAdmission(dispatch_state &state, const task_name &step,
+                      const messages::work_queue &queue, std::vector<std::string> targets,
+                      time_point now);
+
+/** A process said that it can call the policy service. @param name of the process */
+void takeCaller(dispatch_state &state, const std::string &name, time_point now);
+
+/** Takes what the service said. */
+void takeAdmission(dispatch_state &state, const messages::admission_answer &answer, time_point now);
+
+/** Sends waiting requests to free processes, and those without an answer to others. */
+void stepAdmissions(dispatch_state &state, time_point now);
+
+/** @return the time that the service takes for a call */
+milliseconds admissionTime(const messages::admission_policy &policy, std::size_t targets);
+
+/** @return the ticket for a target if it is good for a start now, else nullptr */
+const std::string *usableTicket(const dispatch_state &state, const admission_view &view,
+                                const messages::admission_policy &policy,
+                                const std::string &target, time_point now);
+
+} // namespace filbert
--- /dev/null
+++ b/modules/filbert_dispatch/dispatch_state.cpp
@@ -0,0 +1,220 @@
+#include "dispatch_state.h"
+
+#include "admission_desk.h"
+#include "scheduling.h"
+#include "target_conversation.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace filbert {
+
+namespace {
+
+constexpr milliseconds forgetPeriod {5'000};
+constexpr int jobsForgottenAtOnce = 500;
+
+void unplan(dispatch_state &state, const task_name &task)
+{
+    const auto planned = state.planned.find(task);
+    if (planned == state.planned.end()) {
+        return;
+    }
+    const auto job = state.work->jobs.find(task.job);
+    const auto target = state.targets.find(planned->second);
+    state.planned.erase(planned);
+    if (job == state.work->jobs.end()) {
+        return;
+    }
+    const auto &spec = specOf(job->second, task.step);
+    auto whole = amountsOf(spec.need());
+    whole.slots = 0;
+    state.teamPlanned[job->second.job.team()] -= whole;
+    if (target != state.targets.end()) {
+        target->second.planned -= reservedBy(spec);
+        target->second.plannedFill -= spec.fills_gaps() ? spec.need().milli_cores() : 0;
+    }
+}
+
+void afterStart(dispatch_state &state, const messages::start_run_command &start, bool refused,
+                time_point now)
+{
+    const auto task = nameOf(start.task());
+    unplan(state, task);
+    std::string ticket;
+    if (const auto held = state.plannedTickets.extract(task)) {
+        ticket = held.mapped();
+    }
+    refreshJob(state, task.job, now);
+    if (!refused) {
+        syncTargets(state, start.target(), now);
+        orderStart(state, start, ticket, now);
+        return;
+    }
+    log_line {"start_refused", log_line::severity::Warning}
+        .with("task", textOf(task))
+        .with("run", start.run())
+        .with("target", start.target());
+}
+
+void afterEnds(dispatch_state &state, const messages::end_runs_command &ends, time_point now)
+{
+    syncTargets(state, ends.target(), now);
+    const auto target = state.targets.find(ends.target());
+    if (target != state.targets.end()) {
+        target->second.lookAt = now;
+    }
+    std::set<std::string> jobs;
+    for (const auto &end : ends.ends()) {
+        jobs.insert(end.task().job());
+        log_line {"run_ended"}
+            .with("task", textOf(nameOf(end.task())))
+            .with("run", end.run())
+            .with("target", ends.target())
+            .with("end", messages::end_kind_Name(end.kind()));
+    }
+    for (const auto &job : jobs) {
+        refreshJob(state, job, now);
+    }
+}
+
+/** After a life has ended its runs wait again, in jobs that the command does not name. */
+void refreshAll(dispatch_state &state, time_point now)
+{
+    for (const auto &[id, job] : state.work->jobs) {
+        if (!job.isEnded() || state.jobs.contains(id)) {
+            refreshJob(state, id, now);
+        }
+    }
+}
+
+void beginDue(dispatch_state &state, std::int64_t wallMs)
+{
+    for (const auto &[id, view] : state.jobs) {
+        const auto &job = state.work->jobs.at(id);
+        const auto count = static_cast<std::uint32_t>(std::max(job.job.repeat_count(), 0));
+        for (std::uint32_t k = static_cast<std::uint32_t>(job.occurrences.size()); k < count; ++k) {
+            const auto due = job.job.first_due_wall_ms() + job.job.interval_ms() * k;
+            if (wallMs < due) {
+                break;
+            }
+            if (!state.begun.emplace(id, k).second) {
+                continue;
+            }
+            messages::work_command command;
+            command.mutable_begin()->set_job(id);
+            command.mutable_begin()->set_occurrence(k);
+            state.effects.commands.push_back(std::move(command));
+        }
+    }
+}
+
+void forgetEnded(dispatch_state &state, time_point now, std::int64_t wallMs)
+{
+    if (now < state.forgetAt) {
+        return;
+    }
+    state.forgetAt = now + forgetPeriod;
+    messages::work_command command;
+    auto *forget = command.mutable_forget();
+    for (const auto &[id, job] : state.work->jobs) {
+        const bool isDue = job.isEnded() && job.running == 0
+            && wallMs - job.endedWallMs > state.settings.retention.count;
+        if (isDue && forget->jobs_size() < jobsForgottenAtOnce) {
+            forget->add_jobs(id);
+        }
+    }
+    if (forget->jobs_size() > 0) {
+        state.effects.commands.push_back(std::move(command));
+    }
+}
+
+} // namespace
+
+dispatch_state startDispatch(const work_state &work, const dispatch_settings &settings,
+                             std::uint64_t term, time_point now, std::int64_t wallMs)
+{
+    dispatch_state state;
+    state.settings = settings;
+    state.work = &work;
+    state.term = term;
+    state.leadingSince = now;
+    state.forgetAt = now + forgetPeriod;
+    for (const auto &[id, life] : work.lives) {
+        syncTargets(state, id, now);
+    }
+    for (const auto &[id, job] : work.jobs) {
+        if (!job.isEnded()) {
+            refreshJob(state, id, now);
+            const auto age = std::clamp<std::int64_t>(wallMs - job.job.accepted_wall_ms(), 0,
+                                                      settings.retention.count);
+            for (auto &[number, begun] : state.jobs[id].begunAt) {
+                begun = job.job.repeat_count() == 0 ? now - milliseconds {age} : now;
+            }
+        }
+    }
+    return state;
+}
+
+void afterCommand(dispatch_state &state, const messages::work_command &command, bool refused,
+                  time_point now)
+{
+    using body = messages::work_command::BodyCase;
+    state.isChanged = true;
+    switch (command.body_case()) {
+    case body::kAccept:
+        refreshJob(state, command.accept().id(), now);
+        break;
+    case body::kCancel:
+        refreshJob(state, command.cancel(), now);
+        break;
+    case body::kStart:
+        afterStart(state, command.start(), refused, now);
+        break;
+    case body::kEnd:
+        afterEnds(state, command.end(), now);
+        break;
+    case body::kDrop: {
+        const auto task = nameOf(command.drop().task());
+        for (const auto &[id, target] : state.targets) {
+            if (target.runs.contains(task)) {
+                syncTargets(state, id, now);
+                break;
+            }
+        }
+        refreshJob(state, task.job, now);
+        break;
+    }
+    case body::kTarget:
+        for (const auto &[id, life] : state.work->lives) {
+            syncTargets(state, id, now); // a life at the same address may have ended with it
+        }
+        refreshAll(state, now);
+        break;
+    case body::kTargetLeft:
+        syncTargets(state, command.target_left(), now);
+        refreshAll(state, now);
+        break;
+    case body::kBegin:
+        refreshJob(state, command.begin().job(), now);
+        break;
+    case body::kConfigure:
+    case body::kForget:
+    case body::BODY_NOT_SET:
+        break;
+    }
+}
+
+void stepDispatch(dispatch_state &state, time_point now, std::int64_t wallMs)
+{
+    stepTargets(state, now);
+    beginDue(state, wallMs);
+    forgetEnded(state, now, wallMs);
+    if (std::exchange(state.isChanged, false) || now >= state.passAt) {
+        state.passAt = now + state.settings.passPeriod;
+        placeWaiting(state, now);
+    }
+    stepAdmissions(state, now);
+}
+
+} // namespace filbert
--- /dev/null
+++ b/modules/filbert_dispatch/interference.cpp
@@ -0,0 +1,69 @@
+#include "interference.h"
+
+#include <algorithm>
+
+namespace filbert {
+
+namespace {
+
+// A tail is a rough figure of the last half second, so that the bounds leave room on both sides.
+constexpr double nearTarget = 0.85;
+constexpr double calmTail = 0.6;
+constexpr int paceStep = 25; // percent, upwards: four calm looks until full work
+constexpr int fullPace = 100;
+
+} // namespace
+
+int nextPace(double worstTail, int pace)
+{
+    if (worstTail >= nearTarget) {
+        return pace > fullPace / 2 ? fullPace / 4 : 0;
+    }
+    return worstTail <= calmTail ? std::min(pace + paceStep, fullPace) : pace;
+}
+
+void reviewInterference(dispatch_state &state, target_view &target, time_point now)
+{
+    double worstTail = 0;
+    for (const auto &[task, run] : target.runs) {
+        const auto &spec = specOf(state.work->jobs.at(task.job), task.step);
+        if (spec.latency_target_ms() > 0 && run.phase == run_phase::Started) {
+            worstTail = std::max(worstTail,
+                                 static_cast<double>(run.tailMs)
+                                     / static_cast<double>(spec.latency_target_ms()));
+        }
+    }
+    const auto &life = state.work->lives.at(target.id);
+    for (auto &[task, run] : target.runs) {
+        const auto &spec = specOf(state.work->jobs.at(task.job), task.step);
+        if (!spec.fills_gaps() || run.phase != run_phase::Started) {
+            continue;
+        }
+        const auto pace = nextPace(worstTail, run.pace);
+        if (pace == run.pace) {
+            continue;
+        }
+        log_line {"pace_changed"}
+            .with("task", textOf(task))
+            .with("target", target.id)
+            .with("worst_tail_share", worstTail)
+            .with("from_percent", run.pace)
+            .with("to_percent", pace);
+        run.pace = pace;
+        run.progressAt = now;
+        target_order order;
+        order.kind = order_kind::Pace;
+        order.target = target.id;
+        order.born = target.born;
+        order.address = life.about.address();
+        order.task = task;
+        order.run = run.run;
+        order.pace = pace;
+        order.fencingToken = state.term;
+        order.timeout = state.settings.orderTimeout;
+        order.sentAt = now;
+        state.effects.orders.push_back(std::move(order));
+    }
+}
+
+} // namespace filbert
--- /dev/null
+++ b/modules/filbert_dispatch/scheduling.cpp
@@ -0,0 +1,574 @@
+#include "scheduling.h"
+
+#include "admission_desk.h"
+#include "target_conversation.h"
+
+#include <algorithm>
+#include <limits>
+
+namespace filbert {
+
+namespace {
+
+constexpr int lateRank = 3; // behind all that is in time
+constexpr std::size_t targetsPerRequest = 100; // the most that the policy service takes
+constexpr std::size_t targetsPerCostlyRequest = 20; // where each one named takes 4 ms and more
+constexpr double costlyPerTargetMs = 4.0;
+constexpr std::size_t targetsPerRefresh = 8; // of tickets: a few more than a gang needs
+constexpr double fillShare = 0.6; // of the cores that a task which fills gaps should find unused
+
+/** One step with waiting tasks, in the order of the pass. */
+struct open_step
+{
+    task_name name; // index 0
+    const job_record *job = nullptr;
+    const messages::step_spec *spec = nullptr;
+    const messages::work_queue *queue = nullptr;
+    int rank = 0;
+    std::int64_t slackMs = 0;
+};
+
+/** One target as the pass sees it. */
+struct room_view
+{
+    target_view *target = nullptr;
+    const life_record *life = nullptr;
+    resource_amounts capacity;
+    std::string rack;
+};
+
+struct service_view
+{
+    std::vector<room_view> rooms;
+    std::int64_t totalCores = 0;
+    std::int64_t freeCores = 0;
+    int urgentPriority = std::numeric_limits<int>::max();
+};
+
+struct placement_pass
+{
+    dispatch_state &state;
+    time_point now;
+    std::map<std::string, service_view> services;
+    std::map<std::string, int> reserved; // target to the rank that it is kept for
+};
+
+resource_amounts roomOf(const room_view &room)
+{
+    return room.capacity - room.life->used - room.target->planned;
+}
+
+std::int64_t unusedCores(const room_view &room)
+{
+    return roomOf(room).milliCores - room.life->fillCores - room.target->plannedFill;
+}
+
+bool hasLabel(const room_view &room, const std::string &label)
+{
+    const auto &labels = room.life->about.labels();
+    return label.empty() || std::find(labels.begin(), labels.end(), label) != labels.end();
+}
+
+bool fits(const resource_amounts &need, const resource_amounts &room)
+{
+    return need.milliCores <= room.milliCores && need.memoryMb <= room.memoryMb
+        && need.accelerators <= room.accelerators;
+}
+
+service_view &serviceOf(placement_pass &pass, const std::string &service)
+{
+    const auto found = pass.services.find(service);
+    if (found != pass.services.end()) {
+        return found->second;
+    }
+    auto &view = pass.services[service];
+    for (auto &[id, target] : pass.state.targets) {
+        const auto life = pass.state.work->lives.find(id);
+        if (life == pass.state.work->lives.end() || life->second.about.service() != service
+            || !takesWork(pass.state, target, pass.now)) {
+            continue;
+        }
+        room_view room;
+        room.target = &target;
+        room.life = &life->second;
+        room.capacity = amountsOf(life->second.about.capacity());
+        const auto &labels = life->second.about.labels();
+        room.rack = labels.size() > 1 ? labels.Get(labels.size() - 1) : std::string {};
+        view.totalCores += room.capacity.milliCores;
+        view.freeCores += std::max<std::int64_t>(unusedCores(room), 0);
+        view.rooms.push_back(std::move(room));
+    }
+    for (const auto &queue : pass.state.work->configuration.queues()) {
+        if (queue.service() == service) {
+            view.urgentPriority = std::min(view.urgentPriority, queue.priority());
+        }
+    }
+    return view;
+}
+
+int countOnTarget(const placement_pass &pass, const open_step &step, const std::string &target)
+{
+    const auto &record = *findStep(*pass.state.work, step.name);
+    int count = 0;
+    auto name = step.name;
+    for (std::uint32_t i = 0; i < record.tasks.size(); ++i) {
+        const auto &task = record.tasks[i];
+        name.index = i;
+        const auto planned = pass.state.planned.find(name);
+        count += (task.status == task_status::Running && task.target == target)
+            || (planned != pass.state.planned.end() && planned->second == target);
+    }
+    return count;
+}
+
+/** Whether a target could take a task of the step if it were empty, as far as rules go. */
+bool isEligible(const placement_pass &pass, const open_step &step, const room_view &room)
+{
+    const auto reserved = pass.reserved.find(room.target->id);
+    return hasLabel(room, step.spec->required_label())
+        && fits(reservedBy(*step.spec), room.capacity)
+        && (reserved == pass.reserved.end() || reserved->second >= step.rank);
+}
+
+bool hasRoomFor(const placement_pass &pass, const open_step &step, const service_view &service,
+                const room_view &room)
+{
+    const auto &spec = *step.spec;
+    if (!fits(reservedBy(spec), roomOf(room))) {
+        return false;
+    }
+    if (spec.fills_gaps()) {
+        const auto wanted = static_cast<double>(spec.need().milli_cores()) * fillShare;
+        return room.life->serving == 0 && static_cast<double>(unusedCores(room)) >= wanted;
+    }
+    if (spec.latency_target_ms() > 0 && room.life->fillCores + room.target->plannedFill > 0) {
+        return false;
+    }
+    if (spec.max_per_target() > 0
+        && countOnTarget(pass, step, room.target->id) >= spec.max_per_target()) {
+        return false;
+    }
+    const bool isUrgent = step.queue->priority() <= service.urgentPriority;
+    if (service.urgentPriority > 0 || isUrgent || spec.lasts()) {
+        return true;
+    }
+    const auto kept = static_cast<double>(service.totalCores) * pass.state.settings.urgentHeadroom;
+    return static_cast<double>(service.freeCores - spec.need().milli_cores()) >= kept;
+}
+
+/** @return how well a task goes to a target: less is better */
+double fitCost(const placement_pass &pass, const open_step &step, const room_view &room)
+{
+    const auto &spec = *step.spec;
+    const auto left = roomOf(room) - reservedBy(spec);
+    const auto cores = std::max<double>(static_cast<double>(room.capacity.milliCores), 1.0);
+    double cost = static_cast<double>(left.accelerators);
+    if (spec.fills_gaps()) {
+        cost -= static_cast<double>(unusedCores(room)) / cores;
+    } else {
+        cost += static_cast<double>(left.milliCores) / cores;
+        cost += static_cast<double>(room.life->fillCores) / cores;
+    }
+    if (!spec.data_rack().empty() && spec.data_rack() != room.rack) {
+        cost += 20.0; // work far from its data takes longer than any packing gains
+    }
+    if (spec.lasts()) {
+        cost += 4.0 * countOnTarget(pass, step, room.target->id);
+    }
+    return cost + 8.0 * std::max(0.0, 1.0 - room.target->speed);
+}
+
+bool isWithinTeamCap(const placement_pass &pass, const open_step &step, std::size_t tasks)
+{
+    const auto &team = step.job->job.team();
+    const auto *configured = findTeam(pass.state.work->configuration, team);
+    if (configured == nullptr) {
+        return true; // an open queue
+    }
+    auto need = amountsOf(step.spec->need());
+    need.slots = 0;
+    auto use = timesOf(need, tasks);
+    const auto add = [&](const std::map<std::string, resource_amounts> &uses) {
+        const auto found = uses.find(team);
+        if (found != uses.end()) {
+            use += found->second;
+        }
+    };
+    add(pass.state.work->teamUse);
+    add(pass.state.teamPlanned);
+    return isWithinCap(use, configured->cap());
+}
+
+const std::string *ticketFor(const placement_pass &pass, const open_step &step,
+                             const std::string &target)
+{
+    static const std::string none;
+    if (!step.queue->has_admission()) {
+        return &none;
+    }
+    const auto view = pass.state.admissions.find(step.name);
+    return view == pass.state.admissions.end()
+        ? nullptr
+        : usableTicket(pass.state, view->second, step.queue->admission(), target, pass.now);
+}
+
+room_view *bestRoom(placement_pass &pass, const open_step &step, service_view &service,
+                    const std::string *rack)
+{
+    room_view *best = nullptr;
+    double bestCost = 0;
+    for (auto &room : service.rooms) {
+        const bool isCandidate = (rack == nullptr || room.rack == *rack)
+            && isEligible(pass, step, room) && hasRoomFor(pass, step, service, room)
+            && ticketFor(pass, step, room.target->id) != nullptr;
+        if (!isCandidate) {
+            continue;
+        }
+        const auto cost = fitCost(pass, step, room);
+        if (best == nullptr || cost < bestCost) {
+            best = &room;
+            bestCost = cost;
+        }
+    }
+    return best;
+}
+
+void bookPlan(placement_pass &pass, const open_step &step, service_view &service, room_view &room,
+              const task_name &task, int sign)
+{
+    const auto &spec = *step.spec;
+    auto whole = amountsOf(spec.need());
+    whole.slots = 0;
+    auto &team = pass.state.teamPlanned[step.job->job.team()];
+    const std::int64_t fill = spec.fills_gaps() ? spec.need().milli_cores() : 0;
+    if (sign > 0) {
+        pass.state.planned[task] = room.target->id;
+        room.target->planned += reservedBy(spec);
+        room.target->plannedFill += fill;
+        team += whole;
+        service.freeCores -= spec.need().milli_cores();
+        return;
+    }
+    pass.state.planned.erase(task);
+    room.target->planned -= reservedBy(spec);
+    room.target->plannedFill -= fill;
+    team -= whole;
+    service.freeCores += spec.need().milli_cores();
+}
+
+void proposeStart(placement_pass &pass, const open_step &step, const room_view &room,
+                  const task_name &task, std::uint32_t run, const std::string &checkpoint)
+{
+    const auto &ticket = *ticketFor(pass, step, room.target->id);
+    if (!ticket.empty()) {
+        pass.state.plannedTickets[task] = ticket;
+    }
+    log_line {"placed"}
+        .with("task", textOf(task))
+        .with("run", run)
+        .with("target", room.target->id)
+        .with("rank", step.rank)
+        .with("slack_ms", step.slackMs)
+        .with("room_milli_cores", roomOf(room).milliCores)
+        .with("heard_ms_ago", (pass.now - room.target->heardAt).count);
+    messages::work_command command;
+    auto *start = command.mutable_start();
+    *start->mutable_task() = referenceTo(task);
+    start->set_run(run);
+    start->set_target(room.target->id);
+    start->set_born(room.target->born);
+    start->set_checkpoint(checkpoint);
+    pass.state.effects.commands.push_back(std::move(command));
+}
+
+/** @return targets that the step may ask the policy service for, those with the most room first */
+std::vector<std::string> targetsToAsk(placement_pass &pass, const open_step &step,
+                                      service_view &service, const admission_view &view,
+                                      bool isRefresh)
+{
+    std::vector<std::pair<double, std::string>> wanted;
+    for (const auto &room : service.rooms) {
+        const auto &id = room.target->id;
+        const bool isWanted = isEligible(pass, step, room)
+            && (isRefresh ? view.admitted.contains(id) : !view.asked.contains(id));
+        if (isWanted) {
+            const bool hasRoom = hasRoomFor(pass, step, service, room);
+            wanted.emplace_back(fitCost(pass, step, room) + (hasRoom ? 0.0 : 1'000.0), id);
+        }
+    }
+    std::sort(wanted.begin(), wanted.end());
+    const bool isCostly = step.queue->admission().per_target_ms() >= costlyPerTargetMs;
+    const auto most = isRefresh ? targetsPerRefresh
+        : isCostly              ? targetsPerCostlyRequest
+                                : targetsPerRequest;
+    std::vector<std::string> ids;
+    for (const auto &[cost, id] : wanted) {
+        if (ids.size() < most) {
+            ids.push_back(id);
+        }
+    }
+    return ids;
+}
+
+bool hasAdmittedRoom(const placement_pass &pass, const open_step &step, const service_view &service,
+                     const admission_view &view)
+{
+    return std::any_of(service.rooms.begin(), service.rooms.end(), [&](const room_view &room) {
+        return view.admitted.contains(room.target->id) && isEligible(pass, step, room)
+            && hasRoomFor(pass, step, service, room);
+    });
+}
+
+/** Asks for tickets where the step has none that is good. */
+void askAdmission(placement_pass &pass, const open_step &step, service_view &service)
+{
+    if (!step.queue->has_admission()) {
+        return;
+    }
+    auto &view = pass.state.admissions[step.name];
+    if (view.openRequest != 0) {
+        return;
+    }
+    if (view.asked.empty()) {
+        requestAdmission(pass.state, step.name, *step.queue,
+                         targetsToAsk(pass, step, service, view, false), pass.now);
+        return;
+    }
+    const auto &policy = step.queue->admission();
+    const bool isSlow = admissionTime(policy, 1) >= milliseconds {300};
+    const auto isFresh = [&](const room_view &room) {
+        const auto *ticket = usableTicket(pass.state, view, policy, room.target->id, pass.now);
+        return ticket != nullptr;
+    };
+    const bool hasFresh = std::any_of(service.rooms.begin(), service.rooms.end(), isFresh);
+    if (hasAdmittedRoom(pass, step, service, view)) {
+        requestAdmission(pass.state, step.name, *step.queue,
+                         targetsToAsk(pass, step, service, view, true), pass.now);
+        return;
+    }
+    auto others = targetsToAsk(pass, step, service, view, false);
+    if (!others.empty()) {
+        requestAdmission(pass.state, step.name, *step.queue, std::move(others), pass.now);
+    } else if (isSlow && !hasFresh) {
+        requestAdmission(pass.state, step.name, *step.queue,
+                         targetsToAsk(pass, step, service, view, true), pass.now);
+    }
+}
+
+/** Keeps lower work out of the targets that will have room first for what found none. */
+void reserveFor(placement_pass &pass, const open_step &step, service_view &service,
+                std::size_t tasks)
+{
+    if (step.spec->fills_gaps() || step.spec->lasts() || step.rank >= lateRank) {
+        return;
+    }
+    const auto view = pass.state.admissions.find(step.name);
+    std::vector<std::pair<double, std::string>> wanted;
+    for (const auto &room : service.rooms) {
+        const bool isAdmitted = !step.queue->has_admission()
+            || (view != pass.state.admissions.end()
+                && view->second.admitted.contains(room.target->id));
+        if (isAdmitted && isEligible(pass, step, room)
+            && !pass.reserved.contains(room.target->id)) {
+            const auto left = roomOf(room);
+            wanted.emplace_back(-static_cast<double>(left.accelerators) * 1e6
+                                    - static_cast<double>(left.milliCores),
+                                room.target->id);
+        }
+    }
+    std::sort(wanted.begin(), wanted.end());
+    for (std::size_t i = 0; i < std::min(tasks, wanted.size()); ++i) {
+        pass.reserved.emplace(wanted[i].second, step.rank);
+    }
+}
+
+void placeSingly(placement_pass &pass, const open_step &step, service_view &service)
+{
+    const auto &record = *findStep(*pass.state.work, step.name);
+    std::size_t unplaced = 0;
+    for (std::uint32_t i = 0; i < record.tasks.size(); ++i) {
+        auto name = step.name;
+        name.index = i;
+        const auto &task = record.tasks[i];
+        if (task.status != task_status::Waiting || pass.state.planned.contains(name)) {
+            continue;
+        }
+        if (!isWithinTeamCap(pass, step, 1)) {
+            return; // its own team's limit: nothing is kept free for it
+        }
+        auto *room = unplaced == 0 ? bestRoom(pass, step, service, nullptr) : nullptr;
+        if (room == nullptr) {
+            ++unplaced;
+            continue;
+        }
+        proposeStart(pass, step, *room, name, task.run + 1, task.checkpoint);
+        bookPlan(pass, step, service, *room, name, 1);
+    }
+    if (unplaced > 0) {
+        reserveFor(pass, step, service, unplaced);
+        askAdmission(pass, step, service);
+    }
+}
+
+using gang_plan = std::vector<std::pair<task_name, room_view *>>;
+
+/** Books a room for each member, or for none. */
+gang_plan bookGang(placement_pass &pass, const open_step &step, service_view &service,
+                   std::size_t members, const std::string *rack)
+{
+    gang_plan plan;
+    for (std::uint32_t i = 0; i < members; ++i) {
+        auto name = step.name;
+        name.index = i;
+        auto *room = bestRoom(pass, step, service, rack);
+        if (room == nullptr) {
+            for (const auto &[task, taken] : plan) {
+                bookPlan(pass, step, service, *taken, task, -1);
+            }
+            return {};
+        }
+        bookPlan(pass, step, service, *room, name, 1);
+        plan.emplace_back(name, room);
+    }
+    return plan;
+}
+
+gang_plan planGang(placement_pass &pass, const open_step &step, service_view &service,
+                   std::size_t members)
+{
+    std::set<std::string> racks;
+    for (const auto &room : service.rooms) {
+        racks.insert(room.rack);
+    }
+    if (step.spec->same_rack()) {
+        for (const auto &rack : racks) {
+            auto plan = bookGang(pass, step, service, members, &rack);
+            if (!plan.empty()) {
+                return plan;
+            }
+        }
+    }
+    return bookGang(pass, step, service, members, nullptr);
+}
+
+void placeGang(placement_pass &pass, const open_step &step, service_view &service)
+{
+    const auto &record = *findStep(*pass.state.work, step.name);
+    if (record.running > 0 || pass.state.planned.contains(step.name)
+        || !isWithinTeamCap(pass, step, record.tasks.size())) {
+        return;
+    }
+    const auto plan = planGang(pass, step, service, record.tasks.size());
+    if (plan.empty()) {
+        reserveFor(pass, step, service, record.tasks.size());
+        askAdmission(pass, step, service);
+        return;
+    }
+    std::uint32_t run = 0;
+    std::string checkpoint;
+    for (const auto &task : record.tasks) {
+        run = std::max(run, task.run + 1);
+        checkpoint = checkpoint.empty() ? task.checkpoint : checkpoint;
+    }
+    for (const auto &[task, room] : plan) {
+        proposeStart(pass, step, *room, task, run, checkpoint);
+    }
+}
+
+std::vector<open_step> openSteps(const dispatch_state &state, time_point now)
+{
+    std::vector<open_step> steps;
+    for (const auto &[id, view] : state.jobs) {
+        const auto &job = state.work->jobs.at(id);
+        const auto &queue = queueOf(*state.work, job);
+        const auto objective = milliseconds {static_cast<std::int64_t>(
+                                   static_cast<double>(view.chain.count) * queue.slack_factor())}
+            + milliseconds {queue.latency_objective_ms()};
+        for (const auto &[occurrence, step] : view.open) {
+            open_step open;
+            open.name = {id, occurrence, step, 0};
+            open.job = &job;
+            open.spec = &specOf(job, step);
+            open.queue = &queue;
+            const auto due = view.begunAt.at(occurrence) + objective;
+            const auto left = view.chainFrom[step];
+            open.slackMs = (due - now - left).count;
+            const bool isLate = !open.spec->lasts() && open.slackMs < -left.count / 2;
+            open.rank = queue.priority() + (isLate ? lateRank : 0);
+            steps.push_back(open);
+        }
+    }
+    std::sort(steps.begin(), steps.end(), [](const open_step &a, const open_step &b) {
+        return std::tie(a.rank, a.slackMs) < std::tie(b.rank, b.slackMs);
+    });
+    return steps;
+}
+
+bool isOpen(const job_record &job, const occurrence_record &occurrence, std::uint32_t step)
+{
+    const auto &record = occurrence.steps[step];
+    const auto &spec = specOf(job, step);
+    if (isStepDone(spec, record) || !isStepReady(job, occurrence, step)) {
+        return false;
+    }
+    return record.done + record.running < record.tasks.size();
+}
+
+} // namespace
+
+std::vector<milliseconds> chainsOf(const messages::staged_job &job)
+{
+    std::vector<milliseconds> chains(static_cast<std::size_t>(job.steps_size()));
+    for (int step = job.steps_size() - 1; step >= 0; --step) {
+        auto &chain = chains[static_cast<std::size_t>(step)];
+        chain = chain + milliseconds {job.steps(step).estimate_ms()};
+        for (const auto needed : job.steps(step).depends_on()) {
+            auto &before = chains[static_cast<std::size_t>(needed)];
+            before = std::max(before, chain); // its own estimate is added when its turn comes
+        }
+    }
+    return chains;
+}
+
+void refreshJob(dispatch_state &state, const std::string &id, time_point now)
+{
+    const auto job = state.work->jobs.find(id);
+    if (job == state.work->jobs.end() || job->second.isEnded()) {
+        state.jobs.erase(id);
+        for (auto view = state.admissions.lower_bound({id, 0, 0, 0});
+             view != state.admissions.end() && view->first.job == id;) {
+            view = view->second.openRequest == 0 ? state.admissions.erase(view) : std::next(view);
+        }
+        return;
+    }
+    auto &view = state.jobs[id];
+    if (view.chainFrom.empty()) {
+        view.chainFrom = chainsOf(job->second.job);
+        view.chain = *std::max_element(view.chainFrom.begin(), view.chainFrom.end());
+    }
+    view.open.clear();
+    for (const auto &[number, occurrence] : job->second.occurrences) {
+        view.begunAt.emplace(number, now);
+        for (std::uint32_t step = 0; step < occurrence.steps.size(); ++step) {
+            if (isOpen(job->second, occurrence, step)) {
+                view.open.emplace(number, step);
+            }
+        }
+    }
+    state.isChanged = true;
+}
+
+void placeWaiting(dispatch_state &state, time_point now)
+{
+    placement_pass pass {state, now, {}, {}};
+    for (const auto &step : openSteps(state, now)) {
+        auto &service = serviceOf(pass, step.queue->service());
+        if (step.spec->is_gang()) {
+            placeGang(pass, step, service);
+        } else {
+            placeSingly(pass, step, service);
+        }
+    }
+}
+
+} // namespace filbert
--- /dev/null
+++ b/modules/filbert_dispatch/target_conversation.cpp
@@ -0,0 +1,681 @@
+#include "target_conversation.h"
+
+#include "interference.h"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace filbert {
+
+namespace {
+
+constexpr double slowestRate = 0.97; // a target's clock may run 2 % slow; 1 % of margin
+constexpr std::int64_t leaseSlackMs = 200; // of the estimate that the leader before had
+constexpr milliseconds lookPauseAfterFault {250};
+constexpr milliseconds answeredSpan {2'000}; // a lease is renewed for a target that answered lately
+constexpr milliseconds stopPause {400};
+
+const life_record *lifeOf(const dispatch_state &state, const std::string &id)
+{
+    const auto found = state.work->lives.find(id);
+    return found == state.work->lives.end() ? nullptr : &found->second;
+}
+
+void propose(dispatch_state &state, messages::work_command &&command)
+{
+    state.effects.commands.push_back(std::move(command));
+}
+
+void proposeDrop(dispatch_state &state, const task_name &task, run_view &run,
+                 const std::string &target, const std::string &reason)
+{
+    if (std::exchange(run.isDropProposed, true)) {
+        return;
+    }
+    log_line {"run_given_up"}
+        .with("task", textOf(task))
+        .with("run", run.run)
+        .with("target", target)
+        .with("reason", reason);
+    messages::work_command command;
+    auto *drop = command.mutable_drop();
+    *drop->mutable_task() = referenceTo(task);
+    drop->set_run(run.run);
+    drop->set_checkpoint(run.checkpoint);
+    propose(state, std::move(command));
+}
+
+std::int64_t leaseEndFor(const dispatch_state &state, target_view &target, time_point now)
+{
+    const auto span = std::min(state.settings.targetLease, state.settings.longestLease);
+    const auto until = clockAtMost(target, now) + span.count;
+    target.leaseUntil = std::max(target.leaseUntil, until);
+    return until;
+}
+
+target_order orderFor(const dispatch_state &state, const target_view &target,
+                      const life_record &life, order_kind kind, time_point now)
+{
+    target_order order;
+    order.kind = kind;
+    order.target = target.id;
+    order.born = target.born;
+    order.address = life.about.address();
+    order.fencingToken = state.term;
+    order.timeout = state.settings.orderTimeout;
+    order.sentAt = now;
+    return order;
+}
+
+void sendStart(dispatch_state &state, target_view &target, const life_record &life,
+               const task_name &task, run_view &run, time_point now)
+{
+    auto order = orderFor(state, target, life, order_kind::Start, now);
+    const auto &job = state.work->jobs.at(task.job);
+    order.task = task;
+    order.run = run.run;
+    order.spec = job.job.spec();
+    order.checkpoint = run.checkpoint;
+    order.ticket = run.ticket;
+    order.leaseUntil = leaseEndFor(state, target, now);
+    run.isOrderOpen = true;
+    state.effects.orders.push_back(std::move(order));
+}
+
+void sendStop(dispatch_state &state, target_view &target, const life_record &life,
+              const task_name &task, std::uint32_t run, time_point now)
+{
+    auto order = orderFor(state, target, life, order_kind::Stop, now);
+    order.task = task;
+    order.run = run;
+    state.effects.orders.push_back(std::move(order));
+}
+
+bool isFaultOfTarget(order_result result)
+{
+    return result == order_result::Unhealthy || result == order_result::Unreachable
+        || result == order_result::Unanswered;
+}
+
+void avoid(dispatch_state &state, target_view &target, const std::string &reason, time_point now)
+{
+    const auto doubled = target.avoidance + target.avoidance;
+    target.avoidance = std::clamp(doubled, state.settings.firstAvoidance,
+                                  state.settings.longestAvoidance);
+    target.avoidUntil = now + target.avoidance;
+    target.failedJobs.clear();
+    state.isChanged = true;
+    log_line {"target_avoided", log_line::severity::Warning}
+        .with("target", target.id)
+        .with("reason", reason)
+        .with("for_ms", target.avoidance.count);
+}
+
+void noteFailure(dispatch_state &state, target_view &target, const task_name &task,
+                 const std::string &reason, time_point now)
+{
+    target.failedJobs.insert(task.job);
+    const auto bound = static_cast<std::size_t>(state.settings.failuresBeforeAvoidance);
+    if (now >= target.avoidUntil && target.failedJobs.size() >= bound) {
+        avoid(state, target, reason, now);
+    }
+}
+
+void noteSuccess(target_view &target)
+{
+    target.failedJobs.clear();
+    target.avoidance = {};
+}
+
+/** A reading counts if it is ahead of what is known: one that was delayed says less. */
+void takeClock(target_view &target, std::int64_t clockMs, time_point now)
+{
+    if (!target.clockMs || clockMs >= clockAtLeast(target, now)) {
+        target.clockMs = clockMs;
+        target.clockAt = now;
+    }
+}
+
+void answerStart(dispatch_state &state, target_view &target, const target_order &order,
+                 order_result result, run_view &run, time_point now)
+{
+    run.isOrderOpen = false;
+    if (result == order_result::Done || result == order_result::Old) {
+        run.confirmedAt = now;
+        run.mayBeThere = true;
+        if (run.phase == run_phase::Ordered) {
+            run.phase = run_phase::Started;
+            run.startedAt = now;
+            run.progressAt = now;
+        }
+        target.lookAt = std::min(target.lookAt, now);
+        return;
+    }
+    log_line {"start_not_taken", log_line::severity::Warning}
+        .with("task", textOf(order.task))
+        .with("run", order.run)
+        .with("target", target.id)
+        .with("result", resultName(result))
+        .with("waited_ms", (now - run.orderedAt).count);
+    if (isFaultOfTarget(result)) {
+        noteFailure(state, target, order.task, "its starts fail", now);
+    }
+    run.mayBeThere = run.mayBeThere || result == order_result::Unanswered;
+    const bool mayTryAgain = (result == order_result::Unanswered
+                              || result == order_result::Unreachable)
+        && now - run.orderedAt < state.settings.startSpan;
+    if (mayTryAgain) {
+        run.retryAt = now + state.settings.retryPause;
+        return;
+    }
+    if (run.mayBeThere) {
+        requestStop(state, order.task, "its start has no clear answer", now);
+        return;
+    }
+    proposeDrop(state, order.task, run, target.id, std::string {resultName(result)});
+}
+
+void answerStop(dispatch_state &state, target_view &target, const target_order &order,
+                order_result result, time_point now)
+{
+    if (result == order_result::Done) {
+        target.strays.erase(order.task);
+    }
+    const auto found = target.runs.find(order.task);
+    if (found == target.runs.end() || found->second.run != order.run) {
+        return;
+    }
+    auto &run = found->second;
+    run.isOrderOpen = false;
+    if (result != order_result::Done && result != order_result::Old) {
+        run.retryAt = now + stopPause;
+        return;
+    }
+    run.confirmedAt = now;
+    const auto *task = findTask(*state.work, order.task);
+    if (task != nullptr && task->born != target.born) {
+        proposeDrop(state, order.task, run, target.id, "its life is over");
+        return;
+    }
+    target.lookAt = std::min(target.lookAt, now);
+}
+
+void updateRun(const reported_run &report, bool serves, run_view &run, time_point now)
+{
+    if (run.phase == run_phase::Ordered) {
+        run.phase = run_phase::Started;
+        run.startedAt = now;
+        run.progressAt = now;
+    }
+    if (report.percent != run.percent) {
+        run.progressAt = now;
+    }
+    if (run.firstPercent < 0) {
+        run.firstPercent = report.percent;
+        run.firstPercentAt = now;
+    }
+    run.percent = report.percent;
+    if (!report.checkpoint.empty()) {
+        run.checkpoint = report.checkpoint;
+    }
+    (serves ? run.tailMs : run.coresInUse) = report.gauge;
+}
+
+void takeReportedRuns(dispatch_state &state, target_view &target, const order_answer &answer,
+                      std::set<task_name> *present, time_point now)
+{
+    for (const auto &report : answer.runs) {
+        const auto found = target.runs.find(report.task);
+        if (found == target.runs.end() || found->second.run != report.run) {
+            if (target.strays.emplace(report.task, report.run).second) {
+                log_line {"stray_run", log_line::severity::Warning}
+                    .with("task", textOf(report.task))
+                    .with("run", report.run)
+                    .with("target", target.id);
+            }
+            continue;
+        }
+        present->insert(report.task);
+        const auto job = state.work->jobs.find(report.task.job);
+        const bool serves = job != state.work->jobs.end()
+            && specOf(job->second, report.task.step).latency_target_ms() > 0;
+        updateRun(report, serves, found->second, now);
+    }
+}
+
+void takeReportedEnds(dispatch_state &state, target_view &target, const life_record &life,
+                      const order_answer &answer, std::set<task_name> *present, time_point now)
+{
+    messages::work_command command;
+    auto *batch = command.mutable_end();
+    const auto known = std::max(target.proposedEnds, life.lastSeen);
+    for (const auto &end : answer.ends) {
+        present->insert(end.task);
+        if (end.number <= known) {
+            continue;
+        }
+        batch->set_last_seen(std::max(batch->last_seen(), end.number));
+        auto *out = batch->add_ends();
+        *out->mutable_task() = referenceTo(end.task);
+        out->set_run(end.run);
+        out->set_kind(end.kind);
+        out->set_checkpoint(end.checkpoint);
+        if (end.kind == messages::END_FAILED) {
+            noteFailure(state, target, end.task, "tasks fail there", now);
+        } else if (end.kind == messages::END_DONE) {
+            noteSuccess(target);
+        }
+    }
+    if (batch->ends_size() > 0) {
+        batch->set_target(target.id);
+        batch->set_born(target.born);
+        target.proposedEnds = batch->last_seen();
+        propose(state, std::move(command));
+    }
+}
+
+/** Runs that a target neither lists as running nor as ended. */
+void reviewAbsent(dispatch_state &state, target_view &target, const target_order &look,
+                  const std::set<task_name> &present, time_point now)
+{
+    for (auto &[task, run] : target.runs) {
+        if (present.contains(task) || run.isOrderOpen || run.isDropProposed
+            || run.phase == run_phase::Ordered) {
+            continue;
+        }
+        const bool isKnownBefore = run.confirmedAt < look.sentAt && run.confirmedAt.ms > 0;
+        if (run.phase == run_phase::Stopping && isKnownBefore) {
+            proposeDrop(state, task, run, target.id, "stopped, or never begun");
+        } else if (run.phase == run_phase::Started
+                   && (isKnownBefore || run.confirmedAt.ms == 0)) {
+            // A start of the leader before may still be on its way; a stop makes it void.
+            requestStop(state, task, "the target does not list it", now);
+        }
+    }
+}
+
+void answerLook(dispatch_state &state, target_view &target, const life_record &life,
+                const target_order &order, const order_answer &answer, time_point now)
+{
+    target.isLookOpen = false;
+    if (answer.result != order_result::Done) {
+        target.lookAt = now + lookPauseAfterFault;
+        log_line {"look_failed", log_line::severity::Warning}
+            .with("target", target.id)
+            .with("result", resultName(answer.result))
+            .with("heard_ms_ago", (now - target.heardAt).count);
+        return;
+    }
+    target.lookAt = now;
+    target.isReviewDue = false;
+    target.acknowledged = std::max(target.acknowledged, order.lastSeen);
+    std::set<task_name> present;
+    takeReportedRuns(state, target, answer, &present, now);
+    takeReportedEnds(state, target, life, answer, &present, now);
+    reviewAbsent(state, target, order, present, now);
+    reviewInterference(state, target, now);
+}
+
+void sendLook(dispatch_state &state, target_view &target, const life_record &life, time_point now)
+{
+    auto order = orderFor(state, target, life, order_kind::Look, now);
+    const bool isIdle = target.runs.empty();
+    const bool isMixed = life.serving > 0 && life.fillCores > 0;
+    const bool isStopping =
+        std::any_of(target.runs.begin(), target.runs.end(), [](const auto &each) {
+            return each.second.phase == run_phase::Stopping && each.second.confirmedAt.ms > 0;
+        });
+    if (target.clockMs && !isIdle && now - target.heardAt < answeredSpan) {
+        order.leaseUntil = leaseEndFor(state, target, now);
+    }
+    const bool isFirst = !target.clockMs;
+    if (!isIdle && !isFirst && !isStopping) {
+        order.wait = isMixed ? state.settings.busyLookWait : state.settings.lookWait;
+    } else if (isStopping) {
+        order.wait = state.settings.retryPause;
+    }
+    order.lastSeen = life.lastSeen;
+    order.timeout = order.wait + state.settings.lookGrace;
+    target.isLookOpen = true;
+    target.lookSentAt = now;
+    state.effects.orders.push_back(std::move(order));
+}
+
+bool needsLook(const target_view &target, const life_record &life)
+{
+    const bool awaitsCommit = target.proposedEnds > life.lastSeen;
+    return !awaitsCommit
+        && (!target.runs.empty() || life.lastSeen > target.acknowledged || target.isReviewDue);
+}
+
+bool hasLapsed(const target_view &target, time_point now)
+{
+    return target.clockMs ? clockAtLeast(target, now) > target.leaseUntil : now > target.lapseBy;
+}
+
+void stepRuns(dispatch_state &state, target_view &target, const life_record &life, time_point now)
+{
+    for (auto &[task, run] : target.runs) {
+        const auto &job = state.work->jobs.at(task.job);
+        const auto *record = findTask(*state.work, task);
+        const bool isOfOldLife = record != nullptr && record->born != target.born;
+        if (run.phase != run_phase::Stopping && (job.isEnded() || isOfOldLife)) {
+            run.phase = run_phase::Stopping;
+            run.stopReason = isOfOldLife ? "its life is over" : "its job has ended";
+            run.confirmedAt = {};
+            run.retryAt = now;
+        }
+        if (run.isOrderOpen || run.isDropProposed || now < run.retryAt) {
+            continue;
+        }
+        if (run.phase == run_phase::Ordered) {
+            sendStart(state, target, life, task, run, now);
+        } else if (run.phase == run_phase::Stopping && run.confirmedAt.ms == 0) {
+            run.isOrderOpen = true;
+            sendStop(state, target, life, task, run.run, now);
+        }
+    }
+    for (const auto &[task, run] : target.strays) {
+        if (now >= target.lookSentAt + state.settings.retryPause) {
+            sendStop(state, target, life, task, run, now);
+        }
+    }
+}
+
+void giveUpLapsed(dispatch_state &state, target_view &target)
+{
+    target.isReviewDue = true;
+    for (auto &[task, run] : target.runs) {
+        proposeDrop(state, task, run, target.id, "the lease of its target has ended");
+    }
+}
+
+/** Stops what has made no progress for long, on a target that answers: it may hang there. */
+void reviewProgress(dispatch_state &state, target_view &target, time_point now)
+{
+    if (now - target.heardAt > state.settings.lookWait) {
+        return;
+    }
+    for (auto &[task, run] : target.runs) {
+        const auto &spec = specOf(state.work->jobs.at(task.job), task.step);
+        const bool isWatched = run.phase == run_phase::Started && !spec.lasts()
+            && !spec.fills_gaps() && run.pace == 100 && run.firstPercent >= 0;
+        if (isWatched && now - std::max(run.progressAt, run.startedAt) > state.settings.stallSpan) {
+            requestStop(state, task, "it makes no progress", now);
+            if (now >= target.avoidUntil) {
+                avoid(state, target, "a task there makes no progress", now);
+            }
+        }
+    }
+}
+
+/** Moves what a leaving target would not finish; what lasts goes at once. */
+void reviewDrain(dispatch_state &state, target_view &target, time_point now)
+{
+    for (auto &[task, run] : target.runs) {
+        if (run.phase != run_phase::Started) {
+            continue;
+        }
+        const auto &spec = specOf(state.work->jobs.at(task.job), task.step);
+        if (spec.lasts()) {
+            requestStop(state, task, "its target is leaving", now);
+            continue;
+        }
+        const auto since = std::max<std::int64_t>((now - run.startedAt).count, 1);
+        const double left = run.percent > 0
+            ? static_cast<double>(since) * (100.0 - run.percent) / run.percent
+            : static_cast<double>(spec.estimate_ms());
+        const bool canFinish = now + milliseconds {std::llround(left)} <= target.leavesAt;
+        if (!canFinish && spec.checkpoints() && now + milliseconds {700} >= target.leavesAt) {
+            requestStop(state, task, "its target leaves before it can end", now);
+        }
+    }
+}
+
+} // namespace
+
+std::string_view resultName(order_result result)
+{
+    constexpr std::string_view names[] = {
+        "done",      "fenced",     "old",      "late",       "no_room",    "bad_ticket",
+        "unhealthy", "wrong_life", "rejected", "unanswered", "unreachable"};
+    return names[static_cast<std::size_t>(result)];
+}
+
+std::int64_t clockAtMost(const target_view &target, time_point now)
+{
+    return *target.clockMs + (now - target.clockAt).count;
+}
+
+std::int64_t clockAtLeast(const target_view &target, time_point now)
+{
+    const auto elapsed = static_cast<double>((now - target.clockAt).count);
+    return *target.clockMs + static_cast<std::int64_t>(elapsed * slowestRate);
+}
+
+bool takesWork(const dispatch_state &state, const target_view &target, time_point now)
+{
+    const auto *life = lifeOf(state, target.id);
+    return life != nullptr && !life->isOver && !life->about.is_draining()
+        && life->about.born() == target.born && target.clockMs && !target.leavingSince
+        && now >= target.avoidUntil && now - target.heardAt < state.settings.contactSpan;
+}
+
+void syncTargets(dispatch_state &state, const std::string &id, time_point now)
+{
+    const auto *life = lifeOf(state, id);
+    if (life == nullptr) {
+        return;
+    }
+    if (life->isOver) {
+        state.targets.erase(id);
+        return;
+    }
+    auto &target = state.targets[id];
+    if (target.born != life->about.born()) {
+        const auto before = std::move(target);
+        target = {};
+        target.runs = before.runs; // stopped in the new life too, see stepRuns
+        target.planned = before.planned;
+        target.plannedFill = before.plannedFill;
+        target.id = id;
+        target.born = life->about.born();
+        target.heardAt = now;
+        target.lapseBy = state.leadingSince + clockRateMargin(state.settings.longestLease);
+    }
+    target.proposedEnds = std::max(target.proposedEnds, life->lastSeen);
+    std::erase_if(target.runs, [&](const auto &each) { return !life->runs.contains(each.first); });
+    for (const auto &task : life->runs) {
+        auto &run = target.runs[task];
+        const auto *record = findTask(*state.work, task);
+        if (run.run == record->run) {
+            continue;
+        }
+        run = {};
+        run.run = record->run;
+        run.startedAt = now;
+        run.progressAt = now;
+        run.checkpoint = record->checkpoint;
+    }
+}
+
+bool takeReport(dispatch_state &state, const messages::target_life &life, time_point now)
+{
+    const auto *known = lifeOf(state, life.id());
+    const bool isOldNews = known != nullptr
+        && (known->about.born() > life.born()
+            || (known->isOver && known->about.born() == life.born()));
+    if (isOldNews) {
+        log_line {"late_report"}.with("target", life.id()).with("born", life.born());
+        return false;
+    }
+    const auto found = state.targets.find(life.id());
+    const bool isSameLife = known != nullptr && known->about.born() == life.born();
+    if (isSameLife && found != state.targets.end()) {
+        auto &target = found->second;
+        const auto sequence = static_cast<std::uint64_t>(life.sequence());
+        if (sequence <= target.sequence) {
+            return false; // overtaken by a later one
+        }
+        target.sequence = sequence;
+        target.heardAt = now;
+        takeClock(target, life.clock_ms(), now);
+        if (life.is_draining() && target.leavesAt.ms == 0) {
+            target.leavesAt = now + milliseconds {life.remaining_ms()};
+        }
+    }
+    auto comparable = life;
+    comparable.clear_clock_ms();
+    comparable.clear_sequence();
+    comparable.clear_remaining_ms();
+    comparable.clear_cold_ms();
+    const bool isUnchanged =
+        isSameLife && known->about.SerializeAsString() == comparable.SerializeAsString();
+    if (isUnchanged) {
+        return false;
+    }
+    messages::work_command command;
+    *command.mutable_target() = comparable;
+    propose(state, std::move(command));
+    return true;
+}
+
+void takeLeave(dispatch_state &state, const std::string &id, time_point now)
+{
+    const auto found = state.targets.find(id);
+    if (found == state.targets.end() || found->second.leavingSince) {
+        return;
+    }
+    found->second.leavingSince = now;
+    log_line {"target_left"}.with("target", id).with("runs", found->second.runs.size());
+}
+
+void requestStop(dispatch_state &state, const task_name &task, const std::string &reason,
+                 time_point now)
+{
+    const auto *record = findTask(*state.work, task);
+    if (record == nullptr || record->status != task_status::Running) {
+        return;
+    }
+    const auto target = state.targets.find(record->target);
+    if (target == state.targets.end()) {
+        return;
+    }
+    const auto found = target->second.runs.find(task);
+    if (found == target->second.runs.end() || found->second.phase == run_phase::Stopping) {
+        return;
+    }
+    auto &run = found->second;
+    log_line {"run_stopping"}
+        .with("task", textOf(task))
+        .with("run", run.run)
+        .with("target", record->target)
+        .with("percent", run.percent)
+        .with("reason", reason);
+    run.phase = run_phase::Stopping;
+    run.stopReason = reason;
+    run.confirmedAt = {};
+    run.retryAt = now;
+}
+
+void orderStart(dispatch_state &state, const messages::start_run_command &start,
+                const std::string &ticket, time_point now)
+{
+    const auto *life = lifeOf(state, start.target());
+    const auto found = state.targets.find(start.target());
+    if (life == nullptr || found == state.targets.end()) {
+        return;
+    }
+    const auto task = nameOf(start.task());
+    auto &run = found->second.runs[task];
+    run = {};
+    run.run = start.run();
+    run.phase = run_phase::Ordered;
+    run.mayBeThere = false;
+    run.orderedAt = now;
+    run.checkpoint = start.checkpoint();
+    run.ticket = ticket;
+    sendStart(state, found->second, *life, task, run, now);
+}
+
+void takeOrderAnswer(dispatch_state &state, const target_order &order, const order_answer &answer,
+                     time_point now)
+{
+    const auto found = state.targets.find(order.target);
+    const auto *life = lifeOf(state, order.target);
+    if (order.fencingToken != state.term || found == state.targets.end() || life == nullptr) {
+        return; // of an earlier term, or of a target that has gone
+    }
+    auto &target = found->second;
+    const bool isOfThisLife = order.born == target.born
+        && (!answer.born || *answer.born == target.born);
+    if (!isOfThisLife) {
+        if (order.kind == order_kind::Look && order.born == target.born) {
+            target.isLookOpen = false;
+            target.lookAt = now + lookPauseAfterFault;
+        }
+        return;
+    }
+    const bool hasAnswered = answer.result != order_result::Unanswered
+        && answer.result != order_result::Unreachable && answer.result != order_result::WrongLife;
+    if (hasAnswered) {
+        target.heardAt = now;
+    }
+    if (answer.clockMs) {
+        takeClock(target, *answer.clockMs, now);
+    }
+    switch (order.kind) {
+    case order_kind::Start: {
+        const auto run = target.runs.find(order.task);
+        if (run != target.runs.end() && run->second.run == order.run) {
+            if (run->second.phase == run_phase::Ordered) {
+                answerStart(state, target, order, answer.result, run->second, now);
+            } else {
+                run->second.isOrderOpen = false;
+            }
+        }
+        break;
+    }
+    case order_kind::Stop:
+        answerStop(state, target, order, answer.result, now);
+        break;
+    case order_kind::Look:
+        answerLook(state, target, *life, order, answer, now);
+        break;
+    case order_kind::Pace:
+        break; // the next look shows whether it worked
+    }
+}
+
+void stepTargets(dispatch_state &state, time_point now)
+{
+    for (auto &[id, target] : state.targets) {
+        const auto *life = lifeOf(state, id);
+        if (life == nullptr || life->about.born() != target.born) {
+            continue;
+        }
+        if (target.leavingSince && now - *target.leavingSince >= state.settings.leavingSpan) {
+            if (!std::exchange(target.isLeaveProposed, true)) {
+                messages::work_command command;
+                command.set_target_left(id);
+                propose(state, std::move(command));
+            }
+            continue;
+        }
+        if (!target.runs.empty() && hasLapsed(target, now)) {
+            giveUpLapsed(state, target);
+            continue;
+        }
+        if (life->about.is_draining()) {
+            reviewDrain(state, target, now);
+        }
+        reviewProgress(state, target, now);
+        stepRuns(state, target, *life, now);
+        if (!target.isLookOpen && now >= target.lookAt && needsLook(target, *life)) {
+            sendLook(state, target, *life, now);
+        }
+    }
+}
+
+} // namespace filbert
--- a/modules/filbert_gateway/socket_transport.h
+++ b/modules/filbert_gateway/socket_transport.h
@@ -4,8 +4,6 @@
 #include "filbert_transport/filbert_transport.h"
 
 #include <functional>
-#include <map>
-#include <memory>
 #include <string>
 
 namespace filbert {
@@ -29,12 +27,7 @@
     void prepare(const std::string &address) override;
 
 private:
-    event_loop &loop;
-    zmq::context_t &context;
-    std::string name;
-    curve_site site;
-    handler onMessage;
-    std::map<std::string, std::unique_ptr<message_client>> clients;
+    dealer_pool connections;
 };
 
 } // namespace filbert
--- a/modules/filbert_messages/filbert_messages.h
+++ b/modules/filbert_messages/filbert_messages.h
@@ -9,3 +9,4 @@
 
 #include "filbert.pb.h"
 #include "json.h"
+#include "work.pb.h"
--- /dev/null
+++ b/modules/filbert_node/leader_link.cpp
@@ -0,0 +1,164 @@
+#include "leader_link.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace filbert {
+
+leader_link::leader_link(const leader_link_settings &settings, leader_link_hooks hooks)
+    : settings {settings}
+    , hooks {std::move(hooks)}
+{
+}
+
+void leader_link::setSeeds(const std::vector<std::string> &addresses)
+{
+    seeds = addresses;
+    helloAt = {};
+}
+
+std::set<std::string> leader_link::addresses() const
+{
+    auto all = members;
+    all.insert(seeds.begin(), seeds.end());
+    return all;
+}
+
+bool leader_link::hasLeader(time_point now) const
+{
+    return !leader.empty() && now - leaderHeardAt < settings.silentSpan;
+}
+
+void leader_link::call(const messages::work_request &request, time_point now, time_point deadline,
+                       handler onEnd)
+{
+    const auto id = ++lastExchange;
+    auto &call = calls[id];
+    call.envelope.set_exchange(id);
+    call.envelope.set_from(settings.name);
+    *call.envelope.mutable_request() = request;
+    call.deadline = deadline;
+    call.giveUpUnsentAt = now + settings.unsentSpan;
+    call.onEnd = std::move(onEnd);
+    sendCall(call, now);
+}
+
+void leader_link::sendCall(open_call &call, time_point now)
+{
+    call.sendAt = now + settings.retryPause;
+    if (leader.empty()) {
+        return;
+    }
+    if (hooks.send(leader, call.envelope)) {
+        call.wasSent = true;
+        call.sentTo = leader;
+        call.sendAt = now + settings.resendAfter;
+    }
+}
+
+void leader_link::takeEnvelope(const std::string &address, const messages::work_envelope &envelope,
+                               time_point now)
+{
+    heardAt[address] = now;
+    using body = messages::work_envelope::BodyCase;
+    if (envelope.body_case() == body::kWelcome) {
+        takeWelcome(address, envelope.welcome(), now);
+        return;
+    }
+    if (envelope.body_case() == body::kAdmission) {
+        hooks.admit(envelope.admission(), address);
+        return;
+    }
+    const auto found = calls.find(envelope.exchange());
+    if (envelope.body_case() != body::kAnswer || found == calls.end()) {
+        return;
+    }
+    if (envelope.answer().kind() == messages::ANSWER_NO_LEADER) {
+        found->second.sendAt = now + settings.retryPause;
+        if (leader == address) {
+            leader.clear();
+            helloAt = now;
+        }
+        return;
+    }
+    const auto call = std::move(found->second);
+    calls.erase(found);
+    call.onEnd({true, true, envelope.answer()});
+}
+
+void leader_link::takeWelcome(const std::string &address, const messages::peer_welcome &welcome,
+                              time_point now)
+{
+    for (const auto &member : welcome.members()) {
+        members.insert(member.address());
+    }
+    const bool isOwnWord = welcome.leader_address() == address;
+    if (welcome.leader_address().empty() || (!isOwnWord && hasLeader(now))) {
+        return; // only a leader itself outdoes what another controller believes
+    }
+    if (welcome.leader_address() == leader) {
+        leaderHeardAt = isOwnWord ? now : leaderHeardAt;
+        return;
+    }
+    log_line {"leader_known"}
+        .with("leader", welcome.leader_address())
+        .with("before", leader)
+        .with("told_by", address);
+    leader = welcome.leader_address();
+    control = welcome.leader_control();
+    leaderHeardAt = now;
+    members = {};
+    for (const auto &member : welcome.members()) {
+        members.insert(member.address());
+    }
+    for (auto &[id, call] : calls) {
+        if (call.sentTo != leader) {
+            sendCall(call, now);
+        }
+    }
+}
+
+void leader_link::sayHello(time_point now)
+{
+    helloAt = now + settings.helloPeriod;
+    messages::work_envelope envelope;
+    envelope.set_from(settings.name);
+    envelope.mutable_hello()->set_name(settings.name);
+    envelope.mutable_hello()->set_asks_admission(settings.asksAdmission);
+    for (const auto &address : addresses()) {
+        const auto quiet = std::max(heardAt[address], renewedAt[address]);
+        if (now - quiet > settings.silentSpan) {
+            hooks.reconnect(address);
+            renewedAt[address] = now;
+        }
+        hooks.send(address, envelope);
+    }
+}
+
+void leader_link::takeTime(time_point now)
+{
+    if (now >= helloAt) {
+        sayHello(now);
+    }
+    if (!leader.empty() && now - leaderHeardAt > settings.silentSpan) {
+        log_line {"leader_silent", log_line::severity::Warning}
+            .with("leader", leader)
+            .with("heard_ms_ago", (now - leaderHeardAt).count);
+        leader.clear();
+    }
+    std::vector<std::uint64_t> late;
+    for (auto &[id, call] : calls) {
+        if (now >= call.deadline || (!call.wasSent && now >= call.giveUpUnsentAt)) {
+            late.push_back(id);
+        } else if (now >= call.sendAt) {
+            sendCall(call, now);
+        }
+    }
+    for (const auto id : late) {
+        const auto call = std::move(calls.at(id));
+        calls.erase(id);
+        call.onEnd({false, call.wasSent, {}});
+    }
+}
+
+} // namespace filbert
--- a/modules/filbert_replication/filbert_replication.h
+++ b/modules/filbert_replication/filbert_replication.h
@@ -6,4 +6,6 @@
     Depends on: filbert_core, filbert_messages, filbert_storage (types only).
 */
 
+#include "formation.h"
+#include "log_member.h"
 #include "replicated_log.h"
--- /dev/null
+++ b/modules/filbert_replication/log_member.cpp
@@ -0,0 +1,157 @@
+#include "log_member.h"
+
+#include <utility>
+
+namespace filbert {
+
+log_member::log_member(const replication_settings &settings, const snapshot_settings &snapshots,
+                       const stored_state &stored, std::uint64_t seed, log_store &store,
+                       log_member_hooks hooks, time_point now)
+    : log {makeReplicatedLog(stored, settings, seed, now)}
+    , snapshots {snapshots}
+    , store {store}
+    , hooks {std::move(hooks)}
+{
+    if (stored.snapshot.index() > 0) {
+        this->hooks.restore(stored.snapshotData);
+    }
+}
+
+void log_member::takeMessage(const messages::replication_message &message, time_point now)
+{
+    heardAt[message.from()] = now;
+    stepMessage(log, message, now, &effects);
+}
+
+void log_member::takeTime(time_point now)
+{
+    const auto before = log.role;
+    stepTime(log, now, &effects);
+    if (before == replica_role::Leader && log.role != replica_role::Leader) {
+        log_line {"leadership_lost"}.with("term", log.term).with("cause", "no quorum was heard");
+    }
+}
+
+std::error_code log_member::propose(std::string payload, time_point now, std::uint64_t *index)
+{
+    const auto error = filbert::propose(log, {std::move(payload)}, now, &effects);
+    *index = error ? 0 : lastIndex(log);
+    return error;
+}
+
+std::error_code log_member::change(bool add, const messages::member &which, time_point now)
+{
+    return changeMembership(log, add, which, now, &effects);
+}
+
+void log_member::handOverLeadership(time_point now)
+{
+    if (log.role == replica_role::Leader && !log.handOverUntil) {
+        handOver(log, now, &effects);
+    }
+}
+
+void log_member::sendAll(std::vector<messages::replication_message> *messages)
+{
+    for (const auto &message : std::exchange(*messages, {})) {
+        const auto *member = findMember(log.members, message.to());
+        if (member != nullptr) {
+            hooks.send(*member, message);
+            continue;
+        }
+        messages::member unknown; // not in this one's membership yet: answer by identity
+        unknown.set_identity(message.to());
+        hooks.send(unknown, message);
+    }
+}
+
+std::error_code log_member::persist(time_point now)
+{
+    if (effects.mustInstall) {
+        if (effects.mustDropTail) {
+            if (const auto error = store.dropAfter(log.snapshot.index())) {
+                return error;
+            }
+        }
+        if (const auto error = store.saveSnapshot(log.snapshot, *log.snapshotData)) {
+            return error;
+        }
+        effects.mustDropTail = false;
+    }
+    if (!effects.mustPersist) {
+        return {};
+    }
+    if (const auto error = store.append(log.term, log.votedFor, effects.persist)) {
+        return error;
+    }
+    effects.mustPersist = false;
+    effects.persist.clear();
+    stepPersisted(log, lastIndex(log), now, &effects);
+    return {};
+}
+
+std::error_code log_member::compact(time_point now)
+{
+    const auto since = log.applied - log.snapshot.index();
+    const bool isDue = since > 0 && now >= snapshotNotBefore
+        && (since >= snapshots.entries || store.logBytes() >= snapshots.bytes);
+    if (!isDue) {
+        return {};
+    }
+    auto data = hooks.write();
+    const auto error = store.saveSnapshot(snapshotHeaderAt(log, log.applied), data);
+    if (error == error_kind::DiskFull) {
+        snapshotNotBefore = now + snapshots.pause;
+        log_line {"snapshot_failed", log_line::severity::Warning}.with("error", error.message());
+        return {};
+    }
+    if (error) {
+        return error;
+    }
+    log_line {"snapshot_taken"}.with("index", log.applied).with("bytes", data.size());
+    compactLog(log, log.applied, std::move(data));
+    return {};
+}
+
+std::error_code log_member::flush(time_point now)
+{
+    while (effects.mustPersist || effects.mustInstall || !effects.early.empty()
+           || !effects.send.empty() || !effects.committed.empty()) {
+        sendAll(&effects.early);
+        const auto error = persist(now);
+        if (error == error_kind::DiskFull) {
+            // Nothing was written, so nothing may be said; the entries are tried again later.
+            if (!std::exchange(hasFullDisk, true)) {
+                log_line {"disk_full", log_line::severity::Error}.with("role", roleName(log.role));
+            }
+            effects.send.clear();
+            break;
+        }
+        if (error) {
+            return error;
+        }
+        hasFullDisk = false;
+        sendAll(&effects.send);
+        if (std::exchange(effects.mustInstall, false)) {
+            hooks.restore(*log.snapshotData);
+            log_line {"snapshot_installed"}.with("index", log.snapshot.index());
+        }
+        for (const auto &entry : std::exchange(effects.committed, {})) {
+            hooks.apply(entry);
+        }
+    }
+    return compact(now);
+}
+
+bool log_member::isServing(time_point now) const
+{
+    return isReadyLeader(log) && hasLease(log, now) && !log.handOverUntil;
+}
+
+time_point log_member::heardFrom(const std::string &identity) const
+{
+    const auto found = heardAt.find(identity);
+    return found == heardAt.end() ? time_point {} : found->second;
+}
+
+} // namespace filbert
--- a/modules/filbert_transport/event_loop.cpp
+++ b/modules/filbert_transport/event_loop.cpp
@@ -48,8 +48,8 @@
         lws_sul_cancel(&entry->entry);
     }
     lws_context_destroy(lwsContext);
-    if (signalDescriptor >= 0) {
-        close(signalDescriptor);
+    for (const int descriptor : signalDescriptors) {
+        close(descriptor);
     }
 }
 
@@ -148,24 +148,37 @@
                                nullptr);
 }
 
-void event_loop::onStopSignal(std::function<void(int)> action)
+void event_loop::onSignals(const std::vector<int> &numbers, std::function<void()> action)
 {
     sigset_t signals;
     sigemptyset(&signals);
-    sigaddset(&signals, SIGTERM);
-    sigaddset(&signals, SIGINT);
+    for (const int number : numbers) {
+        sigaddset(&signals, number);
+    }
     sigprocmask(SIG_BLOCK, &signals, nullptr);
-    std::signal(SIGPIPE, SIG_IGN);
-    signalDescriptor = signalfd(-1, &signals, SFD_NONBLOCK | SFD_CLOEXEC);
-    wakeOn(signalDescriptor);
-    onWake([this, action = std::move(action), count = 0]() mutable {
+    const int descriptor = signalfd(-1, &signals, SFD_NONBLOCK | SFD_CLOEXEC);
+    signalDescriptors.push_back(descriptor);
+    wakeOn(descriptor);
+    onWake([descriptor, action = std::move(action)] {
         signalfd_siginfo info {};
-        if (read(signalDescriptor, &info, sizeof info) != sizeof info) {
+        if (read(descriptor, &info, sizeof info) != sizeof info) {
             return false;
         }
-        action(++count);
+        action();
         return true;
     });
 }
 
+void event_loop::onStopSignal(std::function<void(int)> action)
+{
+    std::signal(SIGPIPE, SIG_IGN);
+    onSignals({SIGTERM, SIGINT},
+              [action = std::move(action), count = 0]() mutable { action(++count); });
+}
+
+void event_loop::onReloadSignal(std::function<void()> action)
+{
+    onSignals({SIGHUP}, std::move(action));
+}
+
 } // namespace filbert
--- a/modules/filbert_transport/event_loop.h
+++ b/modules/filbert_transport/event_loop.h
@@ -57,6 +57,9 @@
     /** SIGTERM and SIGINT as a call on the loop. @param action the number of signals so far */
     void onStopSignal(std::function<void(int)> action);
 
+    /** SIGHUP as a call on the loop; without it the signal ends the program. */
+    void onReloadSignal(std::function<void()> action);
+
     lws_context *context() const { return lwsContext; }
 
 private:
@@ -70,6 +73,7 @@
     };
 
     static void onTimer(lws_sorted_usec_list_t *entry);
+    void onSignals(const std::vector<int> &numbers, std::function<void()> action);
     void addTimer(milliseconds period, bool isRepeating, std::function<void()> action);
     bool runWakeActions();
     bool runPosted();
@@ -82,7 +86,7 @@
     std::vector<std::function<void()>> posted;
     bool isStopping = false;
     bool hasSpentTimers = false;
-    int signalDescriptor = -1;
+    std::vector<int> signalDescriptors;
 };
 
 } // namespace filbert
--- a/modules/filbert_transport/filbert_transport.h
+++ b/modules/filbert_transport/filbert_transport.h
@@ -8,6 +8,7 @@
 */
 
 #include "certificates.h"
+#include "dealer_pool.h"
 #include "curve_site.h"
 #include "event_loop.h"
 #include "http_client.h"
--- a/modules/filbert_transport/http_client.cpp
+++ b/modules/filbert_transport/http_client.cpp
@@ -122,7 +122,8 @@
         info.port = CONTEXT_PORT_NO_LISTEN;
         info.protocols = protocols;
         info.vhost_name = "client";
-        info.options = usesTls ? LWS_SERVER_OPTION_DO_SSL_GLOBAL_INIT : 0;
+        info.options = LWS_SERVER_OPTION_DISABLE_IPV6
+            | (usesTls ? LWS_SERVER_OPTION_DO_SSL_GLOBAL_INIT : 0);
         info.client_ssl_ca_filepath = trustedFile.empty() ? nullptr : trustedFile.c_str();
         vhosts.push_back(lws_create_vhost(loop.context(), &info));
     }
--- a/modules/filbert_transport/http_server.cpp
+++ b/modules/filbert_transport/http_server.cpp
@@ -3,9 +3,13 @@
 #include "filbert_messages/filbert_messages.h"
 
 #include <algorithm>
+#include <arpa/inet.h>
 #include <charconv>
 #include <cstring>
+#include <netinet/in.h>
 #include <openssl/ssl.h>
+#include <sys/socket.h>
+#include <unistd.h>
 #include <utility>
 
 namespace filbert {
@@ -71,6 +75,25 @@
     return number;
 }
 
+/** Whether a port is free; the library does not say that it could not open its socket. */
+bool canListen(const std::string &address, int port)
+{
+    const int trial = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    if (trial < 0) {
+        return false;
+    }
+    const int yes = 1;
+    setsockopt(trial, SOL_SOCKET, SO_REUSEADDR, &yes, sizeof yes);
+    sockaddr_in name {};
+    name.sin_family = AF_INET;
+    name.sin_port = htons(static_cast<std::uint16_t>(port));
+    inet_pton(AF_INET, address.c_str(), &name.sin_addr);
+    const bool isFree = bind(trial, reinterpret_cast<const sockaddr *>(&name), sizeof name) == 0
+        && listen(trial, 1) == 0;
+    close(trial);
+    return isFree;
+}
+
 bool usePair(SSL_CTX *context, const tls_files &tls)
 {
     return SSL_CTX_use_certificate_chain_file(context, tls.certificate.c_str()) == 1
@@ -117,14 +140,18 @@
     info.iface = this->address.c_str();
     info.protocols = protocols;
     info.vhost_name = "server";
+    info.options = LWS_SERVER_OPTION_DISABLE_IPV6; // hosts may have IPv4 only
     info.keepalive_timeout = limits.idleSeconds;
     info.timeout_secs = static_cast<unsigned>(limits.idleSeconds);
     info.user = this;
     if (!tls.certificate.empty()) {
-        info.options = LWS_SERVER_OPTION_DO_SSL_GLOBAL_INIT; // without it the files are passed over
+        info.options |= LWS_SERVER_OPTION_DO_SSL_GLOBAL_INIT; // without it the files are passed over
         info.ssl_cert_filepath = this->tls.certificate.c_str();
         info.ssl_private_key_filepath = this->tls.privateKey.c_str();
     }
+    if (!canListen(this->address, port)) {
+        return; // the library would give a virtual host that is deaf
+    }
     vhost = lws_create_vhost(loop.context(), &info);
     listenPort = vhost != nullptr ? lws_get_vhost_listen_port(vhost) : 0;
 }
@@ -192,6 +219,7 @@
     request.id = user->id;
     request.method = methodOf(wsi);
     request.path.assign(uri, length);
+    request.host = headerOf(wsi, WSI_TOKEN_HOST);
     request.query = headerOf(wsi, WSI_TOKEN_HTTP_URI_ARGS);
     request.authorization = headerOf(wsi, WSI_TOKEN_HTTP_AUTHORIZATION);
     request.contentType = headerOf(wsi, WSI_TOKEN_HTTP_CONTENT_TYPE);
--- a/modules/filbert_transport/http_types.h
+++ b/modules/filbert_transport/http_types.h
@@ -42,6 +42,7 @@
 {
     std::uint64_t id = 0; // of this exchange, unique in the process
     std::string method;
+    std::string host; // as the caller named it, with the port if it did
     std::string path;
     std::string query;
     std::string authorization;
--- /dev/null
+++ b/modules/filbert_work/queue_lookup.cpp
@@ -0,0 +1,110 @@
+#include "queue_lookup.h"
+
+#include <algorithm>
+#include <set>
+#include <sodium.h>
+#include <utility>
+
+namespace filbert {
+
+namespace {
+
+constexpr int maxTasksInStep = 10'000; // a step of that size takes 1 MB of state
+constexpr int maxSteps = 1'000;
+
+bool areSame(const std::string &a, const std::string &b)
+{
+    return a.size() == b.size() && sodium_memcmp(a.data(), b.data(), a.size()) == 0;
+}
+
+std::optional<std::string> problemInStep(const messages::staged_job &job, int step)
+{
+    const auto &spec = job.steps(step);
+    const auto where = "step " + std::to_string(step) + ": ";
+    if (spec.count() < 1 || spec.count() > maxTasksInStep) {
+        return where + "expected a count from 1 to " + std::to_string(maxTasksInStep);
+    }
+    if (spec.need().milli_cores() < 0 || spec.need().memory_mb() < 0
+        || spec.need().accelerators() < 0 || spec.max_per_target() < 0) {
+        return where + "expected amounts of 0 or more";
+    }
+    for (const auto needed : spec.depends_on()) {
+        if (needed < 0 || needed >= step) {
+            return where + "expected dependencies on earlier steps only";
+        }
+    }
+    return std::nullopt;
+}
+
+} // namespace
+
+const messages::work_queue *queueFor(const messages::work_configuration &configuration,
+                                     const std::string &host, const std::string &path)
+{
+    const messages::work_queue *best = nullptr;
+    for (const auto &queue : configuration.queues()) {
+        const bool isMatch = queue.host() == host && path.starts_with(queue.path_prefix());
+        if (isMatch
+            && (best == nullptr || queue.path_prefix().size() > best->path_prefix().size())) {
+            best = &queue;
+        }
+    }
+    return best;
+}
+
+const messages::work_team *teamWithKey(const messages::work_configuration &configuration,
+                                       const std::string &key)
+{
+    for (const auto &team : configuration.teams()) {
+        for (const auto &each : team.keys()) {
+            if (areSame(each, key)) {
+                return &team;
+            }
+        }
+    }
+    return nullptr;
+}
+
+std::optional<std::string> problemIn(const messages::work_configuration &configuration)
+{
+    std::set<std::string> services;
+    for (const auto &service : configuration.services()) {
+        services.insert(service.name());
+    }
+    std::set<std::pair<std::string, std::string>> places;
+    for (const auto &queue : configuration.queues()) {
+        if (!services.contains(queue.service())) {
+            return "queue " + queue.name() + ": unknown service " + queue.service();
+        }
+        if (!places.emplace(queue.host(), queue.path_prefix()).second) {
+            return "queue " + queue.name() + ": another queue has the same host and prefix";
+        }
+    }
+    std::set<std::string> keys;
+    for (const auto &team : configuration.teams()) {
+        for (const auto &key : team.keys()) {
+            if (!keys.insert(key).second) {
+                return "team " + team.name() + ": another team has one of its keys";
+            }
+        }
+    }
+    return std::nullopt;
+}
+
+std::optional<std::string> problemIn(const messages::staged_job &job)
+{
+    if (job.steps().empty() || job.steps_size() > maxSteps) {
+        return "expected 1 to " + std::to_string(maxSteps) + " steps";
+    }
+    if (job.repeat_count() < 0 || (job.repeat_count() > 1 && job.interval_ms() < 0)) {
+        return "expected a repeat count and an interval of 0 or more";
+    }
+    for (int step = 0; step < job.steps_size(); ++step) {
+        if (auto problem = problemInStep(job, step)) {
+            return problem;
+        }
+    }
+    return std::nullopt;
+}
+
+} // namespace filbert
--- /dev/null
+++ b/modules/filbert_work/work_commands.cpp
@@ -0,0 +1,330 @@
+#include "work_commands.h"
+
+#include "task_name.h"
+
+#include <algorithm>
+
+namespace filbert {
+
+namespace {
+
+void leavePending(work_state &state, job_record &job)
+{
+    if (!job.hasStarted) {
+        --state.pendingByQueue[job.job.queue()];
+    }
+}
+
+void endJob(work_state &state, job_record &job, job_status status, std::int64_t wallMs)
+{
+    leavePending(state, job);
+    job.hasStarted = true; // it does not count as pending any more
+    job.status = status;
+    job.endedWallMs = wallMs;
+}
+
+std::uint32_t occurrencesOf(const job_record &job)
+{
+    return static_cast<std::uint32_t>(std::max(job.job.repeat_count(), 1));
+}
+
+bool isComplete(const job_record &job)
+{
+    if (job.occurrences.size() < occurrencesOf(job)) {
+        return false;
+    }
+    for (const auto &[number, occurrence] : job.occurrences) {
+        for (std::uint32_t s = 0; s < occurrence.steps.size(); ++s) {
+            if (!isStepDone(specOf(job, s), occurrence.steps[s])) {
+                return false;
+            }
+        }
+    }
+    return true;
+}
+
+std::uint32_t maxAttemptsOf(const work_state &state, const job_record &job)
+{
+    return static_cast<std::uint32_t>(std::max(queueOf(state, job).max_attempts(), 1));
+}
+
+command_outcome configure(work_state &state, const messages::work_configuration &configuration)
+{
+    if (configuration.version() > state.configuration.version()) {
+        state.configuration = configuration;
+    }
+    return {};
+}
+
+command_outcome accept(work_state &state, const messages::staged_job &job)
+{
+    if (state.jobs.contains(job.id())) {
+        return {}; // the same request once more
+    }
+    auto &record = state.jobs[job.id()];
+    record.job = job;
+    if (job.repeat_count() == 0) {
+        beginOccurrence(record, 0);
+    }
+    ++state.pendingByQueue[job.queue()];
+    return {};
+}
+
+command_outcome cancel(work_state &state, const std::string &id, std::int64_t wallMs)
+{
+    const auto job = state.jobs.find(id);
+    if (job == state.jobs.end()) {
+        return {error_kind::NotFound, "no such job"};
+    }
+    if (!job->second.isEnded()) {
+        endJob(state, job->second, job_status::Cancelled, wallMs);
+    }
+    return {};
+}
+
+command_outcome start(work_state &state, const messages::start_run_command &command)
+{
+    const auto name = nameOf(command.task());
+    auto *task = findTask(state, name);
+    const auto life = state.lives.find(command.target());
+    if (task == nullptr || life == state.lives.end()) {
+        return {error_kind::NotFound, "no such task or target"};
+    }
+    auto &job = state.jobs.at(name.job);
+    auto &occurrence = job.occurrences.at(name.occurrence);
+    auto &step = occurrence.steps[name.step];
+    const auto &spec = specOf(job, name.step);
+    const bool isDue = !job.isEnded() && !(spec.is_gang() && step.isGangDone)
+        && isStepReady(job, occurrence, name.step);
+    if (task->status != task_status::Waiting || command.run() <= task->run || !isDue) {
+        return {error_kind::Conflict, "the task runs, has ended or is not due"};
+    }
+    if (life->second.isOver || life->second.about.born() != command.born()) {
+        return {error_kind::Conflict, "the target's life is over"};
+    }
+    const auto room = amountsOf(life->second.about.capacity()) - life->second.used;
+    const auto need = reservedBy(spec);
+    if (need.milliCores > room.milliCores || need.memoryMb > room.memoryMb
+        || need.accelerators > room.accelerators) {
+        return {error_kind::NoCapacity, "the target is full"};
+    }
+    task->status = task_status::Running;
+    task->run = command.run();
+    task->target = command.target();
+    task->born = command.born();
+    ++step.running;
+    leavePending(state, job);
+    job.hasStarted = true;
+    job.status = job_status::Active;
+    bookRun(state, name, task->target, 1);
+    return {};
+}
+
+/** Takes a run off its target; the task waits again. */
+void release(work_state &state, const task_name &name, task_record &task, step_record &step)
+{
+    bookRun(state, name, task.target, -1);
+    --step.running;
+    task.status = task_status::Waiting;
+    task.target.clear();
+}
+
+void countFailure(work_state &state, const task_name &name, task_record &task, step_record &step,
+                  std::int64_t wallMs)
+{
+    auto &job = state.jobs.at(name.job);
+    const auto &spec = specOf(job, name.step);
+    ++task.failures;
+    auto failures = task.failures;
+    if (spec.is_gang()) {
+        if (step.failedRun != task.run) {
+            step.failedRun = task.run;
+            ++step.gangFailures;
+        }
+        failures = step.gangFailures;
+    }
+    const bool isGivenUp = !spec.lasts() && failures >= maxAttemptsOf(state, job);
+    if (isGivenUp && !job.isEnded()) {
+        endJob(state, job, job_status::Failed, wallMs);
+    }
+}
+
+void markDone(work_state &state, const task_name &name, task_record &task, step_record &step,
+              std::int64_t wallMs)
+{
+    auto &job = state.jobs.at(name.job);
+    task.status = task_status::Done;
+    ++step.done;
+    if (specOf(job, name.step).is_gang()) {
+        step.isGangDone = true;
+    }
+    if (!job.isEnded() && isComplete(job)) {
+        endJob(state, job, job_status::Completed, wallMs);
+    }
+}
+
+void endRun(work_state &state, const std::string &target, std::int64_t born,
+            const messages::run_end &end, std::int64_t wallMs)
+{
+    const auto name = nameOf(end.task());
+    auto *task = findTask(state, name);
+    const bool isCurrent = task != nullptr && task->status == task_status::Running
+        && task->run == end.run() && task->target == target && task->born == born;
+    if (!isCurrent) {
+        return;
+    }
+    auto &job = state.jobs.at(name.job);
+    auto &step = job.occurrences.at(name.occurrence).steps[name.step];
+    release(state, name, *task, step);
+    if (!end.checkpoint().empty()) {
+        task->checkpoint = end.checkpoint();
+    }
+    const bool lasts = specOf(job, name.step).lasts();
+    if (end.kind() == messages::END_FAILED) {
+        countFailure(state, name, *task, step, wallMs);
+    } else if (end.kind() == messages::END_DONE && !lasts) {
+        markDone(state, name, *task, step, wallMs);
+    }
+}
+
+command_outcome end(work_state &state, const messages::end_runs_command &command,
+                    std::int64_t wallMs)
+{
+    const auto life = state.lives.find(command.target());
+    if (life == state.lives.end() || life->second.about.born() != command.born()) {
+        return {error_kind::NotFound, "no such life of the target"};
+    }
+    for (const auto &each : command.ends()) {
+        endRun(state, command.target(), command.born(), each, wallMs);
+    }
+    auto &lastSeen = state.lives.at(command.target()).lastSeen;
+    lastSeen = std::max(lastSeen, command.last_seen());
+    return {};
+}
+
+command_outcome drop(work_state &state, const messages::drop_run_command &command)
+{
+    const auto name = nameOf(command.task());
+    auto *task = findTask(state, name);
+    if (task == nullptr || task->status != task_status::Running || task->run != command.run()) {
+        return {};
+    }
+    auto &step = state.jobs.at(name.job).occurrences.at(name.occurrence).steps[name.step];
+    release(state, name, *task, step);
+    if (!command.checkpoint().empty()) {
+        task->checkpoint = command.checkpoint();
+    }
+    return {};
+}
+
+void dropAllRuns(work_state &state, life_record &life)
+{
+    const auto runs = life.runs;
+    for (const auto &name : runs) {
+        auto &step = state.jobs.at(name.job).occurrences.at(name.occurrence).steps[name.step];
+        release(state, name, step.tasks[name.index], step);
+    }
+}
+
+command_outcome target(work_state &state, const messages::target_life &about)
+{
+    for (auto &[id, other] : state.lives) {
+        // One process holds an address at a time, so a later one there is the end of the earlier.
+        if (id != about.id() && !other.isOver && other.about.address() == about.address()) {
+            if (other.about.born() > about.born()) {
+                return {error_kind::Conflict, "a later target is at this address"};
+            }
+            dropAllRuns(state, other);
+            other.isOver = true;
+        }
+    }
+    auto &life = state.lives[about.id()];
+    if (life.about.born() > about.born() || (life.isOver && life.about.born() == about.born())) {
+        return {error_kind::Conflict, "this life is over"};
+    }
+    const bool isNewLife = life.about.born() != about.born();
+    if (isNewLife) {
+        life.lastSeen = 0;
+        life.isOver = false;
+    }
+    life.about = about;
+    return {};
+}
+
+command_outcome targetLeft(work_state &state, const std::string &id)
+{
+    const auto life = state.lives.find(id);
+    if (life != state.lives.end() && !life->second.isOver) {
+        dropAllRuns(state, life->second);
+        life->second.isOver = true;
+    }
+    return {};
+}
+
+command_outcome begin(work_state &state, const messages::begin_occurrence_command &command)
+{
+    const auto job = state.jobs.find(command.job());
+    if (job == state.jobs.end() || job->second.isEnded()) {
+        return {error_kind::NotFound, "no such job"};
+    }
+    if (command.occurrence() >= occurrencesOf(job->second)
+        || job->second.occurrences.contains(command.occurrence())) {
+        return {error_kind::Conflict, "no such occurrence, or it has begun"};
+    }
+    beginOccurrence(job->second, command.occurrence());
+    return {};
+}
+
+command_outcome forget(work_state &state, const messages::forget_jobs_command &command)
+{
+    for (const auto &id : command.jobs()) {
+        const auto job = state.jobs.find(id);
+        if (job != state.jobs.end() && job->second.isEnded() && job->second.running == 0) {
+            state.jobs.erase(job);
+        }
+    }
+    return {};
+}
+
+} // namespace
+
+void beginOccurrence(job_record &job, std::uint32_t number)
+{
+    auto &occurrence = job.occurrences[number];
+    for (const auto &spec : job.job.steps()) {
+        occurrence.steps.emplace_back().tasks.resize(static_cast<std::size_t>(spec.count()));
+    }
+}
+
+command_outcome applyCommand(work_state &state, const messages::work_command &command,
+                             std::int64_t wallMs)
+{
+    using body = messages::work_command::BodyCase;
+    switch (command.body_case()) {
+    case body::kConfigure:
+        return configure(state, command.configure());
+    case body::kAccept:
+        return accept(state, command.accept());
+    case body::kCancel:
+        return cancel(state, command.cancel(), wallMs);
+    case body::kStart:
+        return start(state, command.start());
+    case body::kEnd:
+        return end(state, command.end(), wallMs);
+    case body::kDrop:
+        return drop(state, command.drop());
+    case body::kTarget:
+        return target(state, command.target());
+    case body::kTargetLeft:
+        return targetLeft(state, command.target_left());
+    case body::kBegin:
+        return begin(state, command.begin());
+    case body::kForget:
+        return forget(state, command.forget());
+    case body::BODY_NOT_SET:
+        break;
+    }
+    return {error_kind::Malformed, "a command that this version does not know"};
+}
+
+} // namespace filbert
--- /dev/null
+++ b/modules/filbert_work/work_snapshot.cpp
@@ -0,0 +1,106 @@
+#include "work_snapshot.h"
+
+namespace filbert {
+
+namespace {
+
+void writeStep(const step_record &step, messages::step_record_image *image)
+{
+    image->set_is_gang_done(step.isGangDone);
+    image->set_gang_failures(step.gangFailures);
+    image->set_failed_run(step.failedRun);
+    for (const auto &task : step.tasks) {
+        auto *out = image->add_tasks();
+        out->set_status(static_cast<std::uint32_t>(task.status));
+        out->set_run(task.run);
+        out->set_failures(task.failures);
+        out->set_checkpoint(task.checkpoint);
+        out->set_target(task.target);
+        out->set_born(task.born);
+    }
+}
+
+step_record readStep(const messages::step_record_image &image)
+{
+    step_record step;
+    step.isGangDone = image.is_gang_done();
+    step.gangFailures = image.gang_failures();
+    step.failedRun = image.failed_run();
+    for (const auto &task : image.tasks()) {
+        step.tasks.push_back({static_cast<task_status>(task.status()), task.run(), task.failures(),
+                              task.checkpoint(), task.target(), task.born()});
+    }
+    return step;
+}
+
+void writeJob(const job_record &job, messages::job_record_image *image)
+{
+    *image->mutable_job() = job.job;
+    image->set_status(static_cast<std::uint32_t>(job.status));
+    image->set_ended_wall_ms(job.endedWallMs);
+    image->set_has_started(job.hasStarted);
+    for (const auto &[number, occurrence] : job.occurrences) {
+        auto *out = image->add_occurrences();
+        out->set_number(number);
+        for (const auto &step : occurrence.steps) {
+            writeStep(step, out->add_steps());
+        }
+    }
+}
+
+job_record readJob(const messages::job_record_image &image)
+{
+    job_record job;
+    job.job = image.job();
+    job.status = static_cast<job_status>(image.status());
+    job.endedWallMs = image.ended_wall_ms();
+    job.hasStarted = image.has_started();
+    for (const auto &occurrence : image.occurrences()) {
+        auto &record = job.occurrences[occurrence.number()];
+        for (const auto &step : occurrence.steps()) {
+            record.steps.push_back(readStep(step));
+        }
+    }
+    return job;
+}
+
+} // namespace
+
+std::string writeWork(const work_state &state)
+{
+    messages::work_state_image image;
+    *image.mutable_configuration() = state.configuration;
+    for (const auto &[id, job] : state.jobs) {
+        writeJob(job, image.add_jobs());
+    }
+    for (const auto &[id, life] : state.lives) {
+        auto *out = image.add_lives();
+        *out->mutable_about() = life.about;
+        out->set_last_seen(life.lastSeen);
+        out->set_is_over(life.isOver);
+    }
+    return image.SerializeAsString();
+}
+
+std::error_code readWork(const std::string &data, work_state *state)
+{
+    messages::work_state_image image;
+    if (!image.ParseFromString(data)) {
+        return error_kind::Malformed;
+    }
+    *state = {};
+    state->configuration = image.configuration();
+    for (const auto &life : image.lives()) {
+        auto &record = state->lives[life.about().id()];
+        record.about = life.about();
+        record.lastSeen = life.last_seen();
+        record.isOver = life.is_over();
+    }
+    for (const auto &job : image.jobs()) {
+        state->jobs.emplace(job.job().id(), readJob(job));
+    }
+    deriveAll(*state);
+    return {};
+}
+
+} // namespace filbert
--- /dev/null
+++ b/modules/filbert_work/work_state.cpp
@@ -0,0 +1,161 @@
+#include "work_state.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace filbert {
+
+std::string_view statusName(job_status status)
+{
+    constexpr std::string_view names[] = {"queued", "active", "completed", "failed", "cancelled"};
+    return names[static_cast<std::size_t>(status)];
+}
+
+const messages::step_spec &specOf(const job_record &job, std::uint32_t step)
+{
+    return job.job.steps(static_cast<int>(step));
+}
+
+const step_record *findStep(const work_state &state, const task_name &name)
+{
+    const auto job = state.jobs.find(name.job);
+    if (job == state.jobs.end()) {
+        return nullptr;
+    }
+    const auto occurrence = job->second.occurrences.find(name.occurrence);
+    if (occurrence == job->second.occurrences.end()
+        || name.step >= occurrence->second.steps.size()) {
+        return nullptr;
+    }
+    return &occurrence->second.steps[name.step];
+}
+
+const task_record *findTask(const work_state &state, const task_name &name)
+{
+    const auto *step = findStep(state, name);
+    return step != nullptr && name.index < step->tasks.size() ? &step->tasks[name.index] : nullptr;
+}
+
+task_record *findTask(work_state &state, const task_name &name)
+{
+    return const_cast<task_record *>(findTask(std::as_const(state), name));
+}
+
+resource_amounts reservedBy(const messages::step_spec &spec)
+{
+    auto need = amountsOf(spec.need());
+    need.slots = 0; // a target's slots bound its requests, not its tasks
+    if (spec.fills_gaps()) {
+        need.milliCores = 0;
+    }
+    return need;
+}
+
+bool isStepDone(const messages::step_spec &spec, const step_record &step)
+{
+    return (spec.is_gang() && step.isGangDone) || step.done == step.tasks.size();
+}
+
+bool isStepReady(const job_record &job, const occurrence_record &occurrence, std::uint32_t step)
+{
+    const auto &needed = specOf(job, step).depends_on();
+    return std::all_of(needed.begin(), needed.end(), [&](std::int32_t each) {
+        const auto index = static_cast<std::uint32_t>(each);
+        return isStepDone(specOf(job, index), occurrence.steps[index]);
+    });
+}
+
+const messages::work_team *findTeam(const messages::work_configuration &configuration,
+                                    const std::string &name)
+{
+    const auto &teams = configuration.teams();
+    const auto found = std::find_if(teams.begin(), teams.end(),
+                                    [&](const auto &each) { return each.name() == name; });
+    return found == teams.end() ? nullptr : &*found;
+}
+
+const messages::work_queue *findQueue(const messages::work_configuration &configuration,
+                                      const std::string &name)
+{
+    const auto &queues = configuration.queues();
+    const auto found = std::find_if(queues.begin(), queues.end(),
+                                    [&](const auto &each) { return each.name() == name; });
+    return found == queues.end() ? nullptr : &*found;
+}
+
+const messages::work_queue &queueOf(const work_state &state, const job_record &job)
+{
+    const auto *queue = findQueue(state.configuration, job.job.queue());
+    return queue != nullptr ? *queue : job.job.taken_under();
+}
+
+bool isWithinCap(const resource_amounts &use, const messages::resources &cap)
+{
+    const auto within = [](std::int64_t used, std::int64_t limit) {
+        return limit == 0 || used <= limit;
+    };
+    return within(use.milliCores, cap.milli_cores()) && within(use.memoryMb, cap.memory_mb())
+        && within(use.accelerators, cap.accelerators());
+}
+
+void bookRun(work_state &state, const task_name &name, const std::string &target, int sign)
+{
+    auto &job = state.jobs.at(name.job);
+    const auto &spec = specOf(job, name.step);
+    const auto reserved = reservedBy(spec);
+    auto whole = amountsOf(spec.need());
+    whole.slots = 0;
+    auto &life = state.lives.at(target);
+    auto &team = state.teamUse[job.job.team()];
+    const std::int64_t fill = spec.fills_gaps() ? spec.need().milli_cores() : 0;
+    if (sign > 0) {
+        life.runs.insert(name);
+        life.used += reserved;
+        life.fillCores += fill;
+        life.serving += spec.latency_target_ms() > 0 ? 1 : 0;
+        team += whole;
+        ++job.running;
+        return;
+    }
+    life.runs.erase(name);
+    life.used -= reserved;
+    life.fillCores -= fill;
+    life.serving -= spec.latency_target_ms() > 0 ? 1 : 0;
+    team -= whole;
+    --job.running;
+}
+
+void deriveAll(work_state &state)
+{
+    state.teamUse.clear();
+    state.pendingByQueue.clear();
+    for (auto &[id, life] : state.lives) {
+        life.runs.clear();
+        life.used = {};
+        life.fillCores = 0;
+        life.serving = 0;
+    }
+    for (auto &[id, job] : state.jobs) {
+        job.running = 0;
+        for (auto &[number, occurrence] : job.occurrences) {
+            for (std::uint32_t s = 0; s < occurrence.steps.size(); ++s) {
+                auto &step = occurrence.steps[s];
+                step.done = 0;
+                step.running = 0;
+                for (std::uint32_t i = 0; i < step.tasks.size(); ++i) {
+                    const auto &task = step.tasks[i];
+                    step.done += task.status == task_status::Done ? 1 : 0;
+                    if (task.status == task_status::Running) {
+                        ++step.running;
+                        bookRun(state, {id, number, s, i}, task.target, 1);
+                    }
+                }
+            }
+        }
+        if (!job.hasStarted && !job.isEnded()) {
+            ++state.pendingByQueue[job.job.queue()];
+        }
+    }
+}
+
+} // namespace filbert
