A new leader neither decides before it has applied its log, nor ends leases that it did not give

Cause: committed entries are handed out before they are applied, and a leader started in between: it knew no jobs. A call whose deadline had passed long ago (after a freeze) gave the HTTP library a negative time-out, which is a command to close at once, from within an iteration over the same calls: crash.

Ruled out: late reports of targets (none before the first wrong start); the policy of placement.

Change: log_member::isSettled(); the first reading of a target's clock assumes the longest lease; libraryTimeoutSeconds() is never negative; a crash leaves its stack.

--- a/modules/filbert_core/log_line.cpp
+++ b/modules/filbert_core/log_line.cpp
@@ -111,6 +111,7 @@
     google::InitGoogleLogging(program);
     outputSink = std::make_unique<output_sink>(linesPerSecond);
     google::AddLogSink(outputSink.get());
+    google::InstallFailureSignalHandler(); // a crash leaves its stack on standard error
 }
 
 void flushLog()
--- a/modules/filbert_dispatch/target_conversation.cpp
+++ b/modules/filbert_dispatch/target_conversation.cpp
@@ -129,8 +129,14 @@
 }
 
 /** A reading counts if it is ahead of what is known: one that was delayed says less. */
-void takeClock(target_view &target, std::int64_t clockMs, time_point now)
+void takeClock(const dispatch_state &state, target_view &target, std::int64_t clockMs,
+               time_point now)
 {
+    if (!target.clockMs) {
+        // The leader before may have promised as much until its term ended, which was before now.
+        const auto span = std::min(state.settings.targetLease, state.settings.longestLease);
+        target.leaseUntil = std::max(target.leaseUntil, clockMs + span.count + leaseSlackMs);
+    }
     if (!target.clockMs || clockMs >= clockAtLeast(target, now)) {
         target.clockMs = clockMs;
         target.clockAt = now;
@@ -520,7 +526,7 @@
         }
         target.sequence = sequence;
         target.heardAt = now;
-        takeClock(target, life.clock_ms(), now);
+        takeClock(state, target, life.clock_ms(), now);
         if (life.is_draining() && target.leavesAt.ms == 0) {
             target.leavesAt = now + milliseconds {life.remaining_ms()};
         }
@@ -623,7 +629,7 @@
         target.heardAt = now;
     }
     if (answer.clockMs) {
-        takeClock(target, *answer.clockMs, now);
+        takeClock(state, target, *answer.clockMs, now);
     }
     switch (order.kind) {
     case order_kind::Start: {
--- a/modules/filbert_node/work_controller.cpp
+++ b/modules/filbert_node/work_controller.cpp
@@ -489,8 +489,7 @@
         turnAwayAll();
         return;
     }
-    const bool isSettled = isReadyLeader(view) && view.applied == lastIndex(view);
-    if (!dispatch && isSettled && !isStopping && hasLease(view, now)) {
+    if (!dispatch && log.isSettled() && !isStopping && hasLease(view, now)) {
         turnAwayAll();
         dispatch = startDispatch(state, settings.dispatch, view.term, now, wallMs);
         leadingSince = now;
--- a/modules/filbert_replication/log_member.cpp
+++ b/modules/filbert_replication/log_member.cpp
@@ -148,6 +148,12 @@
     return isReadyLeader(log) && hasLease(log, now) && !log.handOverUntil;
 }
 
+bool log_member::isSettled() const
+{
+    return isReadyLeader(log) && log.applied == lastIndex(log) && effects.committed.empty()
+        && !effects.mustInstall;
+}
+
 time_point log_member::heardFrom(const std::string &identity) const
 {
     const auto found = heardAt.find(identity);
--- a/modules/filbert_transport/http_client.cpp
+++ b/modules/filbert_transport/http_client.cpp
@@ -19,6 +19,12 @@
 
 } // namespace
 
+int libraryTimeoutSeconds(time_point deadline, time_point now)
+{
+    const auto left = std::max<std::int64_t>((deadline - now).count, 0);
+    return static_cast<int>(left / millisecondsPerSecond) + spareSeconds;
+}
+
 /** Connections to one endpoint: the indexes of vhosts that have no call in flight to it. */
 struct http_client::endpoint_state
 {
@@ -296,9 +302,8 @@
     for (const auto &[key, call] : live) {
         if (call->hasLeft && call->wsi != nullptr && !std::exchange(call->hasOwnTimeout, true)) {
             // The library would give up after a few seconds; this call's own deadline counts.
-            const auto seconds = (call->deadline - now).count / millisecondsPerSecond;
             lws_set_timeout(call->wsi, PENDING_TIMEOUT_USER_OK,
-                            static_cast<int>(seconds) + spareSeconds);
+                            libraryTimeoutSeconds(call->deadline, now));
         }
         if (call->deadline <= now) {
             late.push_back(call);
--- a/modules/filbert_transport/http_client.h
+++ b/modules/filbert_transport/http_client.h
@@ -24,6 +24,14 @@
     bool needsNewConnection = false; // a kept one may be closed by the other end as it is used
 };
 
+/** How long the library may wait for an answer: beyond the call's own deadline, which counts.
+
+    Never negative, also long past the deadline after a sleep of the host: negative values are
+    commands to the library, which then closes connections from within.
+    @return seconds
+*/
+int libraryTimeoutSeconds(time_point deadline, time_point now);
+
 /** An HTTP/1.1 client on the loop, with a bounded number of kept connections to each endpoint.
 
     Every call ends with exactly one call of its handler: a whole answer, or an error that says what
