Connections that no later call may use are closed

Cause: after a time-out the HTTP client takes new connections to an endpoint for a while; the library kept each of them open for 15 s though nothing could use it again.

Ruled out: leases that never lapse (the runs ended as soon as the target answered), descriptors' limit (4,096).

Change: such a connection ends with its call; kept connections are doubted for 6 s instead of 15 s.

--- a/modules/filbert_transport/http_client.cpp
+++ b/modules/filbert_transport/http_client.cpp
@@ -14,7 +14,7 @@
 constexpr std::int64_t millisecondsPerSecond = 1'000;
 constexpr int spareSeconds = 2;
 constexpr std::size_t maxAnswerBytes = 8 << 20;
-constexpr std::uint16_t keptWarmSeconds = 15;
+constexpr std::uint16_t keptWarmSeconds = 6; // longer than most pauses between calls of one target
 constexpr milliseconds keptSpan {keptWarmSeconds * millisecondsPerSecond};
 
 } // namespace
@@ -46,6 +46,7 @@
     std::int64_t statedBytes = -1;
     int slot = -1;
     bool hasLeft = false;
+    bool keepsConnection = false;
     bool hasOwnTimeout = false;
     bool isEnded = false;
 };
@@ -150,7 +151,9 @@
     info.protocol = protocols[0].name;
     info.local_protocol_name = protocols[0].name;
     info.ssl_connection = LCCSCF_HTTP_NO_FOLLOW_REDIRECT;
-    if (!call->call.needsNewConnection && monotonicNow() >= call->endpoint->keptAreDoubtfulUntil) {
+    call->keepsConnection =
+        !call->call.needsNewConnection && monotonicNow() >= call->endpoint->keptAreDoubtfulUntil;
+    if (call->keepsConnection) {
         info.ssl_connection |= LCCSCF_PIPELINE;
     }
     if (usesTls) {
@@ -223,8 +226,10 @@
             && call->answer.body.size() != static_cast<std::size_t>(call->statedBytes);
         lws_set_wsi_user(wsi, nullptr);
         call->wsi = nullptr;
+        // The library would keep it open though no other call may use it; endpoints bound the number.
+        const bool closes = !call->keepsConnection;
         finish(*call, isCut ? std::error_code {error_kind::TargetLost} : std::error_code {});
-        return 0;
+        return closes ? -1 : 0;
     }
     case LWS_CALLBACK_CLOSED_CLIENT_HTTP:
         call->wsi = nullptr;
