A target that does not answer a call gets no new work; unanswered calls are repeated sooner

Cause: after a crash the leader went on placing on a dead target until three jobs had failed there, and waited 1.2 s beyond its time for a policy call of an entry host that was cut off; a start without an answer was sent again after 0.7 s, which is more than an urgent job has.

Ruled out: waiting for room (urgent jobs were placed within 40 ms in those seconds).

Change: a call without an answer makes its target suspect until any later call is answered; starts time out after 300 ms; a policy call 250 ms after its time goes to another entry host.

--- a/modules/filbert_dispatch/admission_desk.cpp
+++ b/modules/filbert_dispatch/admission_desk.cpp
@@ -9,7 +9,7 @@
 
 constexpr milliseconds callerSpan {1'500}; // three missed hellos
 constexpr milliseconds quickPolicy {100}; // one that urgent steps can wait for
-constexpr milliseconds answerGrace {1'200}; // on top of the service's own time
+constexpr milliseconds answerGrace {250}; // on top of the service's own time: many round trips
 constexpr std::size_t callersForQuick = 3; // one in so many is kept for quick policies
 
 std::vector<std::string> freeCallers(const dispatch_state &state, time_point now)
@@ -64,6 +64,7 @@
             log_line {"admission_unanswered", log_line::severity::Warning}
                 .with("step", stepTextOf(open.step))
                 .with("caller", open.caller);
+            state.callers[open.caller].heardAt = {}; // not before its next hello
             release(state, open.caller, id);
             open.caller.clear();
         }
--- a/modules/filbert_dispatch/dispatch_state.h
+++ b/modules/filbert_dispatch/dispatch_state.h
@@ -21,7 +21,8 @@
     milliseconds longestLease {6'000}; // that a target grants; from the settings
     milliseconds lookWait {1'500}; // a look returns by then; two fit into a lease with room to spare
     milliseconds busyLookWait {400}; // where tasks that fill gaps work beside tasks that serve
-    milliseconds orderTimeout {700}; // for an answer that takes one round trip when all is well
+    milliseconds startTimeout {300}; // many round trips; a start may be sent again without harm
+    milliseconds orderTimeout {700}; // of stops and throttles, which nobody waits for
     milliseconds lookGrace {700}; // on top of a look's wait
     milliseconds retryPause {150}; // between tries of one order; an unreachable target costs little
     milliseconds startSpan {2'200}; // a start without an answer is taken back after three tries
@@ -73,6 +74,8 @@
     std::int64_t leaseUntil = 0; // the latest end that it may have been told, on its clock
     time_point lapseBy; // where its clock was never read: every lease has ended by then
     time_point heardAt; // a report or an answer
+    time_point answeredAt; // an answer to a call: the way there works in both directions
+    bool isSuspect = false; // a call got no answer, and none that was sent later has got one
     bool isLookOpen = false;
     time_point lookAt; // the next look, not before
     time_point lookSentAt;
--- a/modules/filbert_dispatch/target_conversation.cpp
+++ b/modules/filbert_dispatch/target_conversation.cpp
@@ -79,6 +79,7 @@
     order.checkpoint = run.checkpoint;
     order.ticket = run.ticket;
     order.leaseUntil = leaseEndFor(state, target, now);
+    order.timeout = state.settings.startTimeout;
     run.isOrderOpen = true;
     state.effects.orders.push_back(std::move(order));
 }
@@ -465,6 +466,7 @@
     const auto *life = lifeOf(state, target.id);
     return life != nullptr && !life->isOver && !life->about.is_draining()
         && life->about.born() == target.born && target.clockMs && !target.leavingSince
+        && !target.isSuspect
         && now >= target.avoidUntil && now - target.heardAt < state.settings.contactSpan;
 }
 
@@ -627,6 +629,17 @@
         && answer.result != order_result::Unreachable && answer.result != order_result::WrongLife;
     if (hasAnswered) {
         target.heardAt = now;
+        target.answeredAt = now;
+        state.isChanged = state.isChanged || target.isSuspect;
+        target.isSuspect = false;
+    } else if (target.answeredAt < order.sentAt && !target.isSuspect) {
+        // No new work until it answers: most often its process has ended, or its host is cut off.
+        target.isSuspect = true;
+        target.isReviewDue = true;
+        log_line {"target_suspect", log_line::severity::Warning}
+            .with("target", target.id)
+            .with("result", resultName(answer.result))
+            .with("heard_ms_ago", (now - target.heardAt).count);
     }
     if (answer.clockMs) {
         takeClock(state, target, *answer.clockMs, now);
