Orders to targets are carried by entry hosts where there are many; a turn steps only what has changed

Ruled out: more connections (the bound was near); larger hosts (given).

Change: order_relay passes orders to the entry hosts by rendezvous hashing within the failure domain (from 100 targets on; below that the leader calls itself, which stays as tested); a carrier that is silent is no evidence against its targets. Targets are looked through each 20 ms, in between only those that an event has touched; passes are spaced by the number of waiting steps.

--- a/modules/filbert_dispatch/dispatch_state.cpp
+++ b/modules/filbert_dispatch/dispatch_state.cpp
@@ -12,6 +12,8 @@
 namespace {
 
 constexpr milliseconds forgetPeriod {5'000};
+constexpr std::size_t stepsPerMillisecond = 4; // waiting steps that a pass looks at in that time
+constexpr milliseconds longestPassPause {40}; // a small part of the shortest latency objective
 constexpr int jobsForgottenAtOnce = 500;
 
 void unplan(dispatch_state &state, const task_name &task)
@@ -210,9 +212,13 @@
     stepTargets(state, now);
     beginDue(state, wallMs);
     forgetEnded(state, now, wallMs);
-    if (std::exchange(state.isChanged, false) || now >= state.passAt) {
+    const bool isDue = (state.isChanged && now >= state.passNotBefore) || now >= state.passAt;
+    if (isDue) {
+        state.isChanged = false;
         state.passAt = now + state.settings.passPeriod;
         placeWaiting(state, now);
+        const auto pause = static_cast<std::int64_t>(state.waitingSteps / stepsPerMillisecond);
+        state.passNotBefore = now + milliseconds {std::min(pause, longestPassPause.count)};
     }
     stepAdmissions(state, now);
 }
--- a/modules/filbert_dispatch/dispatch_state.h
+++ b/modules/filbert_dispatch/dispatch_state.h
@@ -34,6 +34,7 @@
     milliseconds longestAvoidance {12'000};
     int failuresBeforeAvoidance = 3; // in a row, from different jobs
     milliseconds ticketMargin {250}; // a start must reach its target before its ticket ends
+    milliseconds targetsPeriod {20}; // between looks through all targets: what time alone brings
     milliseconds passPeriod {100}; // between passes while something waits and nothing changes
     milliseconds retention {130'000}; // of ended jobs: what the platform asks for and a margin
     double urgentHeadroom = 0.08; // of a service's cores, kept for its most urgent queue
@@ -159,6 +160,7 @@
     int pace = 100;
     milliseconds timeout;
     time_point sentAt;
+    std::uint64_t carriedId = 0; // where another process makes the call
 };
 
 enum class order_result {
@@ -173,6 +175,7 @@
     Rejected, // it could not be read there
     Unanswered, // it may have been carried out, or be carried out later
     Unreachable, // not a byte of it has left
+    CarrierLost, // the process that carries orders is silent: nothing is known of the target
 };
 
 /** @param result any @return its name in logs */
@@ -241,8 +244,12 @@
     std::set<std::pair<std::string, std::uint32_t>> begun; // proposed occurrences
     std::uint64_t lastAdmission = 0;
     time_point forgetAt;
+    std::set<std::string> changedTargets; // ids of those that an event has touched
+    time_point targetsAt; // when all are looked through the next time
     bool isChanged = true; // the next pass may find something to place
     time_point passAt; // the next pass even if nothing changed: tickets and avoidances end by time
+    time_point passNotBefore; // many waiting steps make a pass long: fewer passes then
+    std::size_t waitingSteps = 0; // that the last pass found no room for
     dispatch_effects effects;
 };
 
--- a/modules/filbert_dispatch/scheduling.cpp
+++ b/modules/filbert_dispatch/scheduling.cpp
@@ -15,6 +15,7 @@
 constexpr std::size_t targetsPerCostlyRequest = 20; // where each one named takes 4 ms and more
 constexpr double costlyPerTargetMs = 4.0;
 constexpr std::size_t targetsPerRefresh = 8; // of tickets: a few more than a gang needs
+constexpr std::size_t mostReservations = 12; // steps of a service that targets are kept for
 constexpr double fillShare = 0.6; // of the cores that a task which fills gaps should find unused
 
 /** One step with waiting tasks, in the order of the pass. */
@@ -40,6 +41,9 @@
 struct service_view
 {
     std::vector<room_view> rooms;
+    std::int64_t mostCores = 0; // free on any one target, or more: rooms only shrink in a pass
+    std::int64_t mostAccelerators = 0;
+    std::size_t reservations = 0;
     std::int64_t totalCores = 0;
     std::int64_t freeCores = 0;
     int urgentPriority = std::numeric_limits<int>::max();
@@ -96,6 +100,9 @@
         room.rack = labels.size() > 1 ? labels.Get(labels.size() - 1) : std::string {};
         view.totalCores += room.capacity.milliCores;
         view.freeCores += std::max<std::int64_t>(unusedCores(room), 0);
+        const auto left = roomOf(room);
+        view.mostCores = std::max(view.mostCores, left.milliCores);
+        view.mostAccelerators = std::max(view.mostAccelerators, left.accelerators);
         view.rooms.push_back(std::move(room));
     }
     for (const auto &queue : pass.state.work->configuration.queues()) {
@@ -215,6 +222,10 @@
 room_view *bestRoom(placement_pass &pass, const open_step &step, service_view &service,
                     const std::string *rack)
 {
+    const auto need = reservedBy(*step.spec);
+    if (need.milliCores > service.mostCores || need.accelerators > service.mostAccelerators) {
+        return nullptr;
+    }
     room_view *best = nullptr;
     double bestCost = 0;
     for (auto &room : service.rooms) {
@@ -359,9 +370,11 @@
 void reserveFor(placement_pass &pass, const open_step &step, service_view &service,
                 std::size_t tasks)
 {
-    if (step.spec->fills_gaps() || step.spec->lasts() || step.rank >= lateRank) {
+    if (step.spec->fills_gaps() || step.spec->lasts() || step.rank >= lateRank
+        || service.reservations >= mostReservations) {
         return;
     }
+    ++service.reservations;
     const auto view = pass.state.admissions.find(step.name);
     std::vector<std::pair<double, std::string>> wanted;
     for (const auto &room : service.rooms) {
@@ -561,7 +574,9 @@
 void placeWaiting(dispatch_state &state, time_point now)
 {
     placement_pass pass {state, now, {}, {}};
-    for (const auto &step : openSteps(state, now)) {
+    const auto steps = openSteps(state, now);
+    state.waitingSteps = steps.size();
+    for (const auto &step : steps) {
         auto &service = serviceOf(pass, step.queue->service());
         if (step.spec->is_gang()) {
             placeGang(pass, step, service);
--- a/modules/filbert_dispatch/target_conversation.cpp
+++ b/modules/filbert_dispatch/target_conversation.cpp
@@ -168,9 +168,11 @@
     if (isFaultOfTarget(result)) {
         noteFailure(state, target, order.task, "its starts fail", now);
     }
-    run.mayBeThere = run.mayBeThere || result == order_result::Unanswered;
+    run.mayBeThere =
+        run.mayBeThere || result == order_result::Unanswered || result == order_result::CarrierLost;
     const bool mayTryAgain =
-        (result == order_result::Unanswered || result == order_result::Unreachable)
+        (result == order_result::Unanswered || result == order_result::Unreachable
+         || result == order_result::CarrierLost)
         && now - run.orderedAt < state.settings.startSpan;
     if (mayTryAgain) {
         run.retryAt = now + state.settings.retryPause;
@@ -443,9 +445,9 @@
 
 std::string_view resultName(order_result result)
 {
-    constexpr std::string_view names[] = {"done",     "fenced",     "old",        "late",
-                                          "no_room",  "bad_ticket", "unhealthy",  "wrong_life",
-                                          "rejected", "unanswered", "unreachable"};
+    constexpr std::string_view names[] = {"done",     "fenced",     "old",         "late",
+                                          "no_room",  "bad_ticket", "unhealthy",   "wrong_life",
+                                          "rejected", "unanswered", "unreachable", "carrier_lost"};
     return names[static_cast<std::size_t>(result)];
 }
 
@@ -479,6 +481,7 @@
         state.targets.erase(id);
         return;
     }
+    state.changedTargets.insert(id);
     auto &target = state.targets[id];
     if (target.born != life->about.born()) {
         const auto before = std::move(target);
@@ -577,6 +580,7 @@
         return;
     }
     auto &run = found->second;
+    state.changedTargets.insert(record->target);
     log_line {"run_stopping"}
         .with("task", textOf(task))
         .with("run", run.run)
@@ -627,14 +631,16 @@
         }
         return;
     }
-    const bool hasAnswered = answer.result != order_result::Unanswered
+    state.changedTargets.insert(order.target);
+    const bool isCarried = answer.result != order_result::CarrierLost;
+    const bool hasAnswered = isCarried && answer.result != order_result::Unanswered
         && answer.result != order_result::Unreachable && answer.result != order_result::WrongLife;
     if (hasAnswered) {
         target.heardAt = now;
         target.answeredAt = now;
         state.isChanged = state.isChanged || target.isSuspect;
         target.isSuspect = false;
-    } else if (target.answeredAt < order.sentAt && !target.isSuspect) {
+    } else if (isCarried && target.answeredAt < order.sentAt && !target.isSuspect) {
         // No new work until it answers: most often its process has ended, or its host is cut off.
         target.isSuspect = true;
         target.isReviewDue = true;
@@ -669,32 +675,53 @@
     }
 }
 
-void stepTargets(dispatch_state &state, time_point now)
+namespace {
+
+void stepTarget(dispatch_state &state, target_view &target, time_point now)
 {
-    for (auto &[id, target] : state.targets) {
-        const auto *life = lifeOf(state, id);
-        if (life == nullptr || life->about.born() != target.born) {
-            continue;
-        }
-        if (target.leavingSince && now - *target.leavingSince >= state.settings.leavingSpan) {
-            if (!std::exchange(target.isLeaveProposed, true)) {
-                messages::work_command command;
-                command.set_target_left(id);
-                propose(state, std::move(command));
-            }
-            continue;
-        }
-        if (!target.runs.empty() && hasLapsed(target, now)) {
-            giveUpLapsed(state, target);
-            continue;
+    const auto &id = target.id;
+    const auto *life = lifeOf(state, id);
+    if (life == nullptr || life->about.born() != target.born) {
+        return;
+    }
+    if (target.leavingSince && now - *target.leavingSince >= state.settings.leavingSpan) {
+        if (!std::exchange(target.isLeaveProposed, true)) {
+            messages::work_command command;
+            command.set_target_left(id);
+            propose(state, std::move(command));
         }
-        if (life->about.is_draining()) {
-            reviewDrain(state, target, now);
+        return;
+    }
+    if (!target.runs.empty() && hasLapsed(target, now)) {
+        giveUpLapsed(state, target);
+        return;
+    }
+    if (life->about.is_draining()) {
+        reviewDrain(state, target, now);
+    }
+    reviewProgress(state, target, now);
+    stepRuns(state, target, *life, now);
+    if (!target.isLookOpen && now >= target.lookAt && needsLook(target, *life)) {
+        sendLook(state, target, *life, now);
+    }
+}
+
+} // namespace
+
+void stepTargets(dispatch_state &state, time_point now)
+{
+    const auto changed = std::exchange(state.changedTargets, {});
+    if (now >= state.targetsAt) {
+        state.targetsAt = now + state.settings.targetsPeriod;
+        for (auto &[id, target] : state.targets) {
+            stepTarget(state, target, now);
         }
-        reviewProgress(state, target, now);
-        stepRuns(state, target, *life, now);
-        if (!target.isLookOpen && now >= target.lookAt && needsLook(target, *life)) {
-            sendLook(state, target, *life, now);
+        return;
+    }
+    for (const auto &id : changed) {
+        const auto found = state.targets.find(id);
+        if (found != state.targets.end()) {
+            stepTarget(state, found->second, now);
         }
     }
 }
--- a/modules/filbert_node/filbert_node.h
+++ b/modules/filbert_node/filbert_node.h
@@ -8,4 +8,5 @@
 */
 
 #include "leader_link.h"
+#include "order_relay.h"
 #include "work_controller.h"
--- a/modules/filbert_node/leader_link.cpp
+++ b/modules/filbert_node/leader_link.cpp
@@ -69,6 +69,10 @@
         hooks.admit(envelope.admission(), address);
         return;
     }
+    if (envelope.body_case() == body::kCarried) {
+        hooks.carry(envelope.carried(), address);
+        return;
+    }
     const auto found = calls.find(envelope.exchange());
     if (envelope.body_case() != body::kAnswer || found == calls.end()) {
         return;
@@ -125,6 +129,8 @@
     envelope.set_from(settings.name);
     envelope.mutable_hello()->set_name(settings.name);
     envelope.mutable_hello()->set_asks_admission(settings.asksAdmission);
+    envelope.mutable_hello()->set_carries_orders(settings.carriesOrders);
+    envelope.mutable_hello()->set_failure_domain(settings.failureDomain);
     for (const auto &address : addresses()) {
         const auto quiet = std::max(heardAt[address], renewedAt[address]);
         if (now - quiet > settings.silentSpan) {
--- a/modules/filbert_node/leader_link.h
+++ b/modules/filbert_node/leader_link.h
@@ -17,6 +17,8 @@
 {
     std::string name; // of this process, unique among all
     bool asksAdmission = false; // whether it can call the policy service
+    bool carriesOrders = false; // whether it can call targets
+    std::string failureDomain; // of this process' host
     milliseconds helloPeriod {300}; // three fit into the span after which a caller counts as gone
     milliseconds resendAfter {600}; // several times the longest commit; requests can be repeated
     milliseconds retryPause {60}; // after an answer that there is no leader
@@ -38,6 +40,7 @@
     std::function<bool(const std::string &address, const messages::work_envelope &)> send;
     std::function<void(const std::string &address)> reconnect;
     std::function<void(const messages::admission_request &, const std::string &address)> admit;
+    std::function<void(const messages::carried_orders &, const std::string &address)> carry;
 };
 
 /** Carries requests to whichever controller leads, and says hello to all of them.
--- /dev/null
+++ b/modules/filbert_node/order_relay.cpp
@@ -0,0 +1,210 @@
+#include "order_relay.h"
+
+#include <utility>
+
+namespace filbert {
+
+namespace {
+
+task_name taskFrom(const std::string &text)
+{
+    return taskNameFrom(text).value_or(task_name {});
+}
+
+} // namespace
+
+order_relay::order_relay(const order_relay_settings &settings, hooks given)
+    : settings {settings}
+    , given {std::move(given)}
+{
+}
+
+void order_relay::takeCarrier(const std::string &name, const std::string &failureDomain,
+                              time_point now)
+{
+    carriers[name] = {failureDomain, now};
+}
+
+std::string order_relay::carrierFor(const std::string &target, const std::string &failureDomain,
+                                    time_point now) const
+{
+    // Rendezvous hashing: a carrier that comes or goes moves only its own share of the targets,
+    // and a target's connections stay with one carrier.
+    std::string best;
+    std::pair<bool, std::size_t> bestWeight;
+    for (const auto &[name, carrier] : carriers) {
+        if (now - carrier.heardAt >= settings.carrierSpan) {
+            continue;
+        }
+        const std::pair<bool, std::size_t> weight {carrier.failureDomain == failureDomain,
+                                                   std::hash<std::string> {}(target + '/' + name)};
+        if (best.empty() || weight > bestWeight) {
+            best = name;
+            bestWeight = weight;
+        }
+    }
+    return best;
+}
+
+void order_relay::send(const target_order &order, std::size_t targets,
+                       const std::string &failureDomain, time_point now)
+{
+    const auto carrier = targets > settings.ownTargets
+        ? carrierFor(order.target, failureDomain, now)
+        : std::string {};
+    if (carrier.empty()) {
+        given.callTarget(order);
+        return;
+    }
+    const auto id = ++lastId;
+    open[id] = {order, carrier, now + order.timeout + settings.answerGrace};
+    auto *added = gathered[carrier].mutable_carried()->add_orders();
+    *added = carriedOrderOf(order);
+    added->set_id(id);
+}
+
+void order_relay::flush()
+{
+    for (const auto &[carrier, envelope] : std::exchange(gathered, {})) {
+        given.send(carrier, envelope);
+    }
+}
+
+void order_relay::takeAnswers(const std::string &carrier, const messages::carried_answers &answers)
+{
+    for (const auto &message : answers.answers()) {
+        const auto found = open.find(message.id());
+        if (found == open.end() || found->second.carrier != carrier) {
+            continue; // it came too late
+        }
+        const auto order = std::move(found->second.order);
+        open.erase(found);
+        given.onAnswer(order, answerOf(message));
+    }
+}
+
+void order_relay::takeTime(time_point now)
+{
+    std::vector<open_order> late;
+    for (auto entry = open.begin(); entry != open.end();) {
+        if (now < entry->second.deadline) {
+            ++entry;
+            continue;
+        }
+        late.push_back(std::move(entry->second));
+        entry = open.erase(entry);
+    }
+    for (const auto &each : late) {
+        auto &carrier = carriers[each.carrier];
+        if (carrier.heardAt.ms != 0) {
+            log_line {"carrier_lost", log_line::severity::Warning}
+                .with("carrier", each.carrier)
+                .with("target", each.order.target)
+                .with("heard_ms_ago", (now - carrier.heardAt).count);
+            carrier.heardAt = {}; // not before its next hello
+        }
+        order_answer none;
+        none.result = order_result::CarrierLost;
+        given.onAnswer(each.order, none);
+    }
+}
+
+void order_relay::clear()
+{
+    open.clear();
+    gathered.clear();
+}
+
+messages::carried_order carriedOrderOf(const target_order &order)
+{
+    messages::carried_order message;
+    message.set_kind(static_cast<int>(order.kind));
+    message.set_target(order.target);
+    message.set_born(order.born);
+    message.set_address(order.address);
+    message.set_task(order.task.job.empty() ? std::string {} : textOf(order.task));
+    message.set_run(order.run);
+    message.set_spec(order.spec);
+    message.set_checkpoint(order.checkpoint);
+    message.set_ticket(order.ticket);
+    message.set_lease_until(order.leaseUntil);
+    message.set_fencing_token(order.fencingToken);
+    message.set_last_seen(order.lastSeen);
+    message.set_wait_ms(order.wait.count);
+    message.set_pace(order.pace);
+    message.set_timeout_ms(order.timeout.count);
+    return message;
+}
+
+target_order orderOf(const messages::carried_order &message)
+{
+    target_order order;
+    order.kind = static_cast<order_kind>(message.kind());
+    order.target = message.target();
+    order.born = message.born();
+    order.address = message.address();
+    order.task = taskFrom(message.task());
+    order.run = message.run();
+    order.spec = message.spec();
+    order.checkpoint = message.checkpoint();
+    order.ticket = message.ticket();
+    order.leaseUntil = message.lease_until();
+    order.fencingToken = message.fencing_token();
+    order.lastSeen = message.last_seen();
+    order.wait = {message.wait_ms()};
+    order.pace = message.pace();
+    order.timeout = {message.timeout_ms()};
+    return order;
+}
+
+messages::carried_answer carriedAnswerOf(const order_answer &answer)
+{
+    messages::carried_answer message;
+    message.set_result(static_cast<int>(answer.result));
+    if (answer.clockMs) {
+        message.set_clock_ms(*answer.clockMs);
+    }
+    if (answer.born) {
+        message.set_born(*answer.born);
+    }
+    for (const auto &run : answer.runs) {
+        auto *out = message.add_runs();
+        out->set_task(textOf(run.task));
+        out->set_run(run.run);
+        out->set_checkpoint(run.checkpoint);
+        out->set_percent(run.percent);
+        out->set_gauge(run.gauge);
+    }
+    for (const auto &end : answer.ends) {
+        auto *out = message.add_ends();
+        out->set_number(end.number);
+        out->set_task(textOf(end.task));
+        out->set_run(end.run);
+        out->set_kind(end.kind);
+        out->set_checkpoint(end.checkpoint);
+    }
+    return message;
+}
+
+order_answer answerOf(const messages::carried_answer &message)
+{
+    order_answer answer;
+    answer.result = static_cast<order_result>(message.result());
+    if (message.has_clock_ms()) {
+        answer.clockMs = message.clock_ms();
+    }
+    if (message.has_born()) {
+        answer.born = message.born();
+    }
+    for (const auto &run : message.runs()) {
+        answer.runs.push_back(
+            {taskFrom(run.task()), run.run(), run.checkpoint(), run.percent(), run.gauge()});
+    }
+    for (const auto &end : message.ends()) {
+        answer.ends.push_back(
+            {end.number(), taskFrom(end.task()), end.run(), end.kind(), end.checkpoint()});
+    }
+    return answer;
+}
+
+} // namespace filbert
--- /dev/null
+++ b/modules/filbert_node/order_relay.h
@@ -0,0 +1,95 @@
+#pragma once
+
+#include "filbert_dispatch/filbert_dispatch.h"
+
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace filbert {
+
+/** Times and sizes of an order_relay. */
+struct order_relay_settings
+{
+    // A conversation with a target costs a leader about 1 ms of processor a second; beyond this
+    // many the leader's host would have little left for decisions.
+    std::size_t ownTargets = 100;
+    milliseconds carrierSpan {1'000}; // three missed hellos
+    milliseconds answerGrace {350}; // on top of the order's own time: two hops and a turn each
+};
+
+/** Passes a leader's orders to processes near the targets, or makes the calls itself where there
+    are few targets.
+
+    An order ends once: with the carrier's answer, or as CarrierLost when that does not come. What
+    protects targets from late orders (leases, run numbers, fencing tokens) does so here too.
+*/
+class order_relay
+{
+public:
+    struct hooks
+    {
+        std::function<void(const std::string &carrier, const messages::work_envelope &)> send;
+        std::function<void(const target_order &)> callTarget; // from this process
+        std::function<void(const target_order &, const order_answer &)> onAnswer;
+    };
+
+    order_relay(const order_relay_settings &settings, hooks given);
+
+    /** A process said that it carries orders. */
+    void takeCarrier(const std::string &name, const std::string &failureDomain, time_point now);
+
+    /** @param targets  how many there are @param failureDomain of the order's target */
+    void send(const target_order &order, std::size_t targets, const std::string &failureDomain,
+              time_point now);
+
+    /** Sends what send() has gathered; call it once a turn. */
+    void flush();
+
+    void takeAnswers(const std::string &carrier, const messages::carried_answers &answers);
+
+    /** Ends orders whose carrier has not answered. */
+    void takeTime(time_point now);
+
+    /** Forgets all open orders: their term is over. */
+    void clear();
+
+private:
+    struct carrier_state
+    {
+        std::string failureDomain;
+        time_point heardAt;
+    };
+
+    struct open_order
+    {
+        target_order order;
+        std::string carrier;
+        time_point deadline;
+    };
+
+    std::string carrierFor(const std::string &target, const std::string &failureDomain,
+                           time_point now) const;
+
+    order_relay_settings settings;
+    hooks given;
+    std::map<std::string, carrier_state> carriers;
+    std::map<std::uint64_t, open_order> open;
+    std::map<std::string, messages::work_envelope> gathered; // by carrier
+    std::uint64_t lastId = 0;
+};
+
+/** @param order to carry @return it as a message, without an id */
+messages::carried_order carriedOrderOf(const target_order &order);
+
+/** @return the order that a message holds */
+target_order orderOf(const messages::carried_order &message);
+
+/** @param answer to an order @return it as a message, without an id */
+messages::carried_answer carriedAnswerOf(const order_answer &answer);
+
+/** @return the answer that a message holds */
+order_answer answerOf(const messages::carried_answer &message);
+
+} // namespace filbert
--- a/modules/filbert_node/tests/leader_link_test.cpp
+++ b/modules/filbert_node/tests/leader_link_test.cpp
@@ -20,7 +20,8 @@
                      return true;
                  },
                  [this](const std::string &address) { renewed.push_back(address); },
-                 [](const messages::admission_request &, const std::string &) {}}}
+                 [](const messages::admission_request &, const std::string &) {},
+                 [](const messages::carried_orders &, const std::string &) {}}}
     {
         link.setSeeds({"tcp://c1", "tcp://c2"});
     }
--- a/modules/filbert_node/work_controller.cpp
+++ b/modules/filbert_node/work_controller.cpp
@@ -60,6 +60,14 @@
             },
             [this] { return writeWork(state); }},
            now}
+    , relay {settings.relay,
+             {[this](const std::string &carrier, const messages::work_envelope &envelope) {
+                  hooks.sendToPeer(carrier, envelope);
+              },
+              [this](const target_order &order) { hooks.callTarget(order); },
+              [this](const target_order &order, const order_answer &answer) {
+                  takeOrderAnswer(order, answer, monotonicNow());
+              }}}
 {
 }
 
@@ -85,6 +93,9 @@
             takeAdmission(*dispatch, envelope.admission_answer(), now);
         }
         break;
+    case body::kCarriedAnswers:
+        relay.takeAnswers(peer, envelope.carried_answers());
+        break;
     default:
         log_line {"message_unexpected", log_line::severity::Warning}.with("peer", peer);
     }
@@ -96,6 +107,9 @@
     if (dispatch && hello.asks_admission()) {
         takeCaller(*dispatch, peer, now);
     }
+    if (dispatch && hello.carries_orders()) {
+        relay.takeCarrier(peer, hello.failure_domain(), now);
+    }
     messages::work_envelope envelope;
     envelope.set_from(settings.name);
     auto *answer = envelope.mutable_welcome();
@@ -401,6 +415,7 @@
 void work_controller::takeTime(time_point now)
 {
     log.takeTime(now);
+    relay.takeTime(now);
     if (isStopping) {
         log.handOverLeadership(now);
     }
@@ -490,6 +505,7 @@
     }
     if (!dispatch && log.isSettled() && !isStopping && hasLease(view, now)) {
         turnAwayAll();
+        relay.clear();
         dispatch = startDispatch(state, settings.dispatch, view.term, now, wallMs);
         leadingSince = now;
         ++counts.elections;
@@ -517,8 +533,12 @@
     }
     for (const auto &order : std::exchange(dispatch->effects.orders, {})) {
         ++counts.orders[orderName(order.kind)];
-        hooks.callTarget(order);
+        const auto life = state.lives.find(order.target);
+        const auto domain =
+            life == state.lives.end() ? std::string {} : life->second.about.failure_domain();
+        relay.send(order, dispatch->targets.size(), domain, now);
     }
+    relay.flush();
     for (const auto &call : std::exchange(dispatch->effects.admissions, {})) {
         messages::work_envelope envelope;
         envelope.set_from(settings.name);
--- a/modules/filbert_node/work_controller.h
+++ b/modules/filbert_node/work_controller.h
@@ -2,6 +2,7 @@
 
 #include "filbert_dispatch/filbert_dispatch.h"
 #include "filbert_replication/filbert_replication.h"
+#include "order_relay.h"
 
 #include <functional>
 #include <map>
@@ -19,6 +20,7 @@
     std::string control; // where it serves targets and operators
     dispatch_settings dispatch;
     formation_settings formation;
+    order_relay_settings relay;
     milliseconds joinPeriod {200}; // between requests to join; five fit into the span they are good
 };
 
@@ -127,6 +129,7 @@
     time_point joinAt;
     time_point flushNow; // of the flush under way, for hooks that it calls
     work_counters counts;
+    order_relay relay;
     bool isStopping = false;
 };
 
