--- /dev/null
+++ b/extras/dispatch_bench.cpp
@@ -0,0 +1,198 @@
+/** @file
+    How long a leader's turn takes with many targets and a queue of waiting work, in one process
+    without a network: the cost of one placement pass and of one look through all targets.
+*/
+
+#include "filbert_dispatch/filbert_dispatch.h"
+
+#include <chrono>
+#include <gflags/gflags.h>
+#include <iomanip>
+#include <iostream>
+
+DEFINE_int32(targets, 350, "targets");
+DEFINE_int32(jobs, 600, "jobs that are accepted at once");
+DEFINE_int32(tasks, 10, "tasks of each job");
+DEFINE_int32(turns, 200, "turns of 20 ms");
+
+namespace filbert {
+
+namespace {
+
+using steady = std::chrono::steady_clock;
+
+double millisecondsSince(steady::time_point start)
+{
+    return std::chrono::duration<double, std::milli>(steady::now() - start).count();
+}
+
+struct bench_cell
+{
+    work_state state;
+    dispatch_state leader;
+    time_point now {100'000};
+    std::int64_t wallMs = 1'700'000'000'000;
+
+    void apply(const messages::work_command &command)
+    {
+        const auto outcome = applyCommand(state, command, wallMs);
+        afterCommand(leader, command, outcome.error != error_kind::None, now);
+    }
+
+    void configure()
+    {
+        messages::work_command command;
+        auto *configuration = command.mutable_configure();
+        configuration->set_version(1);
+        for (int q = 0; q < 3; ++q) {
+            auto *queue = configuration->add_queues();
+            queue->set_name("queue-" + std::to_string(q));
+            queue->set_service("orders");
+            queue->set_priority(q);
+            queue->set_max_attempts(2);
+            queue->set_slack_factor(2);
+            if (q != 1) {
+                queue->mutable_admission()->set_decide_ms(20);
+                queue->mutable_admission()->set_per_target_ms(0.2);
+                queue->mutable_admission()->set_ticket_ms(2'000);
+            }
+        }
+        configuration->add_services()->set_name("orders");
+        apply(command);
+    }
+
+    messages::target_life lifeOf(int number) const
+    {
+        messages::target_life life;
+        life.set_id("i-" + std::to_string(100'000 + number));
+        life.set_born(1);
+        life.set_address("10.0.0.1:" + std::to_string(number));
+        life.set_service("orders");
+        life.mutable_capacity()->set_milli_cores(32'000);
+        life.mutable_capacity()->set_memory_mb(64'000);
+        life.add_labels("a");
+        life.add_labels("rack-" + std::to_string(number / 12));
+        life.set_clock_ms(now.ms);
+        life.set_sequence(now.ms);
+        return life;
+    }
+
+    void report()
+    {
+        for (int i = 0; i < FLAGS_targets; ++i) {
+            takeReport(leader, lifeOf(i), now);
+        }
+        commit();
+    }
+
+    void submit(int number)
+    {
+        messages::work_command command;
+        auto *job = command.mutable_accept();
+        job->set_id("job-" + std::to_string(100'000 + number));
+        job->set_queue("queue-" + std::to_string(number % 3));
+        job->set_accepted_wall_ms(wallMs);
+        auto *step = job->add_steps();
+        step->set_count(FLAGS_tasks);
+        step->mutable_need()->set_milli_cores(5'000);
+        step->mutable_need()->set_memory_mb(100);
+        step->set_estimate_ms(2'000);
+        apply(command);
+    }
+
+    void commit()
+    {
+        for (const auto &command : std::exchange(leader.effects.commands, {})) {
+            apply(command);
+        }
+    }
+
+    /** Answers every order at once, and every admission with half of the targets. */
+    void answerAll()
+    {
+        for (const auto &order : std::exchange(leader.effects.orders, {})) {
+            order_answer answer;
+            answer.result = order_result::Done;
+            answer.clockMs = now.ms;
+            if (order.kind == order_kind::Look) {
+                for (const auto &task : state.lives.at(order.target).runs) {
+                    answer.runs.push_back(
+                        {task, findTask(state, task)->run, {}, 1 + int(now.ms / 100 % 99), 0});
+                }
+            }
+            takeOrderAnswer(leader, order, answer, now);
+        }
+        for (const auto &call : std::exchange(leader.effects.admissions, {})) {
+            messages::admission_answer answer;
+            answer.set_id(call.request.id());
+            answer.set_is_answered(true);
+            for (int i = 0; i < call.request.targets_size(); i += 2) {
+                auto *ticket = answer.add_admitted();
+                ticket->set_target(call.request.targets(i));
+                ticket->set_ticket("t");
+            }
+            takeAdmission(leader, answer, now);
+        }
+    }
+};
+
+void run()
+{
+    bench_cell cell;
+    cell.leader = startDispatch(cell.state, dispatch_settings {}, 1, cell.now, cell.wallMs);
+    cell.leader.work = &cell.state;
+    cell.configure();
+    for (int i = 0; i < FLAGS_targets; ++i) {
+        messages::work_command command;
+        *command.mutable_target() = cell.lifeOf(i);
+        command.mutable_target()->clear_clock_ms();
+        command.mutable_target()->clear_sequence();
+        cell.apply(command);
+    }
+    for (int i = 0; i < FLAGS_jobs; ++i) {
+        cell.submit(i);
+    }
+    double steps = 0;
+    double longest = 0;
+    double answers = 0;
+    for (int turn = 0; turn < FLAGS_turns; ++turn) {
+        cell.now = cell.now + milliseconds {20};
+        cell.wallMs += 20;
+        if (turn % 50 == 0) {
+            cell.report();
+        }
+        for (int g = 0; g < 30; ++g) {
+            takeCaller(cell.leader, "gateway-" + std::to_string(g), cell.now);
+        }
+        cell.leader.isChanged = true;
+        const auto start = steady::now();
+        stepDispatch(cell.leader, cell.now, cell.wallMs);
+        const auto took = millisecondsSince(start);
+        steps += took;
+        longest = std::max(longest, took);
+        const auto second = steady::now();
+        cell.commit();
+        cell.answerAll();
+        answers += millisecondsSince(second);
+    }
+    std::size_t running = 0;
+    for (const auto &[id, job] : cell.state.jobs) {
+        running += job.running;
+    }
+    std::cout << std::fixed << std::setprecision(3) << "targets=" << FLAGS_targets
+              << " jobs=" << FLAGS_jobs << " running_tasks=" << running
+              << " turn_ms=" << steps / FLAGS_turns << " longest_turn_ms=" << longest
+              << " answers_ms=" << answers / FLAGS_turns << "\n";
+}
+
+} // namespace
+
+} // namespace filbert
+
+int main(int argc, char **argv)
+{
+    gflags::ParseCommandLineFlags(&argc, &argv, true);
+    filbert::silenceLog();
+    filbert::run();
+    return 0;
+}
--- a/modules/filbert_dispatch/dispatch_state.cpp
+++ b/modules/filbert_dispatch/dispatch_state.cpp
@@ -80,14 +80,35 @@
     }
 }
 
-/** After a life has ended its runs wait again, in jobs that the command does not name. */
-void refreshAll(dispatch_state &state, time_point now)
+/** Brings a target in line with its life; where that has ended, its runs' jobs wait again. */
+void syncEnded(dispatch_state &state, const std::string &id, time_point now)
 {
-    for (const auto &[id, job] : state.work->jobs) {
-        if (!job.isEnded() || state.jobs.contains(id)) {
-            refreshJob(state, id, now);
+    std::set<std::string> jobs;
+    const auto target = state.targets.find(id);
+    if (target != state.targets.end()) {
+        for (const auto &[task, run] : target->second.runs) {
+            jobs.insert(task.job);
+        }
+    }
+    syncTargets(state, id, now);
+    for (const auto &job : jobs) {
+        refreshJob(state, job, now);
+    }
+}
+
+void afterTarget(dispatch_state &state, const messages::target_life &life, time_point now)
+{
+    syncEnded(state, life.id(), now);
+    std::vector<std::string> ended; // a life at the same address may have ended with this one
+    for (const auto &[id, target] : state.targets) {
+        const auto known = state.work->lives.find(id);
+        if (known != state.work->lives.end() && known->second.isOver) {
+            ended.push_back(id);
         }
     }
+    for (const auto &id : ended) {
+        syncEnded(state, id, now);
+    }
 }
 
 void beginDue(dispatch_state &state, std::int64_t wallMs)
@@ -188,14 +209,10 @@
         break;
     }
     case body::kTarget:
-        for (const auto &[id, life] : state.work->lives) {
-            syncTargets(state, id, now); // a life at the same address may have ended with it
-        }
-        refreshAll(state, now);
+        afterTarget(state, command.target(), now);
         break;
     case body::kTargetLeft:
-        syncTargets(state, command.target_left(), now);
-        refreshAll(state, now);
+        syncEnded(state, command.target_left(), now);
         break;
     case body::kBegin:
         refreshJob(state, command.begin().job(), now);
--- a/modules/filbert_dispatch/dispatch_state.h
+++ b/modules/filbert_dispatch/dispatch_state.h
@@ -249,7 +249,8 @@
     bool isChanged = true; // the next pass may find something to place
     time_point passAt; // the next pass even if nothing changed: tickets and avoidances end by time
     time_point passNotBefore; // many waiting steps make a pass long: fewer passes then
-    std::size_t waitingSteps = 0; // that the last pass found no room for
+    std::size_t waitingSteps = 0; // as of the last pass
+    std::uint64_t passes = 0;
     dispatch_effects effects;
 };
 
--- a/modules/filbert_dispatch/scheduling.cpp
+++ b/modules/filbert_dispatch/scheduling.cpp
@@ -5,6 +5,8 @@
 
 #include <algorithm>
 #include <limits>
+#include <optional>
+#include <unordered_map>
 
 namespace filbert {
 
@@ -16,6 +18,10 @@
 constexpr double costlyPerTargetMs = 4.0;
 constexpr std::size_t targetsPerRefresh = 8; // of tickets: a few more than a gang needs
 constexpr std::size_t mostReservations = 12; // steps of a service that targets are kept for
+constexpr std::size_t failuresPerPass = 48; // steps without room that one pass looks at
+constexpr std::size_t passesPerTurn = 8;
+constexpr milliseconds slowPolicy {300}; // tickets of such a one are renewed before there is room
+constexpr milliseconds askPause {100}; // between requests of one step for more than it has
 constexpr double fillShare = 0.6; // of the cores that a task which fills gaps should find unused
 
 /** One step with waiting tasks, in the order of the pass. */
@@ -25,27 +31,34 @@
     const job_record *job = nullptr;
     const messages::step_spec *spec = nullptr;
     const messages::work_queue *queue = nullptr;
+    resource_amounts need; // what a task takes of its target
     int rank = 0;
     std::int64_t slackMs = 0;
 };
 
+constexpr int notReserved = std::numeric_limits<int>::max();
+
 /** One target as the pass sees it. */
 struct room_view
 {
     target_view *target = nullptr;
     const life_record *life = nullptr;
     resource_amounts capacity;
+    resource_amounts left; // what no run and no planned start has taken
+    std::int64_t unusedCores = 0; // of these, what tasks that fill gaps do not use either
     std::string rack;
+    int reservedRank = notReserved; // lower work is kept out of it
 };
 
 struct service_view
 {
     std::vector<room_view> rooms;
+    std::unordered_map<std::string, std::size_t> byId;
     std::int64_t mostCores = 0; // free on any one target, or more: rooms only shrink in a pass
     std::int64_t mostAccelerators = 0;
-    std::size_t reservations = 0;
     std::int64_t totalCores = 0;
     std::int64_t freeCores = 0;
+    std::size_t failures = 0; // steps that found no room
     int urgentPriority = std::numeric_limits<int>::max();
 };
 
@@ -54,19 +67,8 @@
     dispatch_state &state;
     time_point now;
     std::map<std::string, service_view> services;
-    std::map<std::string, int> reserved; // target to the rank that it is kept for
 };
 
-resource_amounts roomOf(const room_view &room)
-{
-    return room.capacity - room.life->used - room.target->planned;
-}
-
-std::int64_t unusedCores(const room_view &room)
-{
-    return roomOf(room).milliCores - room.life->fillCores - room.target->plannedFill;
-}
-
 bool hasLabel(const room_view &room, const std::string &label)
 {
     const auto &labels = room.life->about.labels();
@@ -79,6 +81,24 @@
         && need.accelerators <= room.accelerators;
 }
 
+void addRoom(service_view &view, target_view &target, const life_record &life)
+{
+    room_view room;
+    room.target = &target;
+    room.life = &life;
+    room.capacity = amountsOf(life.about.capacity());
+    room.left = room.capacity - life.used - target.planned;
+    room.unusedCores = room.left.milliCores - life.fillCores - target.plannedFill;
+    const auto &labels = life.about.labels();
+    room.rack = labels.size() > 1 ? labels.Get(labels.size() - 1) : std::string {};
+    view.totalCores += room.capacity.milliCores;
+    view.freeCores += std::max<std::int64_t>(room.unusedCores, 0);
+    view.mostCores = std::max(view.mostCores, room.left.milliCores);
+    view.mostAccelerators = std::max(view.mostAccelerators, room.left.accelerators);
+    view.byId.emplace(target.id, view.rooms.size());
+    view.rooms.push_back(std::move(room));
+}
+
 service_view &serviceOf(placement_pass &pass, const std::string &service)
 {
     const auto found = pass.services.find(service);
@@ -88,22 +108,10 @@
     auto &view = pass.services[service];
     for (auto &[id, target] : pass.state.targets) {
         const auto life = pass.state.work->lives.find(id);
-        if (life == pass.state.work->lives.end() || life->second.about.service() != service
-            || !takesWork(pass.state, target, pass.now)) {
-            continue;
+        if (life != pass.state.work->lives.end() && life->second.about.service() == service
+            && takesWork(pass.state, target, pass.now)) {
+            addRoom(view, target, life->second);
         }
-        room_view room;
-        room.target = &target;
-        room.life = &life->second;
-        room.capacity = amountsOf(life->second.about.capacity());
-        const auto &labels = life->second.about.labels();
-        room.rack = labels.size() > 1 ? labels.Get(labels.size() - 1) : std::string {};
-        view.totalCores += room.capacity.milliCores;
-        view.freeCores += std::max<std::int64_t>(unusedCores(room), 0);
-        const auto left = roomOf(room);
-        view.mostCores = std::max(view.mostCores, left.milliCores);
-        view.mostAccelerators = std::max(view.mostAccelerators, left.accelerators);
-        view.rooms.push_back(std::move(room));
     }
     for (const auto &queue : pass.state.work->configuration.queues()) {
         if (queue.service() == service) {
@@ -120,33 +128,34 @@
     auto name = step.name;
     for (std::uint32_t i = 0; i < record.tasks.size(); ++i) {
         const auto &task = record.tasks[i];
+        if (task.status == task_status::Running) {
+            count += task.target == target ? 1 : 0;
+            continue;
+        }
         name.index = i;
         const auto planned = pass.state.planned.find(name);
-        count += (task.status == task_status::Running && task.target == target)
-            || (planned != pass.state.planned.end() && planned->second == target);
+        count += planned != pass.state.planned.end() && planned->second == target ? 1 : 0;
     }
     return count;
 }
 
 /** Whether a target could take a task of the step if it were empty, as far as rules go. */
-bool isEligible(const placement_pass &pass, const open_step &step, const room_view &room)
+bool isEligible(const open_step &step, const room_view &room)
 {
-    const auto reserved = pass.reserved.find(room.target->id);
-    return hasLabel(room, step.spec->required_label())
-        && fits(reservedBy(*step.spec), room.capacity)
-        && (reserved == pass.reserved.end() || reserved->second >= step.rank);
+    return room.reservedRank >= step.rank && fits(step.need, room.capacity)
+        && hasLabel(room, step.spec->required_label());
 }
 
 bool hasRoomFor(const placement_pass &pass, const open_step &step, const service_view &service,
                 const room_view &room)
 {
-    const auto &spec = *step.spec;
-    if (!fits(reservedBy(spec), roomOf(room))) {
+    if (!fits(step.need, room.left)) {
         return false;
     }
+    const auto &spec = *step.spec;
     if (spec.fills_gaps()) {
         const auto wanted = static_cast<double>(spec.need().milli_cores()) * fillShare;
-        return room.life->serving == 0 && static_cast<double>(unusedCores(room)) >= wanted;
+        return room.life->serving == 0 && static_cast<double>(room.unusedCores) >= wanted;
     }
     if (spec.latency_target_ms() > 0 && room.life->fillCores + room.target->plannedFill > 0) {
         return false;
@@ -167,13 +176,12 @@
 double fitCost(const placement_pass &pass, const open_step &step, const room_view &room)
 {
     const auto &spec = *step.spec;
-    const auto left = roomOf(room) - reservedBy(spec);
     const auto cores = std::max<double>(static_cast<double>(room.capacity.milliCores), 1.0);
-    double cost = static_cast<double>(left.accelerators);
+    double cost = static_cast<double>(room.left.accelerators - step.need.accelerators);
     if (spec.fills_gaps()) {
-        cost -= static_cast<double>(unusedCores(room)) / cores;
+        cost -= static_cast<double>(room.unusedCores) / cores;
     } else {
-        cost += static_cast<double>(left.milliCores) / cores;
+        cost += static_cast<double>(room.left.milliCores - step.need.milliCores) / cores;
         cost += static_cast<double>(room.life->fillCores) / cores;
     }
     if (!spec.data_rack().empty() && spec.data_rack() != room.rack) {
@@ -206,33 +214,56 @@
     return isWithinCap(use, configured->cap());
 }
 
-const std::string *ticketFor(const placement_pass &pass, const open_step &step,
-                             const std::string &target)
+const admission_view *admissionOf(const placement_pass &pass, const open_step &step)
+{
+    const auto view = pass.state.admissions.find(step.name);
+    return view == pass.state.admissions.end() ? nullptr : &view->second;
+}
+
+/** @return the rooms that the step may start in now, as far as its policy goes: by index */
+std::vector<std::size_t> candidatesFor(const placement_pass &pass, const open_step &step,
+                                       const service_view &service)
 {
-    static const std::string none;
+    std::vector<std::size_t> rooms;
+    if (step.need.milliCores > service.mostCores
+        || step.need.accelerators > service.mostAccelerators) {
+        return rooms;
+    }
+    const auto consider = [&](std::size_t index) {
+        const auto &room = service.rooms[index];
+        if (fits(step.need, room.left) && isEligible(step, room)) {
+            rooms.push_back(index);
+        }
+    };
     if (!step.queue->has_admission()) {
-        return &none;
+        for (std::size_t i = 0; i < service.rooms.size(); ++i) {
+            consider(i);
+        }
+        return rooms;
+    }
+    const auto *view = admissionOf(pass, step);
+    if (view == nullptr) {
+        return rooms;
+    }
+    for (const auto &[id, ticket] : view->admitted) {
+        const bool isUsable =
+            usableTicket(pass.state, *view, step.queue->admission(), id, pass.now) != nullptr;
+        const auto room = isUsable ? service.byId.find(id) : service.byId.end();
+        if (room != service.byId.end()) {
+            consider(room->second);
+        }
     }
-    const auto view = pass.state.admissions.find(step.name);
-    return view == pass.state.admissions.end()
-        ? nullptr
-        : usableTicket(pass.state, view->second, step.queue->admission(), target, pass.now);
+    return rooms;
 }
 
 room_view *bestRoom(placement_pass &pass, const open_step &step, service_view &service,
-                    const std::string *rack)
+                    const std::vector<std::size_t> &candidates, const std::string *rack)
 {
-    const auto need = reservedBy(*step.spec);
-    if (need.milliCores > service.mostCores || need.accelerators > service.mostAccelerators) {
-        return nullptr;
-    }
     room_view *best = nullptr;
     double bestCost = 0;
-    for (auto &room : service.rooms) {
-        const bool isCandidate = (rack == nullptr || room.rack == *rack)
-            && isEligible(pass, step, room) && hasRoomFor(pass, step, service, room)
-            && ticketFor(pass, step, room.target->id) != nullptr;
-        if (!isCandidate) {
+    for (const auto index : candidates) {
+        auto &room = service.rooms[index];
+        if ((rack != nullptr && room.rack != *rack) || !hasRoomFor(pass, step, service, room)) {
             continue;
         }
         const auto cost = fitCost(pass, step, room);
@@ -254,15 +285,19 @@
     const std::int64_t fill = spec.fills_gaps() ? spec.need().milli_cores() : 0;
     if (sign > 0) {
         pass.state.planned[task] = room.target->id;
-        room.target->planned += reservedBy(spec);
+        room.target->planned += step.need;
         room.target->plannedFill += fill;
+        room.left -= step.need;
+        room.unusedCores -= spec.need().milli_cores();
         team += whole;
         service.freeCores -= spec.need().milli_cores();
         return;
     }
     pass.state.planned.erase(task);
-    room.target->planned -= reservedBy(spec);
+    room.target->planned -= step.need;
     room.target->plannedFill -= fill;
+    room.left += step.need;
+    room.unusedCores += spec.need().milli_cores();
     team -= whole;
     service.freeCores += spec.need().milli_cores();
 }
@@ -270,9 +305,11 @@
 void proposeStart(placement_pass &pass, const open_step &step, const room_view &room,
                   const task_name &task, std::uint32_t run, const std::string &checkpoint)
 {
-    const auto &ticket = *ticketFor(pass, step, room.target->id);
-    if (!ticket.empty()) {
-        pass.state.plannedTickets[task] = ticket;
+    if (step.queue->has_admission()) {
+        const auto *ticket = usableTicket(pass.state, *admissionOf(pass, step),
+                                          step.queue->admission(), room.target->id, pass.now);
+        FILBERT_INVARIANT(ticket != nullptr, "a start under a policy has a ticket");
+        pass.state.plannedTickets[task] = *ticket;
     }
     log_line {"placed"}
         .with("task", textOf(task))
@@ -280,7 +317,7 @@
         .with("target", room.target->id)
         .with("rank", step.rank)
         .with("slack_ms", step.slackMs)
-        .with("room_milli_cores", roomOf(room).milliCores)
+        .with("room_milli_cores", room.left.milliCores)
         .with("heard_ms_ago", (pass.now - room.target->heardAt).count);
     messages::work_command command;
     auto *start = command.mutable_start();
@@ -293,30 +330,31 @@
 }
 
 /** @return targets that the step may ask the policy service for, those with the most room first */
-std::vector<std::string> targetsToAsk(placement_pass &pass, const open_step &step,
-                                      service_view &service, const admission_view &view,
+std::vector<std::string> targetsToAsk(const placement_pass &pass, const open_step &step,
+                                      const service_view &service, const admission_view &view,
                                       bool isRefresh)
 {
-    std::vector<std::pair<double, std::string>> wanted;
-    for (const auto &room : service.rooms) {
+    constexpr double fullCost = 1'000.0; // behind all that have room now
+    std::vector<std::pair<double, std::size_t>> wanted;
+    for (std::size_t i = 0; i < service.rooms.size(); ++i) {
+        const auto &room = service.rooms[i];
         const auto &id = room.target->id;
-        const bool isWanted = isEligible(pass, step, room)
-            && (isRefresh ? view.admitted.contains(id) : !view.asked.contains(id));
-        if (isWanted) {
+        if (isEligible(step, room)
+            && (isRefresh ? view.admitted.contains(id) : !view.asked.contains(id))) {
             const bool hasRoom = hasRoomFor(pass, step, service, room);
-            wanted.emplace_back(fitCost(pass, step, room) + (hasRoom ? 0.0 : 1'000.0), id);
+            wanted.emplace_back(fitCost(pass, step, room) + (hasRoom ? 0.0 : fullCost), i);
         }
     }
-    std::sort(wanted.begin(), wanted.end());
     const bool isCostly = step.queue->admission().per_target_ms() >= costlyPerTargetMs;
     const auto most = isRefresh ? targetsPerRefresh
         : isCostly              ? targetsPerCostlyRequest
                                 : targetsPerRequest;
+    const auto count = std::min(most, wanted.size());
+    std::partial_sort(wanted.begin(), wanted.begin() + static_cast<std::ptrdiff_t>(count),
+                      wanted.end());
     std::vector<std::string> ids;
-    for (const auto &[cost, id] : wanted) {
-        if (ids.size() < most) {
-            ids.push_back(id);
-        }
+    for (std::size_t i = 0; i < count; ++i) {
+        ids.push_back(service.rooms[wanted[i].second].target->id);
     }
     return ids;
 }
@@ -324,20 +362,21 @@
 bool hasAdmittedRoom(const placement_pass &pass, const open_step &step, const service_view &service,
                      const admission_view &view)
 {
-    return std::any_of(service.rooms.begin(), service.rooms.end(), [&](const room_view &room) {
-        return view.admitted.contains(room.target->id) && isEligible(pass, step, room)
-            && hasRoomFor(pass, step, service, room);
+    return std::any_of(view.admitted.begin(), view.admitted.end(), [&](const auto &each) {
+        const auto room = service.byId.find(each.first);
+        return room != service.byId.end() && isEligible(step, service.rooms[room->second])
+            && hasRoomFor(pass, step, service, service.rooms[room->second]);
     });
 }
 
 /** Asks for tickets where the step has none that is good. */
-void askAdmission(placement_pass &pass, const open_step &step, service_view &service)
+void askAdmission(placement_pass &pass, const open_step &step, const service_view &service)
 {
     if (!step.queue->has_admission()) {
         return;
     }
     auto &view = pass.state.admissions[step.name];
-    if (view.openRequest != 0) {
+    if (view.openRequest != 0 || pass.now < view.notBefore) {
         return;
     }
     if (view.asked.empty()) {
@@ -346,52 +385,47 @@
         return;
     }
     const auto &policy = step.queue->admission();
-    const bool isSlow = admissionTime(policy, 1) >= milliseconds {300};
-    const auto isFresh = [&](const room_view &room) {
-        const auto *ticket = usableTicket(pass.state, view, policy, room.target->id, pass.now);
-        return ticket != nullptr;
-    };
-    const bool hasFresh = std::any_of(service.rooms.begin(), service.rooms.end(), isFresh);
     if (hasAdmittedRoom(pass, step, service, view)) {
         requestAdmission(pass.state, step.name, *step.queue,
                          targetsToAsk(pass, step, service, view, true), pass.now);
         return;
     }
     auto others = targetsToAsk(pass, step, service, view, false);
+    const bool hasFresh = std::any_of(view.admitted.begin(), view.admitted.end(), [&](auto &each) {
+        return usableTicket(pass.state, view, policy, each.first, pass.now) != nullptr;
+    });
     if (!others.empty()) {
         requestAdmission(pass.state, step.name, *step.queue, std::move(others), pass.now);
-    } else if (isSlow && !hasFresh) {
+    } else if (admissionTime(policy, 1) >= slowPolicy && !hasFresh) {
         requestAdmission(pass.state, step.name, *step.queue,
                          targetsToAsk(pass, step, service, view, true), pass.now);
     }
+    view.notBefore = pass.now + askPause;
 }
 
 /** Keeps lower work out of the targets that will have room first for what found none. */
-void reserveFor(placement_pass &pass, const open_step &step, service_view &service,
+void reserveFor(const placement_pass &pass, const open_step &step, service_view &service,
                 std::size_t tasks)
 {
     if (step.spec->fills_gaps() || step.spec->lasts() || step.rank >= lateRank
-        || service.reservations >= mostReservations) {
+        || service.failures > mostReservations) {
         return;
     }
-    ++service.reservations;
-    const auto view = pass.state.admissions.find(step.name);
-    std::vector<std::pair<double, std::string>> wanted;
-    for (const auto &room : service.rooms) {
+    const auto *view = admissionOf(pass, step);
+    std::vector<std::pair<double, std::size_t>> wanted;
+    for (std::size_t i = 0; i < service.rooms.size(); ++i) {
+        const auto &room = service.rooms[i];
         const bool isAdmitted = !step.queue->has_admission()
-            || (view != pass.state.admissions.end()
-                && view->second.admitted.contains(room.target->id));
-        if (isAdmitted && isEligible(pass, step, room)
-            && !pass.reserved.contains(room.target->id)) {
-            const auto left = roomOf(room);
-            wanted.emplace_back(-static_cast<double>(left.accelerators) * 1e6
-                                    - static_cast<double>(left.milliCores),
-                                room.target->id);
+            || (view != nullptr && view->admitted.contains(room.target->id));
+        if (isAdmitted && room.reservedRank == notReserved && isEligible(step, room)) {
+            wanted.emplace_back(-static_cast<double>(room.left.accelerators) * 1e6
+                                    - static_cast<double>(room.left.milliCores),
+                                i);
         }
     }
     std::sort(wanted.begin(), wanted.end());
     for (std::size_t i = 0; i < std::min(tasks, wanted.size()); ++i) {
-        pass.reserved.emplace(wanted[i].second, step.rank);
+        service.rooms[wanted[i].second].reservedRank = step.rank;
     }
 }
 
@@ -399,17 +433,24 @@
 {
     const auto &record = *findStep(*pass.state.work, step.name);
     std::size_t unplaced = 0;
+    std::optional<std::vector<std::size_t>> candidates;
     for (std::uint32_t i = 0; i < record.tasks.size(); ++i) {
+        const auto &task = record.tasks[i];
+        if (task.status != task_status::Waiting) {
+            continue;
+        }
         auto name = step.name;
         name.index = i;
-        const auto &task = record.tasks[i];
-        if (task.status != task_status::Waiting || pass.state.planned.contains(name)) {
+        if (pass.state.planned.contains(name)) {
             continue;
         }
         if (!isWithinTeamCap(pass, step, 1)) {
             return; // its own team's limit: nothing is kept free for it
         }
-        auto *room = unplaced == 0 ? bestRoom(pass, step, service, nullptr) : nullptr;
+        if (!candidates) {
+            candidates = candidatesFor(pass, step, service);
+        }
+        auto *room = unplaced == 0 ? bestRoom(pass, step, service, *candidates, nullptr) : nullptr;
         if (room == nullptr) {
             ++unplaced;
             continue;
@@ -418,6 +459,7 @@
         bookPlan(pass, step, service, *room, name, 1);
     }
     if (unplaced > 0) {
+        ++service.failures;
         reserveFor(pass, step, service, unplaced);
         askAdmission(pass, step, service);
     }
@@ -427,13 +469,14 @@
 
 /** Books a room for each member, or for none. */
 gang_plan bookGang(placement_pass &pass, const open_step &step, service_view &service,
-                   std::size_t members, const std::string *rack)
+                   const std::vector<std::size_t> &candidates, std::size_t members,
+                   const std::string *rack)
 {
     gang_plan plan;
     for (std::uint32_t i = 0; i < members; ++i) {
         auto name = step.name;
         name.index = i;
-        auto *room = bestRoom(pass, step, service, rack);
+        auto *room = bestRoom(pass, step, service, candidates, rack);
         if (room == nullptr) {
             for (const auto &[task, taken] : plan) {
                 bookPlan(pass, step, service, *taken, task, -1);
@@ -449,19 +492,20 @@
 gang_plan planGang(placement_pass &pass, const open_step &step, service_view &service,
                    std::size_t members)
 {
-    std::set<std::string> racks;
-    for (const auto &room : service.rooms) {
-        racks.insert(room.rack);
-    }
+    const auto candidates = candidatesFor(pass, step, service);
     if (step.spec->same_rack()) {
+        std::set<std::string> racks;
+        for (const auto index : candidates) {
+            racks.insert(service.rooms[index].rack);
+        }
         for (const auto &rack : racks) {
-            auto plan = bookGang(pass, step, service, members, &rack);
+            auto plan = bookGang(pass, step, service, candidates, members, &rack);
             if (!plan.empty()) {
                 return plan;
             }
         }
     }
-    return bookGang(pass, step, service, members, nullptr);
+    return bookGang(pass, step, service, candidates, members, nullptr);
 }
 
 void placeGang(placement_pass &pass, const open_step &step, service_view &service)
@@ -473,6 +517,7 @@
     }
     const auto plan = planGang(pass, step, service, record.tasks.size());
     if (plan.empty()) {
+        ++service.failures;
         reserveFor(pass, step, service, record.tasks.size());
         askAdmission(pass, step, service);
         return;
@@ -490,10 +535,19 @@
 
 std::vector<open_step> openSteps(const dispatch_state &state, time_point now)
 {
+    std::unordered_map<std::string_view, const messages::work_queue *> queues;
+    for (const auto &queue : state.work->configuration.queues()) {
+        queues.emplace(queue.name(), &queue);
+    }
     std::vector<open_step> steps;
     for (const auto &[id, view] : state.jobs) {
+        if (view.open.empty()) {
+            continue;
+        }
         const auto &job = state.work->jobs.at(id);
-        const auto &queue = queueOf(*state.work, job);
+        const auto configured = queues.find(job.job.queue());
+        const auto &queue =
+            configured == queues.end() ? job.job.taken_under() : *configured->second;
         const auto objective = milliseconds {static_cast<std::int64_t>(
                                    static_cast<double>(view.chain.count) * queue.slack_factor())}
             + milliseconds {queue.latency_objective_ms()};
@@ -503,6 +557,7 @@
             open.job = &job;
             open.spec = &specOf(job, step);
             open.queue = &queue;
+            open.need = reservedBy(*open.spec);
             const auto due = view.begunAt.at(occurrence) + objective;
             const auto left = view.chainFrom[step];
             open.slackMs = (due - now - left).count;
@@ -573,11 +628,18 @@
 
 void placeWaiting(dispatch_state &state, time_point now)
 {
-    placement_pass pass {state, now, {}, {}};
+    placement_pass pass {state, now, {}};
+    ++state.passes;
     const auto steps = openSteps(state, now);
     state.waitingSteps = steps.size();
     for (const auto &step : steps) {
         auto &service = serviceOf(pass, step.queue->service());
+        // Behind many that found no room, each step still has its turn in one of so many passes.
+        const bool isSkipped = service.failures >= failuresPerPass
+            && (std::hash<std::string> {}(step.name.job) + state.passes) % passesPerTurn != 0;
+        if (isSkipped) {
+            continue;
+        }
         if (step.spec->is_gang()) {
             placeGang(pass, step, service);
         } else {
