A good-bye ends a target's runs only with its lease; ids of an earlier process fit nothing of a later one

What the reading found: a target whose good-bye gets no acknowledgement runs on for seconds, yet its runs were given up after 0.8 s; a restarted process counted its ids from 1 again, so that a late answer to the process before fitted a request, an order or an admission of another job.

Ruled out: leases at take-over, lapses, drops after stops (each argued through; tests hold them).

Change: after a good-bye the lease is not renewed, and runs end with it; ids begin above all that an earlier process has used.

--- a/modules/filbert_core/clock.cpp
+++ b/modules/filbert_core/clock.cpp
@@ -19,6 +19,12 @@
     return {now.tv_sec * millisecondsPerSecond + now.tv_nsec / nanosecondsPerMillisecond};
 }
 
+std::uint64_t firstFreeId()
+{
+    constexpr int idBits = 20;
+    return static_cast<std::uint64_t>(wallClockMs()) << idBits;
+}
+
 std::int64_t wallClockMs()
 {
     using std::chrono::duration_cast;
--- a/modules/filbert_core/clock.h
+++ b/modules/filbert_core/clock.h
@@ -72,6 +72,10 @@
     a sleep. @return milliseconds since the host's start */
 time_point monotonicNow();
 
+/** A number above all that earlier processes of this host got, with room for a million ids a
+    millisecond behind each: ids that start here are new. */
+std::uint64_t firstFreeId();
+
 /** The host's wall clock, for the audit trail only. @return milliseconds since 1970, UTC */
 std::int64_t wallClockMs();
 
--- a/modules/filbert_dispatch/dispatch_state.cpp
+++ b/modules/filbert_dispatch/dispatch_state.cpp
@@ -14,6 +14,7 @@
 constexpr milliseconds forgetPeriod {5'000};
 constexpr std::size_t stepsPerMillisecond = 4; // waiting steps that a pass looks at in that time
 constexpr milliseconds longestPassPause {40}; // a small part of the shortest latency objective
+constexpr int idBitsBelowTerm = 32;
 constexpr int jobsForgottenAtOnce = 500;
 
 void unplan(dispatch_state &state, const task_name &task)
@@ -161,6 +162,7 @@
     state.settings = settings;
     state.work = &work;
     state.term = term;
+    state.lastAdmission = term << idBitsBelowTerm; // answers of earlier terms fit no request
     state.leadingSince = now;
     state.forgetAt = now + forgetPeriod;
     for (const auto &[id, life] : work.lives) {
--- a/modules/filbert_dispatch/dispatch_state.h
+++ b/modules/filbert_dispatch/dispatch_state.h
@@ -28,7 +28,6 @@
     milliseconds retryPause {150}; // between tries of one order; an unreachable target costs little
     milliseconds startSpan {2'200}; // a start without an answer is taken back after three tries
     milliseconds contactSpan {3'300}; // two missed reports of 1.5 s: no new work for that target
-    milliseconds leavingSpan {800}; // from a target's good-bye until its process has ended
     milliseconds stallSpan {2'500}; // without any progress, longer than a restore from a checkpoint
     milliseconds firstAvoidance {3'000}; // of a target that failed several jobs in a row
     milliseconds longestAvoidance {12'000};
--- a/modules/filbert_dispatch/target_conversation.cpp
+++ b/modules/filbert_dispatch/target_conversation.cpp
@@ -334,7 +334,7 @@
         std::any_of(target.runs.begin(), target.runs.end(), [](const auto &each) {
             return each.second.phase == run_phase::Stopping && each.second.confirmedAt.ms > 0;
         });
-    if (target.clockMs && !isIdle && now - target.heardAt < answeredSpan) {
+    if (target.clockMs && !isIdle && !target.leavingSince && now - target.heardAt < answeredSpan) {
         order.leaseUntil = leaseEndFor(state, target, now);
     }
     const bool isFirst = !target.clockMs;
@@ -684,7 +684,9 @@
     if (life == nullptr || life->about.born() != target.born) {
         return;
     }
-    if (target.leavingSince && now - *target.leavingSince >= state.settings.leavingSpan) {
+    // A target whose good-bye was not acknowledged runs on for seconds, so that only the end of its
+    // lease says that its runs are over; it is not renewed any more.
+    if (target.leavingSince && (target.runs.empty() || hasLapsed(target, now))) {
         if (!std::exchange(target.isLeaveProposed, true)) {
             messages::work_command command;
             command.set_target_left(id);
--- a/modules/filbert_dispatch/tests/target_conversation_test.cpp
+++ b/modules/filbert_dispatch/tests/target_conversation_test.cpp
@@ -231,8 +231,9 @@
     CHECK(cell.waiting(order_kind::Stop, "t1").size() == 1);
 }
 
-TEST_CASE("after its good-bye a target's runs are over once its process has had time to end",
-          "[dispatch]")
+TEST_CASE(
+    "after its good-bye a target's runs are over once its lease has ended, which is not renewed",
+    "[dispatch]")
 {
     dispatch_fixture cell;
     cell.target("t1");
@@ -241,9 +242,16 @@
     cell.report("t1");
     cell.run({20});
     takeLeave(*cell.leader, "t1", cell.now);
-    cell.run({500});
-    CHECK(cell.status(first) == task_status::Running);
-    cell.run({500});
+    const auto lease = cell.leader->settings.targetLease;
+    for (const auto end = cell.now + lease; cell.now < end;) {
+        cell.obey("t1"); // its good-bye was not acknowledged: it runs on
+        for (const auto &order : cell.waiting(order_kind::Look)) {
+            CHECK(order.leaseUntil == 0);
+        }
+        cell.run({100});
+        CHECK(cell.status(first) == task_status::Running);
+    }
+    cell.run({600});
     CHECK(cell.status(first) == task_status::Waiting);
     CHECK(cell.state.lives.at("t1").isOver);
 }
--- a/modules/filbert_node/leader_link.cpp
+++ b/modules/filbert_node/leader_link.cpp
@@ -8,6 +8,7 @@
 leader_link::leader_link(const leader_link_settings &settings, leader_link_hooks hooks)
     : settings {settings}
     , hooks {std::move(hooks)}
+    , lastExchange {settings.idsAbove}
 {
 }
 
--- a/modules/filbert_node/leader_link.h
+++ b/modules/filbert_node/leader_link.h
@@ -16,6 +16,8 @@
 struct leader_link_settings
 {
     std::string name; // of this process, unique among all
+    // Above every id that an earlier process of this name has used: its answers fit no request.
+    std::uint64_t idsAbove = 0;
     bool asksAdmission = false; // whether it can call the policy service
     bool carriesOrders = false; // whether it can call targets
     std::string failureDomain; // of this process' host
--- a/modules/filbert_node/order_relay.cpp
+++ b/modules/filbert_node/order_relay.cpp
@@ -16,6 +16,7 @@
 order_relay::order_relay(const order_relay_settings &settings, hooks given)
     : settings {settings}
     , given {std::move(given)}
+    , lastId {settings.idsAbove}
 {
 }
 
--- a/modules/filbert_node/order_relay.h
+++ b/modules/filbert_node/order_relay.h
@@ -12,6 +12,8 @@
 /** Times and sizes of an order_relay. */
 struct order_relay_settings
 {
+    // Above every id that an earlier process of this name has used: its answers fit no order.
+    std::uint64_t idsAbove = 0;
     // A conversation with a target costs a leader about 1 ms of processor a second; beyond this
     // many the leader's host would have little left for decisions.
     std::size_t ownTargets = 100;
--- /dev/null
+++ b/modules/filbert_node/tests/order_relay_test.cpp
@@ -0,0 +1,137 @@
+#include "filbert_node/filbert_node.h"
+
+#include <catch2/catch.hpp>
+
+using namespace filbert;
+
+namespace {
+
+struct relay_fixture
+{
+    time_point now {10'000};
+    std::vector<std::pair<std::string, messages::work_envelope>> sent;
+    std::vector<target_order> called;
+    std::vector<std::pair<target_order, order_answer>> answered;
+    order_relay relay;
+
+    explicit relay_fixture(std::uint64_t idsAbove = 0)
+        : relay {settings(idsAbove),
+                 {[this](const std::string &carrier, const messages::work_envelope &envelope) {
+                      sent.emplace_back(carrier, envelope);
+                  },
+                  [this](const target_order &order) { called.push_back(order); },
+                  [this](const target_order &order, const order_answer &answer) {
+                      answered.emplace_back(order, answer);
+                  }}}
+    {
+    }
+
+    static order_relay_settings settings(std::uint64_t idsAbove)
+    {
+        order_relay_settings settings;
+        settings.idsAbove = idsAbove;
+        return settings;
+    }
+
+    static target_order orderFor(const std::string &target)
+    {
+        target_order order;
+        order.kind = order_kind::Start;
+        order.target = target;
+        order.task = {"5c0e7a21d94b36f8", 0, 1, 2};
+        order.run = 3;
+        order.leaseUntil = 77;
+        order.timeout = {300};
+        return order;
+    }
+
+    void send(const std::string &target, std::size_t targets = 350)
+    {
+        relay.send(orderFor(target), targets, "a", now);
+        relay.flush();
+    }
+};
+
+} // namespace
+
+TEST_CASE("few targets are called by the leader itself, many through carriers", "[relay]")
+{
+    relay_fixture cell;
+    cell.send("t1");
+    CHECK(cell.called.size() == 1); // there is no carrier
+    cell.relay.takeCarrier("g1", "a", cell.now);
+    cell.send("t1", 48);
+    CHECK(cell.called.size() == 2);
+    cell.send("t1");
+    CHECK(cell.called.size() == 2);
+    REQUIRE(cell.sent.size() == 1);
+    CHECK(cell.sent[0].first == "g1");
+}
+
+TEST_CASE("a target stays with a carrier of its own failure domain", "[relay]")
+{
+    relay_fixture cell;
+    for (const auto *name : {"g1", "g2", "g3"}) {
+        cell.relay.takeCarrier(name, name == std::string {"g3"} ? "b" : "a", cell.now);
+    }
+    for (int i = 0; i < 20; ++i) {
+        cell.send("t1");
+    }
+    for (const auto &[carrier, envelope] : cell.sent) {
+        CHECK(carrier == cell.sent[0].first);
+        CHECK(carrier != "g3");
+    }
+}
+
+TEST_CASE("an order whose carrier is silent ends once, and not as the target's fault", "[relay]")
+{
+    relay_fixture cell;
+    cell.relay.takeCarrier("g1", "a", cell.now);
+    cell.send("t1");
+    cell.now = cell.now + milliseconds {700};
+    cell.relay.takeTime(cell.now);
+    REQUIRE(cell.answered.size() == 1);
+    CHECK(cell.answered[0].second.result == order_result::CarrierLost);
+    messages::carried_answers late;
+    late.add_answers()->set_id(cell.sent[0].second.carried().orders(0).id());
+    cell.relay.takeAnswers("g1", late);
+    CHECK(cell.answered.size() == 1);
+    cell.send("t1");
+    CHECK(cell.called.size() == 1); // the silent one is not asked again before its next hello
+}
+
+TEST_CASE("an answer to an earlier process of the same name fits no order", "[relay]")
+{
+    relay_fixture before {1'000};
+    before.relay.takeCarrier("g1", "a", before.now);
+    before.send("t1");
+    messages::carried_answers answers;
+    answers.add_answers()->set_id(before.sent[0].second.carried().orders(0).id());
+    relay_fixture after {2'000};
+    after.relay.takeCarrier("g1", "a", after.now);
+    after.send("t2");
+    after.relay.takeAnswers("g1", answers);
+    CHECK(after.answered.empty());
+}
+
+TEST_CASE("orders and answers come out of their messages as they went in", "[relay]")
+{
+    const auto order = relay_fixture::orderFor("t1");
+    const auto back = orderOf(carriedOrderOf(order));
+    CHECK(back.target == "t1");
+    CHECK(back.task == order.task);
+    CHECK(back.run == 3);
+    CHECK(back.leaseUntil == 77);
+    CHECK(back.timeout == order.timeout);
+    order_answer answer;
+    answer.result = order_result::NoRoom;
+    answer.born = 5;
+    answer.runs.push_back({order.task, 3, "cp", 41, 7});
+    answer.ends.push_back({9, order.task, 3, messages::END_ALONE, "x"});
+    const auto read = answerOf(carriedAnswerOf(answer));
+    CHECK(read.result == order_result::NoRoom);
+    CHECK(read.born == 5);
+    CHECK_FALSE(read.clockMs);
+    CHECK(read.runs[0].percent == 41);
+    CHECK(read.ends[0].kind == messages::END_ALONE);
+}
