Leases of the term before are bounded by time; stopping carriers say so; starts are repeated after 150 ms

Entry hosts that were stopped in turn still got orders, which were lost with them.

Ruled out: a slow turn of the loop (event slow_turn: none above 100 ms but for a stalled disk).

--- a/modules/filbert_dispatch/admission_desk.cpp
+++ b/modules/filbert_dispatch/admission_desk.cpp
@@ -63,7 +63,10 @@
             log_line {"admission_unanswered", log_line::severity::Warning}
                 .with("step", stepTextOf(open.step))
                 .with("caller", open.caller);
-            state.callers[open.caller].heardAt = {}; // not before its next hello
+            const auto caller = state.callers.find(open.caller);
+            if (caller != state.callers.end()) {
+                caller->second.heardAt = {}; // not before its next hello
+            }
             release(state, open.caller, id);
             open.caller.clear();
         }
@@ -117,6 +120,11 @@
     state.callers[name].heardAt = now;
 }
 
+void dropCaller(dispatch_state &state, const std::string &name)
+{
+    state.callers.erase(name);
+}
+
 void takeAdmission(dispatch_state &state, const messages::admission_answer &answer, time_point now)
 {
     const auto found = state.openAdmissions.find(answer.id());
--- a/modules/filbert_dispatch/admission_desk.h
+++ b/modules/filbert_dispatch/admission_desk.h
@@ -19,6 +19,10 @@
 /** A process said that it can call the policy service. @param name of the process */
 void takeCaller(dispatch_state &state, const std::string &name, time_point now);
 
+/** A process said that it calls the policy service no more: it stops. What it was asked, it
+ * answers. */
+void dropCaller(dispatch_state &state, const std::string &name);
+
 /** Takes what the service said. */
 void takeAdmission(dispatch_state &state, const messages::admission_answer &answer, time_point now);
 
--- a/modules/filbert_dispatch/dispatch_state.cpp
+++ b/modules/filbert_dispatch/dispatch_state.cpp
@@ -13,6 +13,7 @@
 
 constexpr milliseconds forgetPeriod {5'000};
 constexpr std::size_t stepsPerMillisecond = 4; // waiting steps that a pass looks at in that time
+constexpr std::size_t targetsPerMillisecond = 50; // a pass looks at each once
 constexpr milliseconds longestPassPause {40}; // a small part of the shortest latency objective
 constexpr int idBitsBelowTerm = 32;
 constexpr int jobsForgottenAtOnce = 500;
@@ -236,7 +237,9 @@
         state.isChanged = false;
         state.passAt = now + state.settings.passPeriod;
         placeWaiting(state, now);
-        const auto pause = static_cast<std::int64_t>(state.waitingSteps / stepsPerMillisecond);
+        const auto pause =
+            static_cast<std::int64_t>(state.waitingSteps / stepsPerMillisecond
+                                      + state.targets.size() / targetsPerMillisecond);
         state.passNotBefore = now + milliseconds {std::min(pause, longestPassPause.count)};
     }
     stepAdmissions(state, now);
--- a/modules/filbert_dispatch/dispatch_state.h
+++ b/modules/filbert_dispatch/dispatch_state.h
@@ -22,7 +22,8 @@
     milliseconds lookWait {
         1'500}; // a look returns by then; two fit into a lease with room to spare
     milliseconds busyLookWait {400}; // where tasks that fill gaps work beside tasks that serve
-    milliseconds startTimeout {300}; // many round trips; a start may be sent again without harm
+    milliseconds startTimeout {150}; // many round trips; a start may be sent again without harm
+    milliseconds firstRetryPause {20}; // after the first time-out, since urgent work waits
     milliseconds orderTimeout {700}; // of stops and throttles, which nobody waits for
     milliseconds lookGrace {700}; // on top of a look's wait
     milliseconds retryPause {150}; // between tries of one order; an unreachable target costs little
@@ -73,7 +74,7 @@
     std::optional<std::int64_t> clockMs; // its last known reading
     time_point clockAt; // when that reading came
     std::int64_t leaseUntil = 0; // the latest end that it may have been told, on its clock
-    time_point lapseBy; // where its clock was never read: every lease has ended by then
+    time_point lapseBy; // every lease of the term before has ended by then
     time_point heardAt; // a report or an answer
     time_point answeredAt; // an answer to a call: the way there works in both directions
     bool isSuspect = false; // a call got no answer, and none that was sent later has got one
--- a/modules/filbert_dispatch/target_conversation.cpp
+++ b/modules/filbert_dispatch/target_conversation.cpp
@@ -11,10 +11,12 @@
 namespace {
 
 constexpr double slowestRate = 0.97; // a target's clock may run 2 % slow; 1 % of margin
-constexpr std::int64_t leaseSlackMs = 200; // of the estimate that the leader before had
+// The leader before counted from a reading that was up to 3.3 s old, of a clock up to 2 % slow.
+constexpr milliseconds leaseSlack {100};
 constexpr milliseconds lookPauseAfterFault {250};
 constexpr milliseconds answeredSpan {2'000}; // a lease is renewed for a target that answered lately
 constexpr milliseconds stopPause {400};
+constexpr std::int64_t targetsPerMillisecond = 15; // that a look through all of them takes
 
 const life_record *lifeOf(const dispatch_state &state, const std::string &id)
 {
@@ -130,14 +132,8 @@
 }
 
 /** A reading counts if it is ahead of what is known: one that was delayed says less. */
-void takeClock(const dispatch_state &state, target_view &target, std::int64_t clockMs,
-               time_point now)
+void takeClock(target_view &target, std::int64_t clockMs, time_point now)
 {
-    if (!target.clockMs) {
-        // The leader before may have promised as much until its term ended, which was before now.
-        const auto span = std::min(state.settings.targetLease, state.settings.longestLease);
-        target.leaseUntil = std::max(target.leaseUntil, clockMs + span.count + leaseSlackMs);
-    }
     if (!target.clockMs || clockMs >= clockAtLeast(target, now)) {
         target.clockMs = clockMs;
         target.clockAt = now;
@@ -175,7 +171,8 @@
          || result == order_result::CarrierLost)
         && now - run.orderedAt < state.settings.startSpan;
     if (mayTryAgain) {
-        run.retryAt = now + state.settings.retryPause;
+        const bool isFirst = now - run.orderedAt < state.settings.startTimeout * 2;
+        run.retryAt = now + (isFirst ? state.settings.firstRetryPause : state.settings.retryPause);
         return;
     }
     if (run.mayBeThere) {
@@ -359,7 +356,10 @@
 
 bool hasLapsed(const target_view &target, time_point now)
 {
-    return target.clockMs ? clockAtLeast(target, now) > target.leaseUntil : now > target.lapseBy;
+    // Leases of the term before are bounded by time alone: the first reading of a clock may have
+    // been on its way for long, so that nothing can be counted from it.
+    return now > target.lapseBy
+        && (!target.clockMs || clockAtLeast(target, now) > target.leaseUntil);
 }
 
 void stepRuns(dispatch_state &state, target_view &target, const life_record &life, time_point now)
@@ -495,7 +495,9 @@
         target.id = id;
         target.born = life->about.born();
         target.heardAt = now;
-        target.lapseBy = state.leadingSince + clockRateMargin(state.settings.longestLease);
+        target.lapseBy = state.leadingSince
+            + clockRateMargin(std::min(state.settings.targetLease, state.settings.longestLease))
+            + leaseSlack;
     }
     target.proposedEnds = std::max(target.proposedEnds, life->lastSeen);
     std::erase_if(target.runs, [&](const auto &each) { return !life->runs.contains(each.first); });
@@ -533,7 +535,7 @@
         }
         target.sequence = sequence;
         target.heardAt = now;
-        takeClock(state, target, life.clock_ms(), now);
+        takeClock(target, life.clock_ms(), now);
         if (life.is_draining() && target.leavesAt.ms == 0) {
             target.leavesAt = now + milliseconds {life.remaining_ms()};
         }
@@ -650,7 +652,7 @@
             .with("heard_ms_ago", (now - target.heardAt).count);
     }
     if (answer.clockMs) {
-        takeClock(state, target, *answer.clockMs, now);
+        takeClock(target, *answer.clockMs, now);
     }
     switch (order.kind) {
     case order_kind::Start: {
@@ -714,7 +716,9 @@
 {
     const auto changed = std::exchange(state.changedTargets, {});
     if (now >= state.targetsAt) {
-        state.targetsAt = now + state.settings.targetsPeriod;
+        const auto count = static_cast<std::int64_t>(state.targets.size());
+        state.targetsAt =
+            now + state.settings.targetsPeriod + milliseconds {count / targetsPerMillisecond};
         for (auto &[id, target] : state.targets) {
             stepTarget(state, target, now);
         }
--- a/modules/filbert_dispatch/tests/target_conversation_test.cpp
+++ b/modules/filbert_dispatch/tests/target_conversation_test.cpp
@@ -44,6 +44,33 @@
     CHECK(cell.status(first) == task_status::Waiting);
 }
 
+TEST_CASE("a clock reading that was long on its way does not shorten a lease of the term before",
+          "[dispatch]")
+{
+    dispatch_fixture cell;
+    cell.target("t1");
+    cell.target("t2");
+    cell.accept("j", {cell.step(1)});
+    cell.start(first, 1, "t1");
+    cell.lead(2);
+    const auto tookOffice = cell.now;
+    auto stale = work_fixture::life("t1", 1);
+    stale.set_sequence(1);
+    stale.set_clock_ms(cell.now.ms - 2'000);
+    takeReport(*cell.leader, stale, cell.now);
+    cell.run({1'000});
+    cell.report("t1");
+    const auto mayEnd = tookOffice + cell.leader->settings.targetLease;
+    while (cell.status(first) == task_status::Running
+           && cell.now < tookOffice + milliseconds {12'000}) {
+        cell.report("t2");
+        cell.run({50});
+    }
+    CHECK(cell.status(first) != task_status::Done);
+    CHECK(findTask(cell.state, first)->target != "t1");
+    CHECK(cell.now > mayEnd);
+}
+
 TEST_CASE("what ran on a silent target starts elsewhere once its lease is surely over",
           "[dispatch]")
 {
--- a/modules/filbert_node/leader_link.cpp
+++ b/modules/filbert_node/leader_link.cpp
@@ -25,6 +25,13 @@
     return all;
 }
 
+void leader_link::stopServing()
+{
+    settings.asksAdmission = false;
+    settings.carriesOrders = false;
+    helloAt = {};
+}
+
 bool leader_link::hasLeader(time_point now) const
 {
     return !leader.empty() && now - leaderHeardAt < settings.silentSpan;
--- a/modules/filbert_node/leader_link.h
+++ b/modules/filbert_node/leader_link.h
@@ -64,6 +64,9 @@
     void call(const messages::work_request &request, time_point now, time_point deadline,
               handler onEnd);
 
+    /** Says from now on that this process takes no more work for the leader, before it stops. */
+    void stopServing();
+
     /** Takes an answer, a welcome or a request for admission. @param address it came from */
     void takeEnvelope(const std::string &address, const messages::work_envelope &envelope,
                       time_point now);
--- a/modules/filbert_node/order_relay.cpp
+++ b/modules/filbert_node/order_relay.cpp
@@ -96,8 +96,9 @@
         entry = open.erase(entry);
     }
     for (const auto &each : late) {
-        auto &carrier = carriers[each.carrier];
-        if (carrier.heardAt.ms != 0) {
+        const auto found = carriers.find(each.carrier);
+        if (found != carriers.end() && found->second.heardAt.ms != 0) {
+            auto &carrier = found->second;
             log_line {"carrier_lost", log_line::severity::Warning}
                 .with("carrier", each.carrier)
                 .with("target", each.order.target)
--- a/modules/filbert_node/order_relay.h
+++ b/modules/filbert_node/order_relay.h
@@ -42,6 +42,9 @@
     /** A process said that it carries orders. */
     void takeCarrier(const std::string &name, const std::string &failureDomain, time_point now);
 
+    /** A process said that it carries none (any more): it stops, or never did. */
+    void dropCarrier(const std::string &name) { carriers.erase(name); }
+
     /** @param targets  how many there are @param failureDomain of the order's target */
     void send(const target_order &order, std::size_t targets, const std::string &failureDomain,
               time_point now);
--- a/modules/filbert_node/tests/leader_link_test.cpp
+++ b/modules/filbert_node/tests/leader_link_test.cpp
@@ -130,3 +130,14 @@
     cell.pass({1'600});
     CHECK(std::count(cell.renewed.begin(), cell.renewed.end(), "tcp://c1") >= 1);
 }
+
+TEST_CASE("a process that stops says so in its next hello", "[link]")
+{
+    link_fixture cell;
+    cell.pass({40});
+    cell.sent.clear();
+    cell.link.stopServing();
+    cell.pass({20});
+    REQUIRE(!cell.sent.empty());
+    CHECK_FALSE(cell.sent.back().second.hello().carries_orders());
+}
--- a/modules/filbert_node/tests/order_relay_test.cpp
+++ b/modules/filbert_node/tests/order_relay_test.cpp
@@ -100,6 +100,22 @@
     CHECK(cell.called.size() == 1); // the silent one is not asked again before its next hello
 }
 
+TEST_CASE("a carrier that stops gets no more orders, and what it has is still answered", "[relay]")
+{
+    relay_fixture cell;
+    cell.relay.takeCarrier("g1", "a", cell.now);
+    cell.send("t1");
+    cell.relay.dropCarrier("g1");
+    cell.send("t2");
+    CHECK(cell.sent.size() == 1);
+    CHECK(cell.called.size() == 1);
+    messages::carried_answers answers;
+    answers.add_answers()->set_id(cell.sent[0].second.carried().orders(0).id());
+    cell.relay.takeAnswers("g1", answers);
+    REQUIRE(cell.answered.size() == 1);
+    CHECK(cell.answered[0].first.target == "t1");
+}
+
 TEST_CASE("an answer to an earlier process of the same name fits no order", "[relay]")
 {
     relay_fixture before {1'000};
--- a/modules/filbert_node/work_controller.cpp
+++ b/modules/filbert_node/work_controller.cpp
@@ -106,9 +106,13 @@
 {
     if (dispatch && hello.asks_admission()) {
         takeCaller(*dispatch, peer, now);
+    } else if (dispatch) {
+        dropCaller(*dispatch, peer);
     }
     if (dispatch && hello.carries_orders()) {
         relay.takeCarrier(peer, hello.failure_domain(), now);
+    } else {
+        relay.dropCarrier(peer);
     }
     messages::work_envelope envelope;
     envelope.set_from(settings.name);
--- a/modules/filbert_transport/http_client.cpp
+++ b/modules/filbert_transport/http_client.cpp
@@ -14,8 +14,7 @@
 constexpr std::int64_t millisecondsPerSecond = 1'000;
 constexpr int spareSeconds = 2;
 constexpr std::size_t maxAnswerBytes = 8 << 20;
-constexpr std::uint16_t keptWarmSeconds = 6; // longer than most pauses between calls of one target
-constexpr milliseconds keptSpan {keptWarmSeconds * millisecondsPerSecond};
+constexpr std::uint16_t keptWarmSeconds = 15;
 
 } // namespace
 
@@ -328,7 +327,7 @@
         call.wsi = nullptr;
     }
     if (call.hasLeft) {
-        call.endpoint->keptAreDoubtfulUntil = monotonicNow() + keptSpan;
+        call.endpoint->keptAreDoubtfulUntil = monotonicNow() + call.client->doubtSpan;
     }
     finish(call, call.hasLeft ? error : error_kind::ConnectionFailed);
 }
--- a/modules/filbert_transport/http_client.h
+++ b/modules/filbert_transport/http_client.h
@@ -66,6 +66,11 @@
     /** Sets how many connections an endpoint gets from now on. @param connections at least 1 */
     void setConnections(int connections);
 
+    /** Sets how long kept connections to an endpoint are passed over after a call on one of them
+       got no answer. As long as they are kept (the default), none is ever used again; shorter,
+       those that are silent too cost a time-out each, and the others stay in use. */
+    void setDoubtSpan(milliseconds span) { doubtSpan = span; }
+
     /** @return calls that have not ended */
     std::size_t openCalls() const { return live.size(); }
 
@@ -89,6 +94,7 @@
     int connections;
     bool usesTls;
     std::string trustedFile;
+    milliseconds doubtSpan {15'000}; // connections are kept for that long
     std::unordered_map<std::string, std::unique_ptr<endpoint_state>> endpoints;
     std::unordered_map<exchange *, std::shared_ptr<exchange>> live;
 };
