At most a quarter of a service's targets is kept for work that waits

Cause: up to twelve waiting gangs kept nearly all accelerator targets to themselves, and portraits waited 21 s beside idle devices. Ruled out: their policy (tickets were good). Change: reservations end at a quarter of the targets.

--- a/modules/filbert_dispatch/scheduling.cpp
+++ b/modules/filbert_dispatch/scheduling.cpp
@@ -17,7 +17,7 @@
 constexpr std::size_t targetsPerCostlyRequest = 20; // where each one named takes 4 ms and more
 constexpr double costlyPerTargetMs = 4.0;
 constexpr std::size_t targetsPerRefresh = 8; // of tickets: a few more than a gang needs
-constexpr std::size_t mostReservations = 12; // steps of a service that targets are kept for
+constexpr std::size_t reservedPart = 4; // one in so many targets is kept for what waits, at most
 constexpr std::size_t failuresPerPass = 48; // steps without room that one pass looks at
 constexpr std::size_t passesPerTurn = 8;
 constexpr milliseconds slowPolicy {300}; // tickets of such a one are renewed before there is room
@@ -59,6 +59,7 @@
     std::int64_t totalCores = 0;
     std::int64_t freeCores = 0;
     std::size_t failures = 0; // steps that found no room
+    std::size_t reservedRooms = 0;
     int urgentPriority = std::numeric_limits<int>::max();
 };
 
@@ -407,8 +408,9 @@
 void reserveFor(const placement_pass &pass, const open_step &step, service_view &service,
                 std::size_t tasks)
 {
+    const auto most = service.rooms.size() / reservedPart + 1;
     if (step.spec->fills_gaps() || step.spec->lasts() || step.rank >= lateRank
-        || service.failures > mostReservations) {
+        || service.reservedRooms >= most) {
         return;
     }
     const auto *view = admissionOf(pass, step);
@@ -424,9 +426,11 @@
         }
     }
     std::sort(wanted.begin(), wanted.end());
-    for (std::size_t i = 0; i < std::min(tasks, wanted.size()); ++i) {
+    const auto count = std::min({tasks, wanted.size(), most - service.reservedRooms});
+    for (std::size_t i = 0; i < count; ++i) {
         service.rooms[wanted[i].second].reservedRank = step.rank;
     }
+    service.reservedRooms += count;
 }
 
 void placeSingly(placement_pass &pass, const open_step &step, service_view &service)
