--- a/modules/filbert_node/filbert_node.h
+++ b/modules/filbert_node/filbert_node.h
@@ -10,3 +10,4 @@
 #include "leader_link.h"
 #include "order_relay.h"
 #include "work_controller.h"
+#include "work_metrics.h"
--- a/modules/filbert_node/order_relay.cpp
+++ b/modules/filbert_node/order_relay.cpp
@@ -6,6 +6,15 @@
 
 namespace {
 
+/** @return how much a carrier weighs for a target: the same in every process */
+std::size_t hashOf(const std::string &target, const std::string &carrier)
+{
+    std::string both = target;
+    both += '/';
+    both += carrier;
+    return std::hash<std::string> {}(both);
+}
+
 task_name taskFrom(const std::string &text)
 {
     return taskNameFrom(text).value_or(task_name {});
@@ -38,7 +47,7 @@
             continue;
         }
         const std::pair<bool, std::size_t> weight {carrier.failureDomain == failureDomain,
-                                                   std::hash<std::string> {}(target + '/' + name)};
+                                                   hashOf(target, name)};
         if (best.empty() || weight > bestWeight) {
             best = name;
             bestWeight = weight;
--- a/modules/filbert_node/tests/work_controller_test.cpp
+++ b/modules/filbert_node/tests/work_controller_test.cpp
@@ -16,6 +16,7 @@
     time_point now = monotonicNow(); // orders go out by the real clock
     fake_file_system files;
     log_store store {files};
+    work_metrics metrics;
     std::vector<target_order> orders;
     std::map<std::uint64_t, messages::work_answer> answers; // by exchange
     std::unique_ptr<work_controller> controller;
@@ -46,7 +47,7 @@
         hooks.knownAddresses = [] { return std::vector<std::string> {}; };
         replication_settings replication;
         controller = std::make_unique<work_controller>(settings, replication, stored, 3, store,
-                                                       hooks, now - milliseconds {3'000});
+                                                       metrics, hooks, now - milliseconds {3'000});
         turn();
         turn();
     }
@@ -188,3 +189,13 @@
     cell.controller->prepareToStop(cell.now);
     CHECK(cell.job(messages::JOB_SUBMIT).kind() == messages::ANSWER_NO_LEADER);
 }
+
+TEST_CASE("metrics name what was applied and how long it took", "[controller]")
+{
+    controller_fixture cell;
+    cell.configure(1);
+    cell.job(messages::JOB_SUBMIT);
+    const auto text = cell.metrics.text();
+    CHECK(text.find("filbert_work_commands_total{kind=\"accept\"} 1") != std::string::npos);
+    CHECK(text.find("filbert_work_commit_seconds_count") != std::string::npos);
+}
--- a/modules/filbert_node/work_controller.cpp
+++ b/modules/filbert_node/work_controller.cpp
@@ -40,8 +40,10 @@
 work_controller::work_controller(const work_controller_settings &settings,
                                  const replication_settings &replication,
                                  const stored_state &stored, std::uint64_t seed, log_store &store,
-                                 work_controller_hooks hooksGiven, time_point now)
+                                 work_metrics &metrics, work_controller_hooks hooksGiven,
+                                 time_point now)
     : settings {settings}
+    , metrics {metrics}
     , hooks {std::move(hooksGiven)}
     , log {replication,
            snapshot_settings {},
@@ -140,7 +142,7 @@
     if (to.exchange == 0) {
         return;
     }
-    ++counts.answers[answerName(what.kind())];
+    metrics.countAnswer(answerName(what.kind()));
     messages::work_envelope envelope;
     envelope.set_exchange(to.exchange);
     envelope.set_from(settings.name);
@@ -343,7 +345,7 @@
         dispatch.reset(); // it has booked what was not proposed: start over
         return;
     }
-    inFlight[index] = std::move(replies);
+    inFlight[index] = {std::move(replies), now};
 }
 
 void work_controller::applyEntry(const messages::log_entry &entry)
@@ -354,13 +356,16 @@
     messages::work_batch batch;
     FILBERT_INVARIANT(batch.ParseFromString(entry.payload()), "an entry can be read");
     const auto waiting = inFlight.extract(entry.index());
+    if (!waiting.empty()) {
+        metrics.observeCommit(flushNow - waiting.mapped().proposedAt);
+    }
     for (int i = 0; i < batch.commands_size(); ++i) {
         const auto &command = batch.commands(i);
         const auto outcome = applyCommand(state, command, batch.wall_ms());
-        ++counts.commands[commandName(command)];
+        metrics.countCommand(commandName(command));
         const bool isOwn = !waiting.empty() && entry.term() == log.view().term;
         afterApplied(command, outcome,
-                     isOwn ? waiting.mapped()[static_cast<std::size_t>(i)] : reply_to {});
+                     isOwn ? waiting.mapped().replies[static_cast<std::size_t>(i)] : reply_to {});
     }
 }
 
@@ -411,6 +416,8 @@
 void work_controller::takeOrderAnswer(const target_order &order, const order_answer &answer,
                                       time_point now)
 {
+    metrics.observeOrder(orderName(order.kind), std::string {resultName(answer.result)},
+                         now - order.sentAt);
     if (dispatch) {
         filbert::takeOrderAnswer(*dispatch, order, answer, now);
     }
@@ -489,8 +496,8 @@
     for (const auto &each : std::exchange(pending, {})) {
         answerKind(each.replyTo, messages::ANSWER_NO_LEADER);
     }
-    for (const auto &[index, replies] : std::exchange(inFlight, {})) {
-        for (const auto &to : replies) {
+    for (const auto &[index, batch] : std::exchange(inFlight, {})) {
+        for (const auto &to : batch.replies) {
             answerKind(to, messages::ANSWER_NO_LEADER);
         }
     }
@@ -512,7 +519,7 @@
         relay.clear();
         dispatch = startDispatch(state, settings.dispatch, view.term, now, wallMs);
         leadingSince = now;
-        ++counts.elections;
+        metrics.countElection();
         log_line {"leading"}
             .with("term", view.term)
             .with("applied", view.applied)
@@ -536,7 +543,6 @@
         return;
     }
     for (const auto &order : std::exchange(dispatch->effects.orders, {})) {
-        ++counts.orders[orderName(order.kind)];
         const auto life = state.lives.find(order.target);
         const auto domain =
             life == state.lives.end() ? std::string {} : life->second.about.failure_domain();
--- a/modules/filbert_node/work_controller.h
+++ b/modules/filbert_node/work_controller.h
@@ -3,6 +3,7 @@
 #include "filbert_dispatch/filbert_dispatch.h"
 #include "filbert_replication/filbert_replication.h"
 #include "order_relay.h"
+#include "work_metrics.h"
 
 #include <functional>
 #include <map>
@@ -34,15 +35,6 @@
     std::function<std::vector<std::string>()> knownAddresses;
 };
 
-/** Counts of what a controller did, for its metrics. */
-struct work_counters
-{
-    std::map<std::string, std::uint64_t> commands; // by kind, applied
-    std::map<std::string, std::uint64_t> answers; // by kind
-    std::map<std::string, std::uint64_t> orders; // by kind
-    std::uint64_t elections = 0;
-};
-
 /** One controller: replicates the state of staged jobs, and decides while it leads.
 
     Feed it with messages, answers of targets and time, then call flush() once for what came in: it
@@ -53,8 +45,8 @@
 public:
     work_controller(const work_controller_settings &settings,
                     const replication_settings &replication, const stored_state &stored,
-                    std::uint64_t seed, log_store &store, work_controller_hooks hooks,
-                    time_point now);
+                    std::uint64_t seed, log_store &store, work_metrics &metrics,
+                    work_controller_hooks hooks, time_point now);
 
     /** @param peer name of the process that sent it */
     void takeEnvelope(const std::string &peer, const messages::work_envelope &envelope,
@@ -79,7 +71,6 @@
 
     const work_state &work() const { return state; }
     const log_member &member() const { return log; }
-    const work_counters &counters() const { return counts; }
 
 private:
     struct reply_to
@@ -117,18 +108,24 @@
         reply_to replyTo;
     };
 
+    struct open_batch
+    {
+        std::vector<reply_to> replies;
+        time_point proposedAt;
+    };
+
     work_controller_settings settings;
+    work_metrics &metrics;
     work_controller_hooks hooks;
     work_state state;
     log_member log;
     std::optional<dispatch_state> dispatch; // while leading
     std::vector<pending_command> pending;
-    std::map<std::uint64_t, std::vector<reply_to>> inFlight; // by index of the log
+    std::map<std::uint64_t, open_batch> inFlight; // by index of the log
     std::map<std::string, join_candidate> candidates; // by identity
     time_point leadingSince;
     time_point joinAt;
     time_point flushNow; // of the flush under way, for hooks that it calls
-    work_counters counts;
     order_relay relay;
     bool isStopping = false;
 };
--- /dev/null
+++ b/modules/filbert_node/work_metrics.cpp
@@ -0,0 +1,101 @@
+#include "work_metrics.h"
+
+#include <prometheus/text_serializer.h>
+
+namespace filbert {
+
+namespace {
+
+const prometheus::Histogram::BucketBoundaries secondsBuckets {
+    0.001, 0.002, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 10};
+constexpr double secondsPerMillisecond = 0.001;
+
+double secondsOf(milliseconds span)
+{
+    return static_cast<double>(span.count) * secondsPerMillisecond;
+}
+
+prometheus::Family<prometheus::Counter> &
+counterFamily(prometheus::Registry &registry, const std::string &name, const std::string &help)
+{
+    return prometheus::BuildCounter().Name(name).Help(help).Register(registry);
+}
+
+prometheus::Family<prometheus::Histogram> &
+histogramFamily(prometheus::Registry &registry, const std::string &name, const std::string &help)
+{
+    return prometheus::BuildHistogram().Name(name).Help(help).Register(registry);
+}
+
+} // namespace
+
+work_metrics::work_metrics()
+    : registry {std::make_shared<prometheus::Registry>()}
+    , commands {counterFamily(*registry, "filbert_work_commands_total",
+                              "Commands applied, by kind")}
+    , answers {counterFamily(*registry, "filbert_work_answers_total",
+                             "Answers to requests, by kind")}
+    , orders {counterFamily(*registry, "filbert_work_orders_total",
+                            "Orders to targets, by kind and result")}
+    , orderSeconds {histogramFamily(*registry, "filbert_work_order_seconds",
+                                    "Time from an order to its answer, by kind")}
+    , elections {counterFamily(*registry, "filbert_work_terms_led_total", "Terms that it has led")
+                     .Add({})}
+    , commitSeconds {histogramFamily(*registry, "filbert_work_commit_seconds",
+                                     "Time from a proposal to its commands being applied")
+                         .Add({}, secondsBuckets)}
+    , state {prometheus::BuildGauge()
+                 .Name("filbert_work_state")
+                 .Help("Leading (0 or 1), last index applied, members, jobs that are known")
+                 .Register(*registry)}
+{
+}
+
+void work_metrics::observeCommit(milliseconds took)
+{
+    commitSeconds.Observe(secondsOf(took));
+}
+
+void work_metrics::observeOrder(const std::string &kind, const std::string &result,
+                                milliseconds took)
+{
+    orders.Add({{"kind", kind}, {"result", result}}).Increment();
+    orderSeconds.Add({{"kind", kind}}, secondsBuckets).Observe(secondsOf(took));
+}
+
+void work_metrics::setState(bool isLeading, std::uint64_t applied, int members, std::size_t jobs)
+{
+    state.Add({{"of", "leading"}}).Set(isLeading ? 1 : 0);
+    state.Add({{"of", "applied"}}).Set(static_cast<double>(applied));
+    state.Add({{"of", "members"}}).Set(members);
+    state.Add({{"of", "jobs"}}).Set(static_cast<double>(jobs));
+}
+
+std::string work_metrics::text() const
+{
+    return prometheus::TextSerializer {}.Serialize(registry->Collect());
+}
+
+entry_metrics::entry_metrics()
+    : registry {std::make_shared<prometheus::Registry>()}
+    , answers {histogramFamily(*registry, "filbert_entry_answer_seconds",
+                               "Time from a whole request to its answer, by status")}
+    , openRequests {prometheus::BuildGauge()
+                        .Name("filbert_entry_open_requests")
+                        .Help("Requests that wait for the leader's answer")
+                        .Register(*registry)
+                        .Add({})}
+{
+}
+
+void entry_metrics::observeAnswer(int status, milliseconds took)
+{
+    answers.Add({{"status", std::to_string(status)}}, secondsBuckets).Observe(secondsOf(took));
+}
+
+std::string entry_metrics::text() const
+{
+    return prometheus::TextSerializer {}.Serialize(registry->Collect());
+}
+
+} // namespace filbert
--- a/modules/filbert_transport/http_client.cpp
+++ b/modules/filbert_transport/http_client.cpp
@@ -323,7 +323,7 @@
 {
     if (call.wsi != nullptr) {
         lws_set_wsi_user(call.wsi, nullptr);
-        lws_set_timeout(call.wsi, PENDING_TIMEOUT_USER_OK, LWS_TO_KILL_ASYNC);
+        lws_set_timeout(call.wsi, PENDING_TIMEOUT_USER_OK, LWS_TO_KILL_SYNC);
         call.wsi = nullptr;
     }
     if (call.hasLeft) {
--- a/modules/filbert_transport/tests/http_test.cpp
+++ b/modules/filbert_transport/tests/http_test.cpp
@@ -78,3 +78,46 @@
     CHECK(answered == calls);
     CHECK(establishedTo(server->port()) <= 1);
 }
+
+TEST_CASE("after calls without an answer the next ones are answered, on kept connections too",
+          "[transport]")
+{
+    event_loop loop;
+    std::unique_ptr<http_server> server;
+    bool isMute = true;
+    server = std::make_unique<http_server>(loop, "127.0.0.1", 0, http_limits {}, tls_files {},
+                                           [&](http_request &&request) {
+                                               if (!isMute) {
+                                                   server->respond(request.id, http_answer {});
+                                               }
+                                           });
+    http_client client {loop, 2};
+    client.setDoubtSpan({100});
+    int answered = 0;
+    int ended = 0;
+    const auto call = [&] {
+        http_call call;
+        call.endpoint = "127.0.0.1:" + std::to_string(server->port());
+        call.body = "{}";
+        call.timeout = {150};
+        client.send(std::move(call), [&](std::error_code error, http_answer &&) {
+            ++ended;
+            answered += error ? 0 : 1;
+        });
+    };
+    for (int i = 0; i < 4; ++i) {
+        call(); // two are sent, two wait behind them; none is answered
+    }
+    loop.after({600}, [&] {
+        CHECK(ended == 4);
+        CHECK(answered == 0);
+        isMute = false;
+        for (int i = 0; i < 4; ++i) {
+            call();
+        }
+    });
+    loop.after({1'000}, [&] { loop.stop(); });
+    loop.run();
+    CHECK(ended == 8);
+    CHECK(answered == 4);
+}
