--- a/modules/filbert_dispatch/dispatch_state.h
+++ b/modules/filbert_dispatch/dispatch_state.h
@@ -55,11 +55,9 @@
     time_point retryAt;
     time_point confirmedAt; // a start or stop was answered
     std::string ticket;
-    std::string stopReason;
     int percent = 0;
     time_point progressAt;
-    int firstPercent = -1;
-    time_point firstPercentAt;
+    bool isReported = false; // a look has listed it
     std::int64_t tailMs = 0; // of a task that serves
     std::int64_t coresInUse = 0; // of any other
     int pace = 100; // percent that the task was told to work at
@@ -95,7 +93,6 @@
     time_point leavesAt; // while draining: not before
     bool isLeaveProposed = false;
     bool isReviewDue = true; // what it runs and has ended is not known in full
-    double speed = 1.0; // of work, against what its steps' other tasks show
 };
 
 /** Whether a policy lets a step run on a target, and with which ticket. */
--- a/modules/filbert_dispatch/scheduling.cpp
+++ b/modules/filbert_dispatch/scheduling.cpp
@@ -36,6 +36,10 @@
     std::int64_t slackMs = 0;
 };
 
+// Parts of fitCost(), in accelerators left idle: the unit that packing is about.
+constexpr double farFromDataCost = 20.0; // half as long again: more than any packing gains
+constexpr double sameTargetCost = 4.0; // of tasks that last: one target's end must not take many
+constexpr double acceleratorWeight = 1e6; // accelerators first, then thousandths of a core
 constexpr int notReserved = std::numeric_limits<int>::max();
 
 /** One target as the pass sees it. */
@@ -186,12 +190,12 @@
         cost += static_cast<double>(room.life->fillCores) / cores;
     }
     if (!spec.data_rack().empty() && spec.data_rack() != room.rack) {
-        cost += 20.0; // work far from its data takes longer than any packing gains
+        cost += farFromDataCost;
     }
     if (spec.lasts()) {
-        cost += 4.0 * countOnTarget(pass, step, room.target->id);
+        cost += sameTargetCost * countOnTarget(pass, step, room.target->id);
     }
-    return cost + 8.0 * std::max(0.0, 1.0 - room.target->speed);
+    return cost;
 }
 
 bool isWithinTeamCap(const placement_pass &pass, const open_step &step, std::size_t tasks)
@@ -420,7 +424,7 @@
         const bool isAdmitted = !step.queue->has_admission()
             || (view != nullptr && view->admitted.contains(room.target->id));
         if (isAdmitted && room.reservedRank == notReserved && isEligible(step, room)) {
-            wanted.emplace_back(-static_cast<double>(room.left.accelerators) * 1e6
+            wanted.emplace_back(-static_cast<double>(room.left.accelerators) * acceleratorWeight
                                     - static_cast<double>(room.left.milliCores),
                                 i);
         }
--- a/modules/filbert_dispatch/target_conversation.cpp
+++ b/modules/filbert_dispatch/target_conversation.cpp
@@ -16,6 +16,7 @@
 constexpr milliseconds lookPauseAfterFault {250};
 constexpr milliseconds answeredSpan {2'000}; // a lease is renewed for a target that answered lately
 constexpr milliseconds stopPause {400};
+constexpr milliseconds checkpointSpan {700}; // for a stop that saves, before its target leaves
 constexpr std::int64_t targetsPerMillisecond = 15; // that a look through all of them takes
 
 const life_record *lifeOf(const dispatch_state &state, const std::string &id)
@@ -217,10 +218,7 @@
     if (report.percent != run.percent) {
         run.progressAt = now;
     }
-    if (run.firstPercent < 0) {
-        run.firstPercent = report.percent;
-        run.firstPercentAt = now;
-    }
+    run.isReported = true;
     run.percent = report.percent;
     if (!report.checkpoint.empty()) {
         run.checkpoint = report.checkpoint;
@@ -370,7 +368,6 @@
         const bool isOfOldLife = record != nullptr && record->born != target.born;
         if (run.phase != run_phase::Stopping && (job.isEnded() || isOfOldLife)) {
             run.phase = run_phase::Stopping;
-            run.stopReason = isOfOldLife ? "its life is over" : "its job has ended";
             run.confirmedAt = {};
             run.retryAt = now;
         }
@@ -408,7 +405,7 @@
     for (auto &[task, run] : target.runs) {
         const auto &spec = specOf(state.work->jobs.at(task.job), task.step);
         const bool isWatched = run.phase == run_phase::Started && !spec.lasts()
-            && !spec.fills_gaps() && run.pace == 100 && run.firstPercent >= 0;
+            && !spec.fills_gaps() && run.pace == 100 && run.isReported;
         if (isWatched && now - std::max(run.progressAt, run.startedAt) > state.settings.stallSpan) {
             requestStop(state, task, "it makes no progress", now);
             if (now >= target.avoidUntil) {
@@ -435,7 +432,7 @@
             ? static_cast<double>(since) * (100.0 - run.percent) / run.percent
             : static_cast<double>(spec.estimate_ms());
         const bool canFinish = now + milliseconds {std::llround(left)} <= target.leavesAt;
-        if (!canFinish && spec.checkpoints() && now + milliseconds {700} >= target.leavesAt) {
+        if (!canFinish && spec.checkpoints() && now + checkpointSpan >= target.leavesAt) {
             requestStop(state, task, "its target leaves before it can end", now);
         }
     }
@@ -590,7 +587,6 @@
         .with("percent", run.percent)
         .with("reason", reason);
     run.phase = run_phase::Stopping;
-    run.stopReason = reason;
     run.confirmedAt = {};
     run.retryAt = now;
 }
--- a/modules/filbert_node/leader_link.cpp
+++ b/modules/filbert_node/leader_link.cpp
@@ -117,7 +117,6 @@
         .with("before", leader)
         .with("told_by", address);
     leader = welcome.leader_address();
-    control = welcome.leader_control();
     leaderHeardAt = now;
     members = {};
     for (const auto &member : welcome.members()) {
--- a/modules/filbert_node/leader_link.h
+++ b/modules/filbert_node/leader_link.h
@@ -77,9 +77,6 @@
     /** Whether a leader was heard of lately. */
     bool hasLeader(time_point now) const;
 
-    /** @return where the leader serves targets and operators; empty if not known */
-    const std::string &leaderControl() const { return control; }
-
     /** @return addresses of all controllers that are known */
     std::set<std::string> addresses() const;
 
@@ -109,7 +106,6 @@
     std::map<std::string, time_point> heardAt;
     std::map<std::string, time_point> renewedAt;
     std::string leader; // address
-    std::string control;
     time_point leaderHeardAt;
     std::map<std::uint64_t, open_call> calls;
     std::uint64_t lastExchange = 0;
--- a/modules/filbert_node/work_controller.cpp
+++ b/modules/filbert_node/work_controller.cpp
@@ -88,7 +88,7 @@
         candidates[envelope.join().self().identity()] = {envelope.join().self(), now};
         break;
     case body::kRequest:
-        takeRequest({peer, envelope.exchange(), {}}, envelope.request(), now, wallMs);
+        takeRequest({peer, envelope.exchange()}, envelope.request(), now, wallMs);
         break;
     case body::kAdmissionAnswer:
         if (dispatch) {
@@ -128,11 +128,9 @@
     if (leads) {
         answer->set_leader(view.self);
         answer->set_leader_address(settings.address);
-        answer->set_leader_control(settings.control);
     } else if (leader != nullptr && view.leader != view.self) {
         answer->set_leader(view.leader);
         answer->set_leader_address(leader->address());
-        answer->set_leader_control(leader->control());
     }
     hooks.sendToPeer(peer, envelope);
 }
@@ -254,7 +252,7 @@
     }
     messages::work_command command;
     command.set_cancel(id);
-    propose(std::move(command), {from.peer, from.exchange, id});
+    propose(std::move(command), from);
 }
 
 void work_controller::takeSubmission(const reply_to &from, const messages::job_call &call,
@@ -285,7 +283,7 @@
     job->set_team(team);
     job->set_accepted_wall_ms(wallMs);
     *job->mutable_taken_under() = queue;
-    propose(std::move(command), {from.peer, from.exchange, id});
+    propose(std::move(command), from);
 }
 
 void work_controller::takeConfiguration(const reply_to &from,
@@ -446,7 +444,6 @@
     self->set_identity(view.self);
     self->set_name(settings.name);
     self->set_address(settings.address);
-    self->set_control(settings.control);
     for (const auto &address : hooks.knownAddresses()) {
         if (address != settings.address) {
             messages::member to;
--- a/modules/filbert_node/work_controller.h
+++ b/modules/filbert_node/work_controller.h
@@ -18,7 +18,6 @@
 {
     std::string name;
     std::string address; // tcp://IP:port, for messages
-    std::string control; // where it serves targets and operators
     dispatch_settings dispatch;
     formation_settings formation;
     order_relay_settings relay;
@@ -77,7 +76,6 @@
     {
         std::string peer;
         std::uint64_t exchange = 0; // 0 = nobody waits
-        std::string detail; // of the request, for the log
     };
 
     void takeRequest(const reply_to &from, const messages::work_request &request, time_point now,
