A gang asks for further targets where those that are admitted do not hold all of it

Ruled out: reservations (other gangs were placed meanwhile), the team's cap.

Change: room among the admitted counts for what starts at once: one task, or the whole gang.

--- a/modules/filbert_dispatch/scheduling.cpp
+++ b/modules/filbert_dispatch/scheduling.cpp
@@ -364,14 +364,34 @@
     return ids;
 }
 
+/** @return how many tasks of a size an amount of room takes, at most a bound */
+std::int64_t countFitting(const resource_amounts &need, const resource_amounts &left,
+                          std::int64_t most)
+{
+    const auto times = [&](std::int64_t needed, std::int64_t available) {
+        return needed > 0 ? std::min(most, available / needed) : most;
+    };
+    return std::min({times(need.milliCores, left.milliCores), times(need.memoryMb, left.memoryMb),
+                     times(need.accelerators, left.accelerators)});
+}
+
+/** Whether the admitted targets have room for what starts at once: a task, or a whole gang. */
 bool hasAdmittedRoom(const placement_pass &pass, const open_step &step, const service_view &service,
                      const admission_view &view)
 {
-    return std::any_of(view.admitted.begin(), view.admitted.end(), [&](const auto &each) {
-        const auto room = service.byId.find(each.first);
-        return room != service.byId.end() && isEligible(step, service.rooms[room->second])
-            && hasRoomFor(pass, step, service, service.rooms[room->second]);
-    });
+    const std::int64_t wanted = step.spec->is_gang() ? step.spec->count() : 1;
+    std::int64_t found = 0;
+    for (const auto &[id, ticket] : view.admitted) {
+        const auto index = service.byId.find(id);
+        if (index == service.byId.end()) {
+            continue;
+        }
+        const auto &room = service.rooms[index->second];
+        if (isEligible(step, room) && hasRoomFor(pass, step, service, room)) {
+            found += countFitting(step.need, room.left, wanted);
+        }
+    }
+    return found >= wanted;
 }
 
 /** Asks for tickets where the step has none that is good. */
--- a/modules/filbert_dispatch/tests/scheduling_test.cpp
+++ b/modules/filbert_dispatch/tests/scheduling_test.cpp
@@ -153,6 +153,48 @@
     }
 }
 
+TEST_CASE("a gang asks for further targets where those that are admitted do not hold all of it",
+          "[dispatch]")
+{
+    dispatch_fixture cell;
+    auto *admission = queueOf(cell)->mutable_admission();
+    admission->set_decide_ms(20);
+    admission->set_per_target_ms(5); // costly: not all targets are named at once
+    admission->set_ticket_ms(1'500);
+    std::vector<std::string> targets;
+    for (int i = 0; i < 30; ++i) {
+        targets.push_back("t" + std::to_string(10 + i));
+        cell.target(targets.back(), 1, 2'000);
+    }
+    auto gang = cell.step(2);
+    gang.set_is_gang(true);
+    cell.accept("j", {gang});
+    cell.lead();
+    std::set<std::string> asked;
+    for (int i = 0; i < 20; ++i) {
+        for (const auto &target : targets) {
+            cell.report(target);
+        }
+        takeCaller(*cell.leader, "gateway-1", cell.now);
+        cell.run({100});
+        for (const auto &call : std::exchange(cell.admissions, {})) {
+            messages::admission_answer answer;
+            answer.set_id(call.request.id());
+            answer.set_is_answered(true);
+            for (const auto &target : call.request.targets()) {
+                asked.insert(target);
+                if (target == "t10" || target == "t39") { // all that the policy admits
+                    answer.add_admitted()->set_target(target);
+                    answer.mutable_admitted(answer.admitted_size() - 1)->set_ticket("t");
+                }
+            }
+            takeAdmission(*cell.leader, answer, cell.now);
+        }
+    }
+    CHECK(asked.size() == targets.size());
+    CHECK(running(cell, "j") == 2);
+}
+
 TEST_CASE("a policy call without an answer goes to another process soon", "[dispatch]")
 {
     dispatch_fixture cell;
