Types of staged jobs get names of their own: work_job, work_task, target_conversation

The platform's programs link only the new ones and were not affected.

Ruled out: the bounds checks in findTask(); the two test runs without sanitizers had passed.

Change: the new types are renamed; no other name stands twice (checked over all headers).

The sanitizers should run before the first commit of a module, not at the landing.

--- a/modules/filbert_dispatch/dispatch_state.h
+++ b/modules/filbert_dispatch/dispatch_state.h
@@ -65,7 +65,7 @@
 };
 
 /** What the leader knows of one target's life beyond the replicated state. */
-struct target_view
+struct target_conversation
 {
     std::string id;
     std::int64_t born = 0;
@@ -230,7 +230,7 @@
     const work_state *work = nullptr;
     std::uint64_t term = 0;
     time_point leadingSince;
-    std::map<std::string, target_view> targets; // by id
+    std::map<std::string, target_conversation> targets; // by id
     std::map<std::string, job_view> jobs; // by id; those that are not ended
     std::map<task_name, std::string> planned; // proposed starts: task to target
     std::map<task_name, admission_view> admissions; // by step: index 0
@@ -258,10 +258,10 @@
 }
 
 /** @return an estimate of the target's clock that is not below its true reading */
-std::int64_t clockAtMost(const target_view &target, time_point now);
+std::int64_t clockAtMost(const target_conversation &target, time_point now);
 
 /** @return an estimate of the target's clock that is not above its true reading */
-std::int64_t clockAtLeast(const target_view &target, time_point now);
+std::int64_t clockAtLeast(const target_conversation &target, time_point now);
 
 /** Starts a term: takes over what the replicated state says. */
 dispatch_state startDispatch(const work_state &work, const dispatch_settings &settings,
--- a/modules/filbert_dispatch/interference.cpp
+++ b/modules/filbert_dispatch/interference.cpp
@@ -22,7 +22,7 @@
     return worstTail <= calmTail ? std::min(pace + paceStep, fullPace) : pace;
 }
 
-void reviewInterference(dispatch_state &state, target_view &target, time_point now)
+void reviewInterference(dispatch_state &state, target_conversation &target, time_point now)
 {
     double worstTail = 0;
     for (const auto &[task, run] : target.runs) {
--- a/modules/filbert_dispatch/interference.h
+++ b/modules/filbert_dispatch/interference.h
@@ -9,7 +9,7 @@
 
     @param target  as its last look has shown it
 */
-void reviewInterference(dispatch_state &state, target_view &target, time_point now);
+void reviewInterference(dispatch_state &state, target_conversation &target, time_point now);
 
 /** Decides at which share tasks that fill should work.
 
--- a/modules/filbert_dispatch/scheduling.cpp
+++ b/modules/filbert_dispatch/scheduling.cpp
@@ -28,7 +28,7 @@
 struct open_step
 {
     task_name name; // index 0
-    const job_record *job = nullptr;
+    const work_job *job = nullptr;
     const messages::step_spec *spec = nullptr;
     const messages::work_queue *queue = nullptr;
     resource_amounts need; // what a task takes of its target
@@ -45,7 +45,7 @@
 /** One target as the pass sees it. */
 struct room_view
 {
-    target_view *target = nullptr;
+    target_conversation *target = nullptr;
     const life_record *life = nullptr;
     resource_amounts capacity;
     resource_amounts left; // what no run and no planned start has taken
@@ -86,7 +86,7 @@
         && need.accelerators <= room.accelerators;
 }
 
-void addRoom(service_view &view, target_view &target, const life_record &life)
+void addRoom(service_view &view, target_conversation &target, const life_record &life)
 {
     room_view room;
     room.target = &target;
@@ -600,7 +600,7 @@
     return steps;
 }
 
-bool isOpen(const job_record &job, const occurrence_record &occurrence, std::uint32_t step)
+bool isOpen(const work_job &job, const occurrence_record &occurrence, std::uint32_t step)
 {
     const auto &record = occurrence.steps[step];
     const auto &spec = specOf(job, step);
--- a/modules/filbert_dispatch/target_conversation.cpp
+++ b/modules/filbert_dispatch/target_conversation.cpp
@@ -49,7 +49,7 @@
     propose(state, std::move(command));
 }
 
-std::int64_t leaseEndFor(const dispatch_state &state, target_view &target, time_point now)
+std::int64_t leaseEndFor(const dispatch_state &state, target_conversation &target, time_point now)
 {
     const auto span = std::min(state.settings.targetLease, state.settings.longestLease);
     const auto until = clockAtMost(target, now) + span.count;
@@ -57,7 +57,7 @@
     return until;
 }
 
-target_order orderFor(const dispatch_state &state, const target_view &target,
+target_order orderFor(const dispatch_state &state, const target_conversation &target,
                       const life_record &life, order_kind kind, time_point now)
 {
     target_order order;
@@ -71,7 +71,7 @@
     return order;
 }
 
-void sendStart(dispatch_state &state, target_view &target, const life_record &life,
+void sendStart(dispatch_state &state, target_conversation &target, const life_record &life,
                const task_name &task, run_view &run, time_point now)
 {
     auto order = orderFor(state, target, life, order_kind::Start, now);
@@ -87,7 +87,7 @@
     state.effects.orders.push_back(std::move(order));
 }
 
-void sendStop(dispatch_state &state, target_view &target, const life_record &life,
+void sendStop(dispatch_state &state, target_conversation &target, const life_record &life,
               const task_name &task, std::uint32_t run, time_point now)
 {
     auto order = orderFor(state, target, life, order_kind::Stop, now);
@@ -102,7 +102,8 @@
         || result == order_result::Unanswered;
 }
 
-void avoid(dispatch_state &state, target_view &target, const std::string &reason, time_point now)
+void avoid(dispatch_state &state, target_conversation &target, const std::string &reason,
+           time_point now)
 {
     const auto doubled = target.avoidance + target.avoidance;
     target.avoidance =
@@ -116,7 +117,7 @@
         .with("for_ms", target.avoidance.count);
 }
 
-void noteFailure(dispatch_state &state, target_view &target, const task_name &task,
+void noteFailure(dispatch_state &state, target_conversation &target, const task_name &task,
                  const std::string &reason, time_point now)
 {
     target.failedJobs.insert(task.job);
@@ -126,14 +127,14 @@
     }
 }
 
-void noteSuccess(target_view &target)
+void noteSuccess(target_conversation &target)
 {
     target.failedJobs.clear();
     target.avoidance = {};
 }
 
 /** A reading counts if it is ahead of what is known: one that was delayed says less. */
-void takeClock(target_view &target, std::int64_t clockMs, time_point now)
+void takeClock(target_conversation &target, std::int64_t clockMs, time_point now)
 {
     if (!target.clockMs || clockMs >= clockAtLeast(target, now)) {
         target.clockMs = clockMs;
@@ -141,7 +142,7 @@
     }
 }
 
-void answerStart(dispatch_state &state, target_view &target, const target_order &order,
+void answerStart(dispatch_state &state, target_conversation &target, const target_order &order,
                  order_result result, run_view &run, time_point now)
 {
     run.isOrderOpen = false;
@@ -183,7 +184,7 @@
     proposeDrop(state, order.task, run, target.id, std::string {resultName(result)});
 }
 
-void answerStop(dispatch_state &state, target_view &target, const target_order &order,
+void answerStop(dispatch_state &state, target_conversation &target, const target_order &order,
                 order_result result, time_point now)
 {
     if (result == order_result::Done) {
@@ -226,8 +227,8 @@
     (serves ? run.tailMs : run.coresInUse) = report.gauge;
 }
 
-void takeReportedRuns(dispatch_state &state, target_view &target, const order_answer &answer,
-                      std::set<task_name> *present, time_point now)
+void takeReportedRuns(dispatch_state &state, target_conversation &target,
+                      const order_answer &answer, std::set<task_name> *present, time_point now)
 {
     for (const auto &report : answer.runs) {
         const auto found = target.runs.find(report.task);
@@ -248,7 +249,7 @@
     }
 }
 
-void takeReportedEnds(dispatch_state &state, target_view &target, const life_record &life,
+void takeReportedEnds(dispatch_state &state, target_conversation &target, const life_record &life,
                       const order_answer &answer, std::set<task_name> *present, time_point now)
 {
     messages::work_command command;
@@ -280,7 +281,7 @@
 }
 
 /** Runs that a target neither lists as running nor as ended. */
-void reviewAbsent(dispatch_state &state, target_view &target, const target_order &look,
+void reviewAbsent(dispatch_state &state, target_conversation &target, const target_order &look,
                   const std::set<task_name> &present, time_point now)
 {
     for (auto &[task, run] : target.runs) {
@@ -298,7 +299,7 @@
     }
 }
 
-void answerLook(dispatch_state &state, target_view &target, const life_record &life,
+void answerLook(dispatch_state &state, target_conversation &target, const life_record &life,
                 const target_order &order, const order_answer &answer, time_point now)
 {
     target.isLookOpen = false;
@@ -320,7 +321,8 @@
     reviewInterference(state, target, now);
 }
 
-void sendLook(dispatch_state &state, target_view &target, const life_record &life, time_point now)
+void sendLook(dispatch_state &state, target_conversation &target, const life_record &life,
+              time_point now)
 {
     auto order = orderFor(state, target, life, order_kind::Look, now);
     const bool isIdle = target.runs.empty();
@@ -345,14 +347,14 @@
     state.effects.orders.push_back(std::move(order));
 }
 
-bool needsLook(const target_view &target, const life_record &life)
+bool needsLook(const target_conversation &target, const life_record &life)
 {
     const bool awaitsCommit = target.proposedEnds > life.lastSeen;
     return !awaitsCommit
         && (!target.runs.empty() || life.lastSeen > target.acknowledged || target.isReviewDue);
 }
 
-bool hasLapsed(const target_view &target, time_point now)
+bool hasLapsed(const target_conversation &target, time_point now)
 {
     // Leases of the term before are bounded by time alone: the first reading of a clock may have
     // been on its way for long, so that nothing can be counted from it.
@@ -360,7 +362,8 @@
         && (!target.clockMs || clockAtLeast(target, now) > target.leaseUntil);
 }
 
-void stepRuns(dispatch_state &state, target_view &target, const life_record &life, time_point now)
+void stepRuns(dispatch_state &state, target_conversation &target, const life_record &life,
+              time_point now)
 {
     for (auto &[task, run] : target.runs) {
         const auto &job = state.work->jobs.at(task.job);
@@ -388,7 +391,7 @@
     }
 }
 
-void giveUpLapsed(dispatch_state &state, target_view &target)
+void giveUpLapsed(dispatch_state &state, target_conversation &target)
 {
     target.isReviewDue = true;
     for (auto &[task, run] : target.runs) {
@@ -397,7 +400,7 @@
 }
 
 /** Stops what has made no progress for long, on a target that answers: it may hang there. */
-void reviewProgress(dispatch_state &state, target_view &target, time_point now)
+void reviewProgress(dispatch_state &state, target_conversation &target, time_point now)
 {
     if (now - target.heardAt > state.settings.lookWait) {
         return;
@@ -416,7 +419,7 @@
 }
 
 /** Moves what a leaving target would not finish; what lasts goes at once. */
-void reviewDrain(dispatch_state &state, target_view &target, time_point now)
+void reviewDrain(dispatch_state &state, target_conversation &target, time_point now)
 {
     for (auto &[task, run] : target.runs) {
         if (run.phase != run_phase::Started) {
@@ -448,18 +451,18 @@
     return names[static_cast<std::size_t>(result)];
 }
 
-std::int64_t clockAtMost(const target_view &target, time_point now)
+std::int64_t clockAtMost(const target_conversation &target, time_point now)
 {
     return *target.clockMs + (now - target.clockAt).count;
 }
 
-std::int64_t clockAtLeast(const target_view &target, time_point now)
+std::int64_t clockAtLeast(const target_conversation &target, time_point now)
 {
     const auto elapsed = static_cast<double>((now - target.clockAt).count);
     return *target.clockMs + static_cast<std::int64_t>(elapsed * slowestRate);
 }
 
-bool takesWork(const dispatch_state &state, const target_view &target, time_point now)
+bool takesWork(const dispatch_state &state, const target_conversation &target, time_point now)
 {
     const auto *life = lifeOf(state, target.id);
     return life != nullptr && !life->isOver && !life->about.is_draining()
@@ -675,7 +678,7 @@
 
 namespace {
 
-void stepTarget(dispatch_state &state, target_view &target, time_point now)
+void stepTarget(dispatch_state &state, target_conversation &target, time_point now)
 {
     const auto &id = target.id;
     const auto *life = lifeOf(state, id);
--- a/modules/filbert_dispatch/target_conversation.h
+++ b/modules/filbert_dispatch/target_conversation.h
@@ -32,7 +32,7 @@
                  time_point now);
 
 /** Whether new work may be sent to a target. */
-bool takesWork(const dispatch_state &state, const target_view &target, time_point now);
+bool takesWork(const dispatch_state &state, const target_conversation &target, time_point now);
 
 /** Brings the views of targets in line with the replicated lives and their runs. */
 void syncTargets(dispatch_state &state, const std::string &id, time_point now);
--- a/modules/filbert_work/work_commands.cpp
+++ b/modules/filbert_work/work_commands.cpp
@@ -8,14 +8,14 @@
 
 namespace {
 
-void leavePending(work_state &state, job_record &job)
+void leavePending(work_state &state, work_job &job)
 {
     if (!job.hasStarted) {
         --state.pendingByQueue[job.job.queue()];
     }
 }
 
-void endJob(work_state &state, job_record &job, job_status status, std::int64_t wallMs)
+void endJob(work_state &state, work_job &job, job_status status, std::int64_t wallMs)
 {
     leavePending(state, job);
     job.hasStarted = true; // it does not count as pending any more
@@ -23,12 +23,12 @@
     job.endedWallMs = wallMs;
 }
 
-std::uint32_t occurrencesOf(const job_record &job)
+std::uint32_t occurrencesOf(const work_job &job)
 {
     return static_cast<std::uint32_t>(std::max(job.job.repeat_count(), 1));
 }
 
-bool isComplete(const job_record &job)
+bool isComplete(const work_job &job)
 {
     if (job.occurrences.size() < occurrencesOf(job)) {
         return false;
@@ -43,7 +43,7 @@
     return true;
 }
 
-std::uint32_t maxAttemptsOf(const work_state &state, const job_record &job)
+std::uint32_t maxAttemptsOf(const work_state &state, const work_job &job)
 {
     return static_cast<std::uint32_t>(std::max(queueOf(state, job).max_attempts(), 1));
 }
@@ -121,7 +121,7 @@
 }
 
 /** Takes a run off its target; the task waits again. */
-void release(work_state &state, const task_name &name, task_record &task, step_record &step)
+void release(work_state &state, const task_name &name, work_task &task, step_record &step)
 {
     bookRun(state, name, task.target, -1);
     --step.running;
@@ -129,7 +129,7 @@
     task.target.clear();
 }
 
-void countFailure(work_state &state, const task_name &name, task_record &task, step_record &step,
+void countFailure(work_state &state, const task_name &name, work_task &task, step_record &step,
                   std::int64_t wallMs)
 {
     auto &job = state.jobs.at(name.job);
@@ -149,7 +149,7 @@
     }
 }
 
-void markDone(work_state &state, const task_name &name, task_record &task, step_record &step,
+void markDone(work_state &state, const task_name &name, work_task &task, step_record &step,
               std::int64_t wallMs)
 {
     auto &job = state.jobs.at(name.job);
@@ -288,7 +288,7 @@
 
 } // namespace
 
-void beginOccurrence(job_record &job, std::uint32_t number)
+void beginOccurrence(work_job &job, std::uint32_t number)
 {
     auto &occurrence = job.occurrences[number];
     for (const auto &spec : job.job.steps()) {
--- a/modules/filbert_work/work_commands.h
+++ b/modules/filbert_work/work_commands.h
@@ -26,6 +26,6 @@
                              std::int64_t wallMs);
 
 /** Adds the records of an occurrence to a job. @param number of the occurrence */
-void beginOccurrence(job_record &job, std::uint32_t number);
+void beginOccurrence(work_job &job, std::uint32_t number);
 
 } // namespace filbert
--- a/modules/filbert_work/work_snapshot.cpp
+++ b/modules/filbert_work/work_snapshot.cpp
@@ -33,7 +33,7 @@
     return step;
 }
 
-void writeJob(const job_record &job, messages::job_record_image *image)
+void writeJob(const work_job &job, messages::job_record_image *image)
 {
     *image->mutable_job() = job.job;
     image->set_status(static_cast<std::uint32_t>(job.status));
@@ -48,9 +48,9 @@
     }
 }
 
-job_record readJob(const messages::job_record_image &image)
+work_job readJob(const messages::job_record_image &image)
 {
-    job_record job;
+    work_job job;
     job.job = image.job();
     job.status = static_cast<job_status>(image.status());
     job.endedWallMs = image.ended_wall_ms();
--- a/modules/filbert_work/work_state.cpp
+++ b/modules/filbert_work/work_state.cpp
@@ -11,7 +11,7 @@
     return names[static_cast<std::size_t>(status)];
 }
 
-const messages::step_spec &specOf(const job_record &job, std::uint32_t step)
+const messages::step_spec &specOf(const work_job &job, std::uint32_t step)
 {
     return job.job.steps(static_cast<int>(step));
 }
@@ -30,15 +30,15 @@
     return &occurrence->second.steps[name.step];
 }
 
-const task_record *findTask(const work_state &state, const task_name &name)
+const work_task *findTask(const work_state &state, const task_name &name)
 {
     const auto *step = findStep(state, name);
     return step != nullptr && name.index < step->tasks.size() ? &step->tasks[name.index] : nullptr;
 }
 
-task_record *findTask(work_state &state, const task_name &name)
+work_task *findTask(work_state &state, const task_name &name)
 {
-    return const_cast<task_record *>(findTask(std::as_const(state), name));
+    return const_cast<work_task *>(findTask(std::as_const(state), name));
 }
 
 resource_amounts reservedBy(const messages::step_spec &spec)
@@ -56,7 +56,7 @@
     return (spec.is_gang() && step.isGangDone) || step.done == step.tasks.size();
 }
 
-bool isStepReady(const job_record &job, const occurrence_record &occurrence, std::uint32_t step)
+bool isStepReady(const work_job &job, const occurrence_record &occurrence, std::uint32_t step)
 {
     const auto &needed = specOf(job, step).depends_on();
     return std::all_of(needed.begin(), needed.end(), [&](std::int32_t each) {
@@ -83,7 +83,7 @@
     return found == queues.end() ? nullptr : &*found;
 }
 
-const messages::work_queue &queueOf(const work_state &state, const job_record &job)
+const messages::work_queue &queueOf(const work_state &state, const work_job &job)
 {
     const auto *queue = findQueue(state.configuration, job.job.queue());
     return queue != nullptr ? *queue : job.job.taken_under();
--- a/modules/filbert_work/work_state.h
+++ b/modules/filbert_work/work_state.h
@@ -21,7 +21,7 @@
 std::string_view statusName(job_status status);
 
 /** One task: its present run if it has one, and what is kept for the next. */
-struct task_record
+struct work_task
 {
     task_status status = task_status::Waiting;
     std::uint32_t run = 0; // the highest that was started
@@ -33,7 +33,7 @@
 
 struct step_record
 {
-    std::vector<task_record> tasks;
+    std::vector<work_task> tasks;
     std::uint32_t done = 0;
     std::uint32_t running = 0;
     bool isGangDone = false; // one member's good end stands for all
@@ -47,7 +47,7 @@
     std::vector<step_record> steps;
 };
 
-struct job_record
+struct work_job
 {
     messages::staged_job job;
     job_status status = job_status::Queued;
@@ -82,7 +82,7 @@
 struct work_state
 {
     messages::work_configuration configuration;
-    std::unordered_map<std::string, job_record> jobs; // by id
+    std::unordered_map<std::string, work_job> jobs; // by id
     std::map<std::string, life_record> lives; // by id of the target
 
     std::map<std::string, resource_amounts> teamUse; // derived
@@ -90,11 +90,11 @@
 };
 
 /** @return the step's description @param name of a task in it; the job must have it */
-const messages::step_spec &specOf(const job_record &job, std::uint32_t step);
+const messages::step_spec &specOf(const work_job &job, std::uint32_t step);
 
 /** @return the record, or nullptr if there is no such job, occurrence, step or index */
-task_record *findTask(work_state &state, const task_name &name);
-const task_record *findTask(const work_state &state, const task_name &name);
+work_task *findTask(work_state &state, const task_name &name);
+const work_task *findTask(const work_state &state, const task_name &name);
 
 /** @return the step's record, or nullptr */
 const step_record *findStep(const work_state &state, const task_name &name);
@@ -103,7 +103,7 @@
 resource_amounts reservedBy(const messages::step_spec &spec);
 
 /** Whether all steps that a step depends on have ended well. */
-bool isStepReady(const job_record &job, const occurrence_record &occurrence, std::uint32_t step);
+bool isStepReady(const work_job &job, const occurrence_record &occurrence, std::uint32_t step);
 
 /** Whether a step's work is complete. */
 bool isStepDone(const messages::step_spec &spec, const step_record &step);
@@ -117,7 +117,7 @@
                                       const std::string &name);
 
 /** @return the queue of a job: as configured now, or as the job was accepted if it was removed */
-const messages::work_queue &queueOf(const work_state &state, const job_record &job);
+const messages::work_queue &queueOf(const work_state &state, const work_job &job);
 
 /** Whether a use is within a cap. @param cap 0 = unlimited, field by field */
 bool isWithinCap(const resource_amounts &use, const messages::resources &cap);
