Where answers get lost, looks are short and tried again at once

A lost look kept its target's ends unseen for 2.2 s and a pause of 0.25 s; a lost start held one of two connections for 150 ms while a job's other starts waited; each lost answer made its target suspect. Runs of the urgent class took 2.4 to 3.0 s instead of 1.4 in those windows. Ruled out: slow targets (none in these windows), waiting for room (2 to 14 ms), the policy service (30 to 65 ms). Change: the leader notes answers that got lost of targets which answer otherwise; with two such targets in 5 s looks wait 250 ms, a lost one is followed by another at once, starts are repeated after 70 ms, and one lost answer says nothing of its target.

--- a/modules/filbert_dispatch/dispatch_state.h
+++ b/modules/filbert_dispatch/dispatch_state.h
@@ -27,6 +27,12 @@
     milliseconds orderTimeout {700}; // of stops and throttles, which nobody waits for
     milliseconds lookGrace {700}; // on top of a look's wait
     milliseconds retryPause {150}; // between tries of one order; an unreachable target costs little
+    // Where answers get lost on their way, a short wait and a second try cost less than they save.
+    milliseconds lossSpan {5'000}; // an answer lost so lately counts
+    std::size_t lossyTargets = 2; // that have lost one in that span; one alone may be its own fault
+    milliseconds lossyLookWait {250}; // a third of the shortest usual task
+    milliseconds lossyLookGrace {150};
+    milliseconds lossyStartTimeout {70}; // ten round trips between failure domains
     milliseconds startSpan {2'200}; // a start without an answer is taken back after three tries
     milliseconds contactSpan {3'300}; // two missed reports of 1.5 s: no new work for that target
     milliseconds stallSpan {2'500}; // without any progress, longer than a restore from a checkpoint
@@ -241,6 +247,7 @@
     std::map<task_name, std::string> plannedTickets;
     std::set<std::pair<std::string, std::uint32_t>> begun; // proposed occurrences
     std::uint64_t lastAdmission = 0;
+    std::map<std::string, time_point> lostAnswers; // by target: when an answer of it got lost
     time_point forgetAt;
     std::set<std::string> changedTargets; // ids of those that an event has touched
     time_point targetsAt; // when all are looked through the next time
--- a/modules/filbert_dispatch/target_conversation.cpp
+++ b/modules/filbert_dispatch/target_conversation.cpp
@@ -57,6 +57,18 @@
     return until;
 }
 
+/** Notes that a target which answers has left an order without an answer. */
+void noteLostAnswer(dispatch_state &state, const std::string &target, time_point now)
+{
+    const bool wasLossy = losesAnswers(state);
+    state.lostAnswers[target] = now;
+    if (!wasLossy && losesAnswers(state)) {
+        log_line {"answers_get_lost", log_line::severity::Warning}
+            .with("targets", state.lostAnswers.size())
+            .with("last", target);
+    }
+}
+
 target_order orderFor(const dispatch_state &state, const target_conversation &target,
                       const life_record &life, order_kind kind, time_point now)
 {
@@ -82,7 +94,8 @@
     order.checkpoint = run.checkpoint;
     order.ticket = run.ticket;
     order.leaseUntil = leaseEndFor(state, target, now);
-    order.timeout = state.settings.startTimeout;
+    order.timeout =
+        losesAnswers(state) ? state.settings.lossyStartTimeout : state.settings.startTimeout;
     run.isOrderOpen = true;
     state.effects.orders.push_back(std::move(order));
 }
@@ -142,6 +155,29 @@
     }
 }
 
+/** An order has got no answer: either that was lost, or the target is silent. */
+void noteSilence(dispatch_state &state, target_conversation &target, const target_order &order,
+                 order_result result, time_point now)
+{
+    if (target.answeredAt >= order.sentAt) {
+        if (result == order_result::Unanswered) {
+            noteLostAnswer(state, target.id, now);
+        }
+        return;
+    }
+    const auto patience = state.settings.lossyLookWait + state.settings.lossyLookGrace;
+    const bool mayBeLost = losesAnswers(state) && now - target.answeredAt < patience;
+    if (mayBeLost || std::exchange(target.isSuspect, true)) {
+        return;
+    }
+    // No new work until it answers: most often its process has ended, or its host is cut off.
+    target.isReviewDue = true;
+    log_line {"target_suspect", log_line::severity::Warning}
+        .with("target", target.id)
+        .with("result", resultName(result))
+        .with("heard_ms_ago", (now - target.heardAt).count);
+}
+
 void answerStart(dispatch_state &state, target_conversation &target, const target_order &order,
                  order_result result, run_view &run, time_point now)
 {
@@ -163,7 +199,8 @@
         .with("target", target.id)
         .with("result", resultName(result))
         .with("waited_ms", (now - run.orderedAt).count);
-    if (isFaultOfTarget(result)) {
+    const bool mayBeLost = result == order_result::Unanswered && losesAnswers(state);
+    if (isFaultOfTarget(result) && !mayBeLost) {
         noteFailure(state, target, order.task, "its starts fail", now);
     }
     run.mayBeThere =
@@ -173,8 +210,9 @@
          || result == order_result::CarrierLost)
         && now - run.orderedAt < state.settings.startSpan;
     if (mayTryAgain) {
-        const bool isFirst = now - run.orderedAt < state.settings.startTimeout * 2;
-        run.retryAt = now + (isFirst ? state.settings.firstRetryPause : state.settings.retryPause);
+        const bool isSoon =
+            losesAnswers(state) || now - run.orderedAt < state.settings.startTimeout * 2;
+        run.retryAt = now + (isSoon ? state.settings.firstRetryPause : state.settings.retryPause);
         return;
     }
     if (run.mayBeThere) {
@@ -302,16 +340,20 @@
 void answerLook(dispatch_state &state, target_conversation &target, const life_record &life,
                 const target_order &order, const order_answer &answer, time_point now)
 {
-    target.isLookOpen = false;
+    const bool isNewest = order.sentAt == target.lookSentAt;
+    if (isNewest) {
+        target.isLookOpen = false;
+        const bool mayBeLost = answer.result == order_result::Unanswered && losesAnswers(state);
+        const bool isRepeatedAtOnce = answer.result == order_result::Done || mayBeLost;
+        target.lookAt = isRepeatedAtOnce ? now : now + lookPauseAfterFault;
+    }
     if (answer.result != order_result::Done) {
-        target.lookAt = now + lookPauseAfterFault;
         log_line {"look_failed", log_line::severity::Warning}
             .with("target", target.id)
             .with("result", resultName(answer.result))
             .with("heard_ms_ago", (now - target.heardAt).count);
         return;
     }
-    target.lookAt = now;
     target.isReviewDue = false;
     target.acknowledged = std::max(target.acknowledged, order.lastSeen);
     std::set<task_name> present;
@@ -335,13 +377,17 @@
         order.leaseUntil = leaseEndFor(state, target, now);
     }
     const bool isFirst = !target.clockMs;
+    const bool isLossy = losesAnswers(state);
     if (!isIdle && !isFirst && !isStopping) {
-        order.wait = isMixed ? state.settings.busyLookWait : state.settings.lookWait;
+        order.wait = isLossy ? state.settings.lossyLookWait
+            : isMixed        ? state.settings.busyLookWait
+                             : state.settings.lookWait;
     } else if (isStopping) {
         order.wait = state.settings.retryPause;
     }
     order.lastSeen = life.lastSeen;
-    order.timeout = order.wait + state.settings.lookGrace;
+    order.timeout =
+        order.wait + (isLossy ? state.settings.lossyLookGrace : state.settings.lookGrace);
     target.isLookOpen = true;
     target.lookSentAt = now;
     state.effects.orders.push_back(std::move(order));
@@ -465,6 +511,11 @@
     return *target.clockMs + static_cast<std::int64_t>(elapsed * slowestRate);
 }
 
+bool losesAnswers(const dispatch_state &state)
+{
+    return state.lostAnswers.size() >= state.settings.lossyTargets;
+}
+
 bool takesWork(const dispatch_state &state, const target_conversation &target, time_point now)
 {
     const auto *life = lifeOf(state, target.id);
@@ -640,18 +691,15 @@
     const bool hasAnswered = isCarried && answer.result != order_result::Unanswered
         && answer.result != order_result::Unreachable && answer.result != order_result::WrongLife;
     if (hasAnswered) {
+        if (target.isSuspect) {
+            noteLostAnswer(state, target.id, now); // it was there all the time
+        }
         target.heardAt = now;
         target.answeredAt = now;
         state.isChanged = state.isChanged || target.isSuspect;
         target.isSuspect = false;
-    } else if (isCarried && target.answeredAt < order.sentAt && !target.isSuspect) {
-        // No new work until it answers: most often its process has ended, or its host is cut off.
-        target.isSuspect = true;
-        target.isReviewDue = true;
-        log_line {"target_suspect", log_line::severity::Warning}
-            .with("target", target.id)
-            .with("result", resultName(answer.result))
-            .with("heard_ms_ago", (now - target.heardAt).count);
+    } else if (isCarried) {
+        noteSilence(state, target, order, answer.result, now);
     }
     if (answer.clockMs) {
         takeClock(target, *answer.clockMs, now);
@@ -707,7 +755,10 @@
     }
     reviewProgress(state, target, now);
     stepRuns(state, target, *life, now);
-    if (!target.isLookOpen && now >= target.lookAt
+    const bool isLookLost = losesAnswers(state)
+        && now - target.lookSentAt
+            > state.settings.lossyLookWait + state.settings.lossyLookGrace;
+    if ((!target.isLookOpen || isLookLost) && now >= target.lookAt
         && needsLook(state, target, *life, now)) {
         sendLook(state, target, *life, now);
     }
@@ -717,6 +768,9 @@
 
 void stepTargets(dispatch_state &state, time_point now)
 {
+    std::erase_if(state.lostAnswers, [&](const auto &each) {
+        return now - each.second >= state.settings.lossSpan;
+    });
     const auto changed = std::exchange(state.changedTargets, {});
     if (now >= state.targetsAt) {
         const auto count = static_cast<std::int64_t>(state.targets.size());
--- a/modules/filbert_dispatch/target_conversation.h
+++ b/modules/filbert_dispatch/target_conversation.h
@@ -31,6 +31,9 @@
 void requestStop(dispatch_state &state, const task_name &task, const std::string &reason,
                  time_point now);
 
+/** Whether answers of several targets got lost lately, so that silence says little about one. */
+bool losesAnswers(const dispatch_state &state);
+
 /** Whether new work may be sent to a target. */
 bool takesWork(const dispatch_state &state, const target_conversation &target, time_point now);
 
--- a/modules/filbert_dispatch/tests/target_conversation_test.cpp
+++ b/modules/filbert_dispatch/tests/target_conversation_test.cpp
@@ -339,3 +339,80 @@
     cell.run({100});
     CHECK(cell.waiting(order_kind::Look).size() == 1);
 }
+
+namespace {
+
+/** Two targets that run one task each; of both an answer has got lost. */
+void loseAnswers(dispatch_fixture &cell)
+{
+    cell.target("t1");
+    cell.target("t2");
+    cell.accept("j", {cell.step(2, 8'000)});
+    cell.lead();
+    cell.report("t1");
+    cell.report("t2");
+    cell.run({20});
+    cell.answer(order_kind::Start, order_result::Unanswered);
+    cell.run({60});
+    cell.answer(order_kind::Start, order_result::Done);
+    cell.run({20});
+}
+
+} // namespace
+
+TEST_CASE("where answers get lost, a lost look costs little: another goes out soon", "[dispatch]")
+{
+    dispatch_fixture cell;
+    loseAnswers(cell);
+    cell.obey("t1");
+    cell.run({20});
+    REQUIRE(cell.waiting(order_kind::Look, "t1").size() == 1);
+    cell.run({450}); // an end is listed meanwhile, and the look's answer does not come
+    CHECK(cell.waiting(order_kind::Look, "t1").size() == 2);
+    order_answer late;
+    late.ends.push_back({1, {"j", 0, 0, 0}, 1, messages::END_DONE, {}});
+    const auto open = cell.waiting(order_kind::Look, "t1");
+    const auto where = cell.targetOf({"j", 0, 0, 0});
+    late.ends[0].task.index = where == "t1" ? 0 : 1;
+    late.result = order_result::Done;
+    late.clockMs = cell.now.ms;
+    takeOrderAnswer(*cell.leader, open[0], late, cell.now); // the older one: its word counts
+    cell.run({20});
+    CHECK(cell.status(late.ends[0].task) == task_status::Done);
+}
+
+TEST_CASE("where answers get lost, one without an answer does not make a target suspect",
+          "[dispatch]")
+{
+    dispatch_fixture cell;
+    loseAnswers(cell);
+    cell.obey("t1");
+    cell.obey("t2");
+    cell.run({100});
+    cell.answer(order_kind::Look, order_result::Unanswered);
+    cell.run({20});
+    CHECK_FALSE(cell.leader->targets.at("t1").isSuspect);
+    for (int i = 0; i < 3; ++i) { // it stays silent for longer than looks get lost in a row
+        cell.run({450});
+        cell.answer(order_kind::Look, order_result::Unanswered, "t1");
+    }
+    CHECK(cell.leader->targets.at("t1").isSuspect);
+}
+
+TEST_CASE("one silent target does not make looks short", "[dispatch]")
+{
+    dispatch_fixture cell;
+    cell.target("t1");
+    cell.accept("j", {cell.step(1)});
+    cell.lead();
+    cell.report("t1");
+    cell.run({20});
+    cell.answer(order_kind::Start, order_result::Unanswered);
+    cell.run({60});
+    cell.answer(order_kind::Start, order_result::Done);
+    cell.obey("t1");
+    cell.run({20});
+    const auto looks = cell.waiting(order_kind::Look);
+    REQUIRE(looks.size() == 1);
+    CHECK(looks.back().wait == cell.leader->settings.lookWait);
+}
