A new leader knows who carries orders and asks policies; tickets of the next step are asked ahead

Cause: after the loss of a leader on a grown site nothing was placed for 0.3 s, until the entry hosts' next hello; and each later step of a job waited 0.1 s for its tickets (grown sites). Ruled out: the election (1.0 s of silence, then 0.1 s), the pass itself (14 ms). Change: followers keep the hellos of carriers and policy callers; a step whose predecessors are all under way and half done asks for its tickets then, where the policy decides within 100 ms. Tests: both failed first or are new (the controller's failed without the change).

--- a/modules/filbert_dispatch/admission_desk.cpp
+++ b/modules/filbert_dispatch/admission_desk.cpp
@@ -9,7 +9,6 @@
 namespace {
 
 constexpr milliseconds callerSpan {1'500}; // three missed hellos
-constexpr milliseconds quickPolicy {100}; // one that urgent steps can wait for
 constexpr milliseconds answerGrace {250}; // on top of the service's own time: many round trips
 constexpr std::size_t callersForQuick = 3; // one in so many is kept for quick policies
 
@@ -35,7 +34,9 @@
 bool isStillWanted(const dispatch_state &state, const task_name &step)
 {
     const auto job = state.jobs.find(step.job);
-    return job != state.jobs.end() && job->second.open.contains({step.occurrence, step.step});
+    const std::pair<std::uint32_t, std::uint32_t> which {step.occurrence, step.step};
+    return job != state.jobs.end()
+        && (job->second.open.contains(which) || job->second.coming.contains(which));
 }
 
 void sendTo(dispatch_state &state, const std::string &caller, std::uint64_t id,
@@ -183,7 +184,7 @@
     const auto kept = state.callers.size() / callersForQuick;
     for (const auto id : waiting) {
         auto &open = state.openAdmissions[id];
-        const bool isQuick = open.expected <= quickPolicy;
+        const bool isQuick = open.expected <= quickAdmission;
         if (free.size() <= (isQuick ? 0 : kept)) {
             continue;
         }
--- a/modules/filbert_dispatch/admission_desk.h
+++ b/modules/filbert_dispatch/admission_desk.h
@@ -4,6 +4,9 @@
 
 namespace filbert {
 
+/** A call that takes no longer is one that urgent steps can wait for. */
+constexpr milliseconds quickAdmission {100};
+
 /** Asks the policy service which targets may run a step, unless that is being asked already.
 
     The service takes one call at a time from each process, so that calls are spread over those that
--- a/modules/filbert_dispatch/dispatch_state.h
+++ b/modules/filbert_dispatch/dispatch_state.h
@@ -141,6 +141,7 @@
     std::vector<milliseconds> chainFrom; // by step: the longest chain of estimates from there on
     milliseconds chain; // of the whole job
     std::set<std::pair<std::uint32_t, std::uint32_t>> open; // (occurrence, step) with waiting tasks
+    std::set<std::pair<std::uint32_t, std::uint32_t>> coming; // those whose turn comes soon
 };
 
 enum class order_kind { Start, Stop, Look, Pace };
--- a/modules/filbert_dispatch/scheduling.cpp
+++ b/modules/filbert_dispatch/scheduling.cpp
@@ -4,6 +4,7 @@
 #include "target_conversation.h"
 
 #include <algorithm>
+#include <cmath>
 #include <limits>
 #include <optional>
 #include <unordered_map>
@@ -561,37 +562,45 @@
     }
 }
 
-std::vector<open_step> openSteps(const dispatch_state &state, time_point now)
+using queue_index = std::unordered_map<std::string_view, const messages::work_queue *>;
+
+open_step openStepOf(const dispatch_state &state, const queue_index &queues, const task_name &name,
+                     const job_view &view, time_point now)
+{
+    open_step open;
+    const auto &job = state.work->jobs.at(name.job);
+    const auto configured = queues.find(job.job.queue());
+    open.name = name;
+    open.job = &job;
+    open.spec = &specOf(job, name.step);
+    open.queue = configured == queues.end() ? &job.job.taken_under() : configured->second;
+    open.need = reservedBy(*open.spec);
+    const auto objective = milliseconds {std::llround(static_cast<double>(view.chain.count)
+                                                      * open.queue->slack_factor())}
+        + milliseconds {open.queue->latency_objective_ms()};
+    const auto left = view.chainFrom[name.step];
+    open.slackMs = (view.begunAt.at(name.occurrence) + objective - now - left).count;
+    const bool isLate = !open.spec->lasts() && open.slackMs < -left.count / 2;
+    open.rank = open.queue->priority() + (isLate ? lateRank : 0);
+    return open;
+}
+
+queue_index queuesOf(const dispatch_state &state)
 {
-    std::unordered_map<std::string_view, const messages::work_queue *> queues;
+    queue_index queues;
     for (const auto &queue : state.work->configuration.queues()) {
         queues.emplace(queue.name(), &queue);
     }
+    return queues;
+}
+
+std::vector<open_step> openSteps(const dispatch_state &state, const queue_index &queues,
+                                 time_point now)
+{
     std::vector<open_step> steps;
     for (const auto &[id, view] : state.jobs) {
-        if (view.open.empty()) {
-            continue;
-        }
-        const auto &job = state.work->jobs.at(id);
-        const auto configured = queues.find(job.job.queue());
-        const auto &queue =
-            configured == queues.end() ? job.job.taken_under() : *configured->second;
-        const auto objective = milliseconds {static_cast<std::int64_t>(
-                                   static_cast<double>(view.chain.count) * queue.slack_factor())}
-            + milliseconds {queue.latency_objective_ms()};
         for (const auto &[occurrence, step] : view.open) {
-            open_step open;
-            open.name = {id, occurrence, step, 0};
-            open.job = &job;
-            open.spec = &specOf(job, step);
-            open.queue = &queue;
-            open.need = reservedBy(*open.spec);
-            const auto due = view.begunAt.at(occurrence) + objective;
-            const auto left = view.chainFrom[step];
-            open.slackMs = (due - now - left).count;
-            const bool isLate = !open.spec->lasts() && open.slackMs < -left.count / 2;
-            open.rank = queue.priority() + (isLate ? lateRank : 0);
-            steps.push_back(open);
+            steps.push_back(openStepOf(state, queues, {id, occurrence, step, 0}, view, now));
         }
     }
     std::sort(steps.begin(), steps.end(), [](const open_step &a, const open_step &b) {
@@ -600,6 +609,29 @@
     return steps;
 }
 
+/** Asks for tickets of steps whose turn comes soon, where a ticket lives long enough for that. */
+void askAhead(placement_pass &pass, const queue_index &queues)
+{
+    for (const auto &[id, view] : pass.state.jobs) {
+        for (const auto &[occurrence, number] : view.coming) {
+            const auto step = openStepOf(pass.state, queues, {id, occurrence, number, 0}, view,
+                                         pass.now);
+            const bool isQuick = step.queue->has_admission()
+                && admissionTime(step.queue->admission(), targetsPerRequest) <= quickAdmission;
+            if (!isQuick) {
+                continue;
+            }
+            auto &admission = pass.state.admissions[step.name];
+            if (!admission.asked.empty() || admission.openRequest != 0) {
+                continue;
+            }
+            const auto &service = serviceOf(pass, step.queue->service());
+            requestAdmission(pass.state, step.name, *step.queue,
+                             targetsToAsk(pass, step, service, admission, false), pass.now);
+        }
+    }
+}
+
 bool isOpen(const work_job &job, const occurrence_record &occurrence, std::uint32_t step)
 {
     const auto &record = occurrence.steps[step];
@@ -610,6 +642,20 @@
     return record.done + record.running < record.tasks.size();
 }
 
+/** Whether all that a step waits for is under way, and half of it done. */
+bool isComing(const work_job &job, const occurrence_record &occurrence, std::uint32_t step)
+{
+    const auto &needed = specOf(job, step).depends_on();
+    return !isStepReady(job, occurrence, step)
+        && std::all_of(needed.begin(), needed.end(), [&](std::int32_t each) {
+               const auto index = static_cast<std::uint32_t>(each);
+               const auto &record = occurrence.steps[index];
+               return isStepDone(specOf(job, index), record)
+                   || (record.done + record.running == record.tasks.size()
+                       && record.done * 2 >= record.tasks.size());
+           });
+}
+
 } // namespace
 
 std::vector<milliseconds> chainsOf(const messages::staged_job &job)
@@ -643,11 +689,14 @@
         view.chain = *std::max_element(view.chainFrom.begin(), view.chainFrom.end());
     }
     view.open.clear();
+    view.coming.clear();
     for (const auto &[number, occurrence] : job->second.occurrences) {
         view.begunAt.emplace(number, now);
         for (std::uint32_t step = 0; step < occurrence.steps.size(); ++step) {
             if (isOpen(job->second, occurrence, step)) {
                 view.open.emplace(number, step);
+            } else if (isComing(job->second, occurrence, step)) {
+                view.coming.emplace(number, step);
             }
         }
     }
@@ -658,7 +707,8 @@
 {
     placement_pass pass {state, now, {}};
     ++state.passes;
-    const auto steps = openSteps(state, now);
+    const auto queues = queuesOf(state);
+    const auto steps = openSteps(state, queues, now);
     state.waitingSteps = steps.size();
     for (const auto &step : steps) {
         auto &service = serviceOf(pass, step.queue->service());
@@ -674,6 +724,7 @@
             placeSingly(pass, step, service);
         }
     }
+    askAhead(pass, queues);
 }
 
 } // namespace filbert
--- a/modules/filbert_dispatch/tests/scheduling_test.cpp
+++ b/modules/filbert_dispatch/tests/scheduling_test.cpp
@@ -213,6 +213,53 @@
     CHECK(cell.admissions[0].caller != cell.admissions[1].caller);
 }
 
+TEST_CASE("tickets of the step that comes next are asked for while the one before runs",
+          "[dispatch]")
+{
+    dispatch_fixture cell;
+    queueOf(cell)->mutable_admission()->set_decide_ms(12);
+    queueOf(cell)->mutable_admission()->set_ticket_ms(1'500);
+    cell.target("t1");
+    auto second = cell.step(1);
+    second.add_depends_on(0);
+    cell.accept("j", {cell.step(2), second});
+    cell.lead();
+    cell.report("t1");
+    takeCaller(*cell.leader, "gateway-1", 1, cell.now);
+    cell.run({20});
+    const auto answerLast = [&] {
+        messages::admission_answer answer;
+        answer.set_id(cell.admissions.back().request.id());
+        answer.set_is_answered(true);
+        auto *ticket = answer.add_admitted();
+        ticket->set_target("t1");
+        ticket->set_ticket("ticket-" + std::to_string(cell.admissions.size()));
+        takeAdmission(*cell.leader, answer, cell.now);
+        cell.run({20});
+    };
+    REQUIRE(cell.admissions.size() == 1);
+    answerLast();
+    REQUIRE(cell.status({"j", 0, 0, 1}) == task_status::Running);
+    CHECK(cell.admissions.size() == 1); // nothing of the first step is done
+    cell.obey("t1");
+    order_answer look;
+    look.ends.push_back({1, {"j", 0, 0, 0}, 1, messages::END_DONE, {}});
+    look.runs.push_back({{"j", 0, 0, 1}, 1, {}, 50, 0});
+    cell.run({20});
+    cell.answer(order_kind::Look, order_result::Done, "t1", look);
+    cell.run({20});
+    REQUIRE(cell.admissions.size() == 2);
+    answerLast();
+    cell.obey("t1");
+    look.ends[0] = {2, {"j", 0, 0, 1}, 1, messages::END_DONE, {}};
+    look.runs.clear();
+    cell.run({20});
+    cell.answer(order_kind::Look, order_result::Done, "t1", look);
+    cell.run({20});
+    CHECK(cell.status({"j", 0, 1, 0}) == task_status::Running); // without a further call
+    CHECK(cell.admissions.size() == 2);
+}
+
 TEST_CASE("what a replaced process was asked goes to another at once", "[dispatch]")
 {
     dispatch_fixture cell;
--- a/modules/filbert_node/tests/work_controller_test.cpp
+++ b/modules/filbert_node/tests/work_controller_test.cpp
@@ -19,10 +19,11 @@
     work_metrics metrics;
     std::vector<target_order> orders;
     std::map<std::uint64_t, messages::work_answer> answers; // by exchange
+    std::vector<std::pair<std::string, messages::admission_request>> admissions; // by process
     std::unique_ptr<work_controller> controller;
     std::uint64_t lastExchange = 0;
 
-    explicit controller_fixture(int faultTolerance = 0)
+    explicit controller_fixture(int faultTolerance = 0, bool hearsBeforeLeading = false)
     {
         REQUIRE(!store.initialise("a"));
         stored_state stored;
@@ -40,7 +41,12 @@
         settings.formation.faultTolerance = faultTolerance;
         work_controller_hooks hooks;
         hooks.sendToMember = [](const messages::member &, const messages::work_envelope &) {};
-        hooks.sendToPeer = [this](const std::string &, const messages::work_envelope &envelope) {
+        hooks.sendToPeer = [this](const std::string &peer,
+                                  const messages::work_envelope &envelope) {
+            if (envelope.has_admission()) {
+                admissions.emplace_back(peer, envelope.admission());
+                return;
+            }
             answers[envelope.exchange()] = envelope.answer();
         };
         hooks.callTarget = [this](const target_order &order) { orders.push_back(order); };
@@ -48,6 +54,11 @@
         replication_settings replication;
         controller = std::make_unique<work_controller>(settings, replication, stored, 3, store,
                                                        metrics, hooks, now - milliseconds {3'000});
+        if (hearsBeforeLeading) {
+            messages::work_envelope envelope;
+            envelope.mutable_hello()->set_asks_admission(true);
+            controller->takeEnvelope("gateway-1", envelope, now, 1'000);
+        }
         turn();
         turn();
     }
@@ -182,6 +193,32 @@
     CHECK(cell.job(messages::JOB_STATE).name() == "active");
 }
 
+TEST_CASE("a new leader has work for processes that it heard as a follower", "[controller]")
+{
+    controller_fixture cell {0, true};
+    messages::work_request request;
+    work_fixture content;
+    *request.mutable_configure() = content.state.configuration;
+    auto *queue = request.mutable_configure()->mutable_queues(0);
+    queue->mutable_admission()->set_decide_ms(20);
+    queue->mutable_admission()->set_ticket_ms(1'500);
+    request.mutable_configure()->set_version(3);
+    REQUIRE(cell.ask(request).kind() == messages::ANSWER_OK);
+    messages::work_request report;
+    *report.mutable_report() = work_fixture::life("t1", 1);
+    report.mutable_report()->set_clock_ms(1);
+    report.mutable_report()->set_sequence(1);
+    REQUIRE(cell.ask(report).kind() == messages::ANSWER_OK);
+    report.mutable_report()->set_sequence(2);
+    report.mutable_report()->set_clock_ms(2);
+    cell.ask(report);
+    REQUIRE(cell.job(messages::JOB_SUBMIT).kind() == messages::ANSWER_OK);
+    cell.turn();
+    cell.turn();
+    REQUIRE(cell.admissions.size() == 1);
+    CHECK(cell.admissions[0].first == "gateway-1");
+}
+
 TEST_CASE("a controller that stops turns requests away", "[controller]")
 {
     controller_fixture cell;
--- a/modules/filbert_node/work_controller.cpp
+++ b/modules/filbert_node/work_controller.cpp
@@ -106,12 +106,18 @@
 void work_controller::welcome(const std::string &peer, const messages::peer_hello &hello,
                               time_point now)
 {
+    // Followers keep these too: a new leader has work for them before their next hello.
+    if (hello.asks_admission()) {
+        policyCallers[peer] = {hello.process(), now};
+    } else {
+        policyCallers.erase(peer);
+    }
     if (dispatch && hello.asks_admission()) {
         takeCaller(*dispatch, peer, hello.process(), now);
     } else if (dispatch) {
         dropCaller(*dispatch, peer);
     }
-    if (dispatch && hello.carries_orders()) {
+    if (hello.carries_orders()) {
         relay.takeCarrier(peer, hello.failure_domain(), hello.process(), now);
     } else {
         relay.dropCarrier(peer);
@@ -515,6 +521,9 @@
         turnAwayAll();
         relay.clear();
         dispatch = startDispatch(state, settings.dispatch, view.term, now, wallMs);
+        for (const auto &[name, caller] : policyCallers) {
+            takeCaller(*dispatch, name, caller.process, caller.heardAt);
+        }
         leadingSince = now;
         metrics.countElection();
         log_line {"leading"}
--- a/modules/filbert_node/work_controller.h
+++ b/modules/filbert_node/work_controller.h
@@ -106,6 +106,13 @@
         reply_to replyTo;
     };
 
+    /** A process that can call the policy service, for the term that may begin here. */
+    struct policy_caller
+    {
+        std::uint64_t process = 0;
+        time_point heardAt;
+    };
+
     struct open_batch
     {
         std::vector<reply_to> replies;
@@ -121,6 +128,7 @@
     std::vector<pending_command> pending;
     std::map<std::uint64_t, open_batch> inFlight; // by index of the log
     std::map<std::string, join_candidate> candidates; // by identity
+    std::map<std::string, policy_caller> policyCallers; // by name
     time_point leadingSince;
     time_point joinAt;
     time_point flushNow; // of the flush under way, for hooks that it calls
