--- a/modules/filbert_dispatch/admission_desk.cpp
+++ b/modules/filbert_dispatch/admission_desk.cpp
@@ -89,14 +89,20 @@
         std::llround(policy.decide_ms() + policy.per_target_ms() * static_cast<double>(targets))};
 }
 
+bool isUsable(const dispatch_state &state, const admission_view::ticket &ticket,
+              const messages::admission_policy &policy, time_point now)
+{
+    return now - ticket.issuedAt
+        < milliseconds {policy.ticket_ms()} - state.settings.ticketMargin;
+}
+
 const std::string *usableTicket(const dispatch_state &state, const admission_view &view,
                                 const messages::admission_policy &policy, const std::string &target,
                                 time_point now)
 {
     const auto found = view.admitted.find(target);
-    const bool isGood = found != view.admitted.end()
-        && now - found->second.issuedAt
-            < milliseconds {policy.ticket_ms()} - state.settings.ticketMargin;
+    const bool isGood =
+        found != view.admitted.end() && isUsable(state, found->second, policy, now);
     return isGood ? &found->second.text : nullptr;
 }
 
--- a/modules/filbert_dispatch/admission_desk.h
+++ b/modules/filbert_dispatch/admission_desk.h
@@ -40,6 +40,10 @@
 /** @return the time that the service takes for a call */
 milliseconds admissionTime(const messages::admission_policy &policy, std::size_t targets);
 
+/** Whether a ticket is good for a start that is decided now. */
+bool isUsable(const dispatch_state &state, const admission_view::ticket &ticket,
+              const messages::admission_policy &policy, time_point now);
+
 /** @return the ticket for a target if it is good for a start now, else nullptr */
 const std::string *usableTicket(const dispatch_state &state, const admission_view &view,
                                 const messages::admission_policy &policy, const std::string &target,
--- a/modules/filbert_dispatch/dispatch_state.h
+++ b/modules/filbert_dispatch/dispatch_state.h
@@ -8,6 +8,8 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 namespace filbert {
@@ -109,8 +111,8 @@
         std::string text;
         time_point issuedAt;
     };
-    std::map<std::string, ticket> admitted; // by target
-    std::set<std::string> asked; // targets that were named in an answered request
+    std::unordered_map<std::string, ticket> admitted; // by target
+    std::unordered_set<std::string> asked; // targets that were named in an answered request
     std::uint64_t openRequest = 0; // 0 = none
     time_point notBefore;
 };
--- a/modules/filbert_dispatch/scheduling.cpp
+++ b/modules/filbert_dispatch/scheduling.cpp
@@ -35,6 +35,7 @@
     resource_amounts need; // what a task takes of its target
     int rank = 0;
     std::int64_t slackMs = 0;
+    std::unordered_map<std::string_view, int> onTarget; // its tasks, where that decides anything
 };
 
 // Parts of fitCost(), in accelerators left idle: the unit that packing is about.
@@ -51,7 +52,7 @@
     resource_amounts capacity;
     resource_amounts left; // what no run and no planned start has taken
     std::int64_t unusedCores = 0; // of these, what tasks that fill gaps do not use either
-    std::string rack;
+    std::string_view rack;
     int reservedRank = notReserved; // lower work is kept out of it
 };
 
@@ -96,7 +97,7 @@
     room.left = room.capacity - life.used - target.planned;
     room.unusedCores = room.left.milliCores - life.fillCores - target.plannedFill;
     const auto &labels = life.about.labels();
-    room.rack = labels.size() > 1 ? labels.Get(labels.size() - 1) : std::string {};
+    room.rack = labels.size() > 1 ? std::string_view {labels.Get(labels.size() - 1)} : std::string_view {};
     view.totalCores += room.capacity.milliCores;
     view.freeCores += std::max<std::int64_t>(room.unusedCores, 0);
     view.mostCores = std::max(view.mostCores, room.left.milliCores);
@@ -115,7 +116,7 @@
     for (auto &[id, target] : pass.state.targets) {
         const auto life = pass.state.work->lives.find(id);
         if (life != pass.state.work->lives.end() && life->second.about.service() == service
-            && takesWork(pass.state, target, pass.now)) {
+            && takesWork(pass.state, target, life->second, pass.now)) {
             addRoom(view, target, life->second);
         }
     }
@@ -127,22 +128,37 @@
     return view;
 }
 
-int countOnTarget(const placement_pass &pass, const open_step &step, const std::string &target)
+/** @return how many tasks of the step each target has, running or planned */
+std::unordered_map<std::string_view, int> countsOnTargets(const placement_pass &pass,
+                                                          const task_name &step)
 {
-    const auto &record = *findStep(*pass.state.work, step.name);
-    int count = 0;
-    auto name = step.name;
+    std::unordered_map<std::string_view, int> counts;
+    const auto &record = *findStep(*pass.state.work, step);
+    auto name = step;
     for (std::uint32_t i = 0; i < record.tasks.size(); ++i) {
         const auto &task = record.tasks[i];
         if (task.status == task_status::Running) {
-            count += task.target == target ? 1 : 0;
+            ++counts[task.target];
             continue;
         }
         name.index = i;
         const auto planned = pass.state.planned.find(name);
-        count += planned != pass.state.planned.end() && planned->second == target ? 1 : 0;
+        if (planned != pass.state.planned.end()) {
+            ++counts[planned->second];
+        }
     }
-    return count;
+    return counts;
+}
+
+bool mindsCounts(const messages::step_spec &spec)
+{
+    return spec.lasts() || spec.max_per_target() > 0;
+}
+
+int countOnTarget(const open_step &step, const std::string &target)
+{
+    const auto found = step.onTarget.find(target);
+    return found == step.onTarget.end() ? 0 : found->second;
 }
 
 /** Whether a target could take a task of the step if it were empty, as far as rules go. */
@@ -167,7 +183,7 @@
         return false;
     }
     if (spec.max_per_target() > 0
-        && countOnTarget(pass, step, room.target->id) >= spec.max_per_target()) {
+        && countOnTarget(step, room.target->id) >= spec.max_per_target()) {
         return false;
     }
     const bool isUrgent = step.queue->priority() <= service.urgentPriority;
@@ -179,7 +195,7 @@
 }
 
 /** @return how well a task goes to a target: less is better */
-double fitCost(const placement_pass &pass, const open_step &step, const room_view &room)
+double fitCost(const open_step &step, const room_view &room)
 {
     const auto &spec = *step.spec;
     const auto cores = std::max<double>(static_cast<double>(room.capacity.milliCores), 1.0);
@@ -194,7 +210,7 @@
         cost += farFromDataCost;
     }
     if (spec.lasts()) {
-        cost += sameTargetCost * countOnTarget(pass, step, room.target->id);
+        cost += sameTargetCost * countOnTarget(step, room.target->id);
     }
     return cost;
 }
@@ -252,9 +268,8 @@
         return rooms;
     }
     for (const auto &[id, ticket] : view->admitted) {
-        const bool isUsable =
-            usableTicket(pass.state, *view, step.queue->admission(), id, pass.now) != nullptr;
-        const auto room = isUsable ? service.byId.find(id) : service.byId.end();
+        const bool isGood = isUsable(pass.state, ticket, step.queue->admission(), pass.now);
+        const auto room = isGood ? service.byId.find(id) : service.byId.end();
         if (room != service.byId.end()) {
             consider(room->second);
         }
@@ -263,7 +278,7 @@
 }
 
 room_view *bestRoom(placement_pass &pass, const open_step &step, service_view &service,
-                    const std::vector<std::size_t> &candidates, const std::string *rack)
+                    const std::vector<std::size_t> &candidates, const std::string_view *rack)
 {
     room_view *best = nullptr;
     double bestCost = 0;
@@ -272,7 +287,7 @@
         if ((rack != nullptr && room.rack != *rack) || !hasRoomFor(pass, step, service, room)) {
             continue;
         }
-        const auto cost = fitCost(pass, step, room);
+        const auto cost = fitCost(step, room);
         if (best == nullptr || cost < bestCost) {
             best = &room;
             bestCost = cost;
@@ -281,7 +296,7 @@
     return best;
 }
 
-void bookPlan(placement_pass &pass, const open_step &step, service_view &service, room_view &room,
+void bookPlan(placement_pass &pass, open_step &step, service_view &service, room_view &room,
               const task_name &task, int sign)
 {
     const auto &spec = *step.spec;
@@ -289,6 +304,9 @@
     whole.slots = 0;
     auto &team = pass.state.teamPlanned[step.job->job.team()];
     const std::int64_t fill = spec.fills_gaps() ? spec.need().milli_cores() : 0;
+    if (mindsCounts(spec)) {
+        step.onTarget[room.target->id] += sign;
+    }
     if (sign > 0) {
         pass.state.planned[task] = room.target->id;
         room.target->planned += step.need;
@@ -348,7 +366,7 @@
         if (isEligible(step, room)
             && (isRefresh ? view.admitted.contains(id) : !view.asked.contains(id))) {
             const bool hasRoom = hasRoomFor(pass, step, service, room);
-            wanted.emplace_back(fitCost(pass, step, room) + (hasRoom ? 0.0 : fullCost), i);
+            wanted.emplace_back(fitCost(step, room) + (hasRoom ? 0.0 : fullCost), i);
         }
     }
     const bool isCostly = step.queue->admission().per_target_ms() >= costlyPerTargetMs;
@@ -418,7 +436,7 @@
     }
     auto others = targetsToAsk(pass, step, service, view, false);
     const bool hasFresh = std::any_of(view.admitted.begin(), view.admitted.end(), [&](auto &each) {
-        return usableTicket(pass.state, view, policy, each.first, pass.now) != nullptr;
+        return isUsable(pass.state, each.second, policy, pass.now);
     });
     if (!others.empty()) {
         requestAdmission(pass.state, step.name, *step.queue, std::move(others), pass.now);
@@ -458,7 +476,7 @@
     service.reservedRooms += count;
 }
 
-void placeSingly(placement_pass &pass, const open_step &step, service_view &service)
+void placeSingly(placement_pass &pass, open_step &step, service_view &service)
 {
     const auto &record = *findStep(*pass.state.work, step.name);
     std::size_t unplaced = 0;
@@ -497,9 +515,9 @@
 using gang_plan = std::vector<std::pair<task_name, room_view *>>;
 
 /** Books a room for each member, or for none. */
-gang_plan bookGang(placement_pass &pass, const open_step &step, service_view &service,
+gang_plan bookGang(placement_pass &pass, open_step &step, service_view &service,
                    const std::vector<std::size_t> &candidates, std::size_t members,
-                   const std::string *rack)
+                   const std::string_view *rack)
 {
     gang_plan plan;
     for (std::uint32_t i = 0; i < members; ++i) {
@@ -518,12 +536,12 @@
     return plan;
 }
 
-gang_plan planGang(placement_pass &pass, const open_step &step, service_view &service,
+gang_plan planGang(placement_pass &pass, open_step &step, service_view &service,
                    std::size_t members)
 {
     const auto candidates = candidatesFor(pass, step, service);
     if (step.spec->same_rack()) {
-        std::set<std::string> racks;
+        std::set<std::string_view> racks;
         for (const auto index : candidates) {
             racks.insert(service.rooms[index].rack);
         }
@@ -537,7 +555,7 @@
     return bookGang(pass, step, service, candidates, members, nullptr);
 }
 
-void placeGang(placement_pass &pass, const open_step &step, service_view &service)
+void placeGang(placement_pass &pass, open_step &step, service_view &service)
 {
     const auto &record = *findStep(*pass.state.work, step.name);
     if (record.running > 0 || pass.state.planned.contains(step.name)
@@ -708,9 +726,9 @@
     placement_pass pass {state, now, {}};
     ++state.passes;
     const auto queues = queuesOf(state);
-    const auto steps = openSteps(state, queues, now);
+    auto steps = openSteps(state, queues, now);
     state.waitingSteps = steps.size();
-    for (const auto &step : steps) {
+    for (auto &step : steps) {
         auto &service = serviceOf(pass, step.queue->service());
         // Behind many that found no room, each step still has its turn in one of so many passes.
         const bool isSkipped = service.failures >= failuresPerPass
@@ -718,6 +736,9 @@
         if (isSkipped) {
             continue;
         }
+        if (mindsCounts(*step.spec)) {
+            step.onTarget = countsOnTargets(pass, step.name);
+        }
         if (step.spec->is_gang()) {
             placeGang(pass, step, service);
         } else {
--- a/modules/filbert_dispatch/target_conversation.cpp
+++ b/modules/filbert_dispatch/target_conversation.cpp
@@ -516,11 +516,11 @@
     return state.lostAnswers.size() >= state.settings.lossyTargets;
 }
 
-bool takesWork(const dispatch_state &state, const target_conversation &target, time_point now)
+bool takesWork(const dispatch_state &state, const target_conversation &target,
+               const life_record &life, time_point now)
 {
-    const auto *life = lifeOf(state, target.id);
-    return life != nullptr && !life->isOver && !life->about.is_draining()
-        && life->about.born() == target.born && target.clockMs && !target.leavingSince
+    return !life.isOver && !life.about.is_draining()
+        && life.about.born() == target.born && target.clockMs && !target.leavingSince
         && !target.isSuspect && now >= target.avoidUntil
         && now - target.heardAt < state.settings.contactSpan;
 }
--- a/modules/filbert_dispatch/target_conversation.h
+++ b/modules/filbert_dispatch/target_conversation.h
@@ -34,8 +34,9 @@
 /** Whether answers of several targets got lost lately, so that silence says little about one. */
 bool losesAnswers(const dispatch_state &state);
 
-/** Whether new work may be sent to a target. */
-bool takesWork(const dispatch_state &state, const target_conversation &target, time_point now);
+/** Whether new work may be sent to a target. @param life of it, the newest that is known */
+bool takesWork(const dispatch_state &state, const target_conversation &target,
+               const life_record &life, time_point now);
 
 /** Brings the views of targets in line with the replicated lives and their runs. */
 void syncTargets(dispatch_state &state, const std::string &id, time_point now);
--- a/modules/filbert_dispatch/tests/dispatch_fixture.h
+++ b/modules/filbert_dispatch/tests/dispatch_fixture.h
@@ -124,6 +124,11 @@
         }
     }
 
+    bool takesWorkAt(const std::string &target) const
+    {
+        return takesWork(*leader, leader->targets.at(target), state.lives.at(target), now);
+    }
+
     task_status status(const task_name &task) const { return findTask(state, task)->status; }
     std::string targetOf(const task_name &task) const { return findTask(state, task)->target; }
 };
--- a/modules/filbert_dispatch/tests/target_conversation_test.cpp
+++ b/modules/filbert_dispatch/tests/target_conversation_test.cpp
@@ -143,10 +143,10 @@
     cell.report("t1");
     cell.run({20});
     cell.answer(order_kind::Look, order_result::Unreachable);
-    CHECK_FALSE(takesWork(*cell.leader, cell.leader->targets.at("t1"), cell.now));
+    CHECK_FALSE(cell.takesWorkAt("t1"));
     cell.run({400});
     cell.answer(order_kind::Look, order_result::Done);
-    CHECK(takesWork(*cell.leader, cell.leader->targets.at("t1"), cell.now));
+    CHECK(cell.takesWorkAt("t1"));
 }
 
 TEST_CASE("an end is taken into the log before the target may forget it", "[dispatch]")
@@ -254,7 +254,7 @@
     cell.now = cell.now + milliseconds {10};
     cell.report("t1", 1, true);
     cell.run({30});
-    CHECK_FALSE(takesWork(*cell.leader, cell.leader->targets.at("t1"), cell.now));
+    CHECK_FALSE(cell.takesWorkAt("t1"));
     CHECK(cell.waiting(order_kind::Stop, "t1").size() == 1);
 }
 
@@ -304,7 +304,7 @@
         cell.run({100});
     }
     CHECK(cell.waiting(order_kind::Stop).size() == 1);
-    CHECK_FALSE(takesWork(*cell.leader, cell.leader->targets.at("t1"), cell.now));
+    CHECK_FALSE(cell.takesWorkAt("t1"));
 }
 
 TEST_CASE("work is not stopped for want of progress while no look has come back", "[dispatch]")
--- a/modules/filbert_replication/elections.cpp
+++ b/modules/filbert_replication/elections.cpp
@@ -10,6 +10,11 @@
 
 namespace {
 
+// Members stand at different times: many round trips and syncs apart, and yet soon.
+constexpr std::int64_t spreadPart = 2; // of the timeout
+// A try fails when others have heard the leader a little later; it disturbs nobody's term.
+constexpr std::int64_t retryPart = 6; // of the timeout
+
 /** A small generator with its state in the member's state (SplitMix64, Steele et al. 2014). */
 std::uint64_t nextRandom(replicated_log_state &state)
 {
@@ -19,6 +24,12 @@
     return z ^ (z >> 31);
 }
 
+milliseconds randomSpan(replicated_log_state &state, milliseconds below)
+{
+    const auto bound = static_cast<std::uint64_t>(std::max<std::int64_t>(below.count, 1));
+    return {static_cast<std::int64_t>(nextRandom(state) % bound)};
+}
+
 bool hasQuorum(const replicated_log_state &state)
 {
     int voters = 0;
@@ -99,9 +110,7 @@
 void resetElection(replicated_log_state &state, time_point now)
 {
     const auto timeout = state.settings.electionTimeout;
-    const auto extra =
-        static_cast<std::int64_t>(nextRandom(state) % static_cast<std::uint64_t>(timeout.count));
-    state.electionAt = now + timeout + milliseconds {extra};
+    state.electionAt = now + timeout + randomSpan(state, {timeout.count / spreadPart});
 }
 
 void becomeFollower(replicated_log_state &state, std::uint64_t term, const std::string &leader,
@@ -131,6 +140,8 @@
     if (!isVoter(state, state.self)) {
         return;
     }
+    const milliseconds pause {state.settings.electionTimeout.count / retryPart};
+    state.electionAt = now + pause + randomSpan(state, pause);
     if (isSoleVoter(state)) {
         startElection(state, now, false, effects);
         return;
