After a restart a log is applied by parts; a leader that serves not is not asked without a pause

Meanwhile processes that it turned away asked its followers, which still named it, and came back at once: 350 changes of the known leader in 0.2 s, each with all open calls. Ruled out: the disk (4 ms a sync), connections between controllers (acks came before). Tests: both failed first.

--- a/modules/filbert_node/leader_link.cpp
+++ b/modules/filbert_node/leader_link.cpp
@@ -89,7 +89,9 @@
         found->second.sendAt = now + settings.retryPause;
         if (leader == address) {
             leader.clear();
-            helloAt = now;
+            denier = address;
+            deniedAt = now;
+            helloAt = std::min(helloAt, now + settings.retryPause);
         }
         return;
     }
@@ -108,6 +110,11 @@
     if (welcome.leader_address().empty() || (!isOwnWord && hasLeader(now))) {
         return; // only a leader itself outdoes what another controller believes
     }
+    const bool isDenied =
+        welcome.leader_address() == denier && now - deniedAt < settings.helloPeriod;
+    if (isDenied && !isOwnWord) {
+        return; // others have not heard yet that it does not serve
+    }
     if (welcome.leader_address() == leader) {
         leaderHeardAt = isOwnWord ? now : leaderHeardAt;
         return;
--- a/modules/filbert_node/leader_link.h
+++ b/modules/filbert_node/leader_link.h
@@ -107,6 +107,8 @@
     std::map<std::string, time_point> renewedAt;
     std::string leader; // address
     time_point leaderHeardAt;
+    std::string denier; // address of the last that said it leads no more, or not yet
+    time_point deniedAt;
     std::map<std::uint64_t, open_call> calls;
     std::uint64_t lastExchange = 0;
     time_point helloAt;
--- a/modules/filbert_node/tests/leader_link_test.cpp
+++ b/modules/filbert_node/tests/leader_link_test.cpp
@@ -141,3 +141,34 @@
     REQUIRE(!cell.sent.empty());
     CHECK_FALSE(cell.sent.back().second.hello().carries_orders());
 }
+
+TEST_CASE("a leader that serves not, though others believe in it, is not asked without a pause",
+          "[link]")
+{
+    link_fixture cell;
+    cell.welcome("tcp://c2", "tcp://c1");
+    cell.link.call({}, cell.now, cell.now + milliseconds {10'000}, [](link_result &&) {});
+    messages::work_envelope denial;
+    denial.mutable_answer()->set_kind(messages::ANSWER_NO_LEADER);
+    std::size_t answered = 0;
+    // All that was sent is answered at once, as fast as the network allows: 1 ms.
+    for (const auto end = cell.now + milliseconds {600}; cell.now < end;
+         cell.now = cell.now + milliseconds {1}) {
+        cell.link.takeTime(cell.now);
+        for (; answered < cell.sent.size(); ++answered) {
+            const auto [address, envelope] = cell.sent[answered];
+            if (envelope.has_request()) {
+                denial.set_exchange(envelope.exchange());
+                cell.link.takeEnvelope(address, denial, cell.now);
+            } else if (address == "tcp://c2") {
+                cell.welcome("tcp://c2", "tcp://c1");
+            }
+        }
+    }
+    CHECK(cell.requestsTo().size() <= 4);
+    CHECK(cell.sent.size() <= 30);
+    cell.welcome("tcp://c1", "tcp://c1"); // its own word counts at once
+    const auto before = cell.requestsTo().size();
+    cell.pass({100});
+    CHECK(cell.requestsTo().size() > before);
+}
--- a/modules/filbert_replication/log_member.cpp
+++ b/modules/filbert_replication/log_member.cpp
@@ -1,5 +1,7 @@
 #include "log_member.h"
 
+#include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace filbert {
@@ -93,7 +95,7 @@
 std::error_code log_member::compact(time_point now)
 {
     const auto since = log.applied - log.snapshot.index();
-    const bool isDue = since > 0 && now >= snapshotNotBefore
+    const bool isDue = since > 0 && now >= snapshotNotBefore && effects.committed.empty()
         && (since >= snapshots.entries || store.logBytes() >= snapshots.bytes);
     if (!isDue) {
         return {};
@@ -113,10 +115,25 @@
     return {};
 }
 
+std::size_t log_member::applyCommitted(std::size_t most)
+{
+    const auto count = std::min(most, effects.committed.size());
+    const auto end = effects.committed.begin() + static_cast<std::ptrdiff_t>(count);
+    const std::vector<messages::log_entry> entries {std::make_move_iterator(
+                                                        effects.committed.begin()),
+                                                    std::make_move_iterator(end)};
+    effects.committed.erase(effects.committed.begin(), end);
+    for (const auto &entry : entries) {
+        hooks.apply(entry);
+    }
+    return count;
+}
+
 std::error_code log_member::flush(time_point now)
 {
+    std::size_t toApply = entriesPerFlush;
     while (effects.mustPersist || effects.mustInstall || !effects.early.empty()
-           || !effects.send.empty() || !effects.committed.empty()) {
+           || !effects.send.empty() || (toApply > 0 && !effects.committed.empty())) {
         sendAll(&effects.early);
         const auto error = persist(now);
         if (error == error_kind::DiskFull) {
@@ -136,9 +153,7 @@
             hooks.restore(*log.snapshotData);
             log_line {"snapshot_installed"}.with("index", log.snapshot.index());
         }
-        for (const auto &entry : std::exchange(effects.committed, {})) {
-            hooks.apply(entry);
-        }
+        toApply -= applyCommitted(toApply);
     }
     return compact(now);
 }
--- a/modules/filbert_replication/log_member.h
+++ b/modules/filbert_replication/log_member.h
@@ -23,11 +23,15 @@
 /** When a log_member writes a snapshot. */
 struct snapshot_settings
 {
-    std::uint64_t entries = 20'000; // read back in well under a second at start
+    std::uint64_t entries = 1'500; // of 20 commands each: read back in a quarter of a second
     std::uint64_t bytes = 24 << 20; // two of these and a snapshot fit a disk of 128 MB
     milliseconds pause {10'000}; // after one that the disk had no room for
 };
 
+/** Most entries that one flush applies: a member with many to catch up with answers others
+    between, or a leader would lose its quorum after a restart of all. 30 ms of work. */
+constexpr std::size_t entriesPerFlush = 256;
+
 /** One member of a replicated log with its disk: carries out effects in the one safe order.
 
     Early messages, one synced write, other messages, then apply. Feed it with takeMessage(),
@@ -82,6 +86,7 @@
 
 private:
     void sendAll(std::vector<messages::replication_message> *messages);
+    std::size_t applyCommitted(std::size_t most);
     std::error_code persist(time_point now);
     std::error_code compact(time_point now);
 
--- a/modules/filbert_replication/tests/formation_test.cpp
+++ b/modules/filbert_replication/tests/formation_test.cpp
@@ -93,6 +93,55 @@
     CHECK(step->which.identity() == "b");
 }
 
+TEST_CASE("after a restart a member applies its log by parts, and answers between", "[formation]")
+{
+    constexpr std::uint64_t entries = 1'000;
+    fake_file_system files;
+    log_store store {files};
+    REQUIRE(!store.initialise("a"));
+    stored_state stored;
+    storage_damage damage;
+    REQUIRE(!store.open(&stored, &damage));
+    stored.term = 1;
+    stored.entries = {makeFirstEntry(memberOf("a", "tcp://host-a"))};
+    for (std::uint64_t index = 2; index <= entries; ++index) {
+        messages::log_entry entry;
+        entry.set_index(index);
+        entry.set_term(1);
+        entry.set_kind(messages::COMMANDS);
+        stored.entries.push_back(entry);
+    }
+    REQUIRE(!store.append(1, "", stored.entries));
+    std::vector<std::uint64_t> applied;
+    std::vector<std::uint64_t> written; // what was applied when a snapshot was taken
+    log_member_hooks hooks;
+    hooks.send = [](const messages::member &, const messages::replication_message &) {};
+    hooks.apply = [&](const messages::log_entry &entry) { applied.push_back(entry.index()); };
+    hooks.restore = [](const std::string &) {};
+    hooks.write = [&] {
+        written.push_back(applied.back());
+        return std::string {};
+    };
+    const time_point start {1'000};
+    snapshot_settings snapshots;
+    snapshots.entries = 10;
+    log_member member {replication_settings {}, snapshots, stored, 7, store, hooks, start};
+    const auto later = start + milliseconds {2'000};
+    member.takeTime(later);
+    REQUIRE(!member.flush(later));
+    CHECK(applied.size() == entriesPerFlush);
+    CHECK_FALSE(member.isSettled());
+    CHECK(written.empty()); // a snapshot says what is applied, no more
+    for (int i = 0; i < 4; ++i) {
+        REQUIRE(!member.flush(later));
+    }
+    CHECK(member.isSettled());
+    REQUIRE(applied.size() >= entries);
+    CHECK(std::is_sorted(applied.begin(), applied.end()));
+    REQUIRE(written.size() == 1);
+    CHECK(written[0] == applied.back());
+}
+
 TEST_CASE("a leader is not settled before every entry was applied", "[formation]")
 {
     fake_file_system files;
