--- a/modules/filbert_dispatch/admission_desk.cpp
+++ b/modules/filbert_dispatch/admission_desk.cpp
@@ -92,8 +92,7 @@
 bool isUsable(const dispatch_state &state, const admission_view::ticket &ticket,
               const messages::admission_policy &policy, time_point now)
 {
-    return now - ticket.issuedAt
-        < milliseconds {policy.ticket_ms()} - state.settings.ticketMargin;
+    return now - ticket.issuedAt < milliseconds {policy.ticket_ms()} - state.settings.ticketMargin;
 }
 
 const std::string *usableTicket(const dispatch_state &state, const admission_view &view,
@@ -101,8 +100,7 @@
                                 time_point now)
 {
     const auto found = view.admitted.find(target);
-    const bool isGood =
-        found != view.admitted.end() && isUsable(state, found->second, policy, now);
+    const bool isGood = found != view.admitted.end() && isUsable(state, found->second, policy, now);
     return isGood ? &found->second.text : nullptr;
 }
 
--- a/modules/filbert_dispatch/dispatch_state.cpp
+++ b/modules/filbert_dispatch/dispatch_state.cpp
@@ -31,8 +31,7 @@
         return;
     }
     const auto &spec = specOf(job->second, task.step);
-    auto whole = amountsOf(spec.need());
-    whole.slots = 0;
+    const auto whole = wholeNeedOf(spec);
     state.teamPlanned[job->second.job.team()] -= whole;
     if (target != state.targets.end()) {
         target->second.planned -= reservedBy(spec);
--- a/modules/filbert_dispatch/dispatch_state.h
+++ b/modules/filbert_dispatch/dispatch_state.h
@@ -162,7 +162,7 @@
     std::string ticket;
     std::int64_t leaseUntil = 0; // on the target's clock; 0 = leave the lease as it is
     std::uint64_t fencingToken = 0; // the leader's term
-    std::uint64_t lastSeen = 0; // ends up to here are taken note of
+    std::uint64_t lastEndTaken = 0; // ends up to here are taken note of
     milliseconds wait; // of a look, for an end
     int pace = 100;
     milliseconds timeout;
--- a/modules/filbert_dispatch/scheduling.cpp
+++ b/modules/filbert_dispatch/scheduling.cpp
@@ -97,13 +97,14 @@
     room.left = room.capacity - life.used - target.planned;
     room.unusedCores = room.left.milliCores - life.fillCores - target.plannedFill;
     const auto &labels = life.about.labels();
-    room.rack = labels.size() > 1 ? std::string_view {labels.Get(labels.size() - 1)} : std::string_view {};
+    room.rack =
+        labels.size() > 1 ? std::string_view {labels.Get(labels.size() - 1)} : std::string_view {};
     view.totalCores += room.capacity.milliCores;
     view.freeCores += std::max<std::int64_t>(room.unusedCores, 0);
     view.mostCores = std::max(view.mostCores, room.left.milliCores);
     view.mostAccelerators = std::max(view.mostAccelerators, room.left.accelerators);
     view.byId.emplace(target.id, view.rooms.size());
-    view.rooms.push_back(std::move(room));
+    view.rooms.push_back(room);
 }
 
 service_view &serviceOf(placement_pass &pass, const std::string &service)
@@ -222,9 +223,7 @@
     if (configured == nullptr) {
         return true; // an open queue
     }
-    auto need = amountsOf(step.spec->need());
-    need.slots = 0;
-    auto use = timesOf(need, tasks);
+    auto use = timesOf(wholeNeedOf(*step.spec), tasks);
     const auto add = [&](const std::map<std::string, resource_amounts> &uses) {
         const auto found = uses.find(team);
         if (found != uses.end()) {
@@ -300,8 +299,7 @@
               const task_name &task, int sign)
 {
     const auto &spec = *step.spec;
-    auto whole = amountsOf(spec.need());
-    whole.slots = 0;
+    const auto whole = wholeNeedOf(spec);
     auto &team = pass.state.teamPlanned[step.job->job.team()];
     const std::int64_t fill = spec.fills_gaps() ? spec.need().milli_cores() : 0;
     if (mindsCounts(spec)) {
@@ -632,8 +630,8 @@
 {
     for (const auto &[id, view] : pass.state.jobs) {
         for (const auto &[occurrence, number] : view.coming) {
-            const auto step = openStepOf(pass.state, queues, {id, occurrence, number, 0}, view,
-                                         pass.now);
+            const auto step =
+                openStepOf(pass.state, queues, {id, occurrence, number, 0}, view, pass.now);
             const bool isQuick = step.queue->has_admission()
                 && admissionTime(step.queue->admission(), targetsPerRequest) <= quickAdmission;
             if (!isQuick) {
--- /dev/null
+++ b/modules/filbert_dispatch/target_answers.cpp
@@ -0,0 +1,317 @@
+#include "interference.h"
+#include "target_conversation.h"
+#include "target_orders.h"
+
+#include <utility>
+
+namespace filbert {
+
+namespace {
+
+constexpr milliseconds lookPauseAfterFault {250};
+constexpr milliseconds stopPause {400};
+
+/** Notes that a target which answers has left an order without an answer. */
+void noteLostAnswer(dispatch_state &state, const std::string &target, time_point now)
+{
+    const bool wasLossy = losesAnswers(state);
+    state.lostAnswers[target] = now;
+    if (!wasLossy && losesAnswers(state)) {
+        log_line {"answers_get_lost", log_line::severity::Warning}
+            .with("targets", state.lostAnswers.size())
+            .with("last", target);
+    }
+}
+
+bool isFaultOfTarget(order_result result)
+{
+    return result == order_result::Unhealthy || result == order_result::Unreachable
+        || result == order_result::Unanswered;
+}
+
+void noteFailure(dispatch_state &state, target_conversation &target, const task_name &task,
+                 const std::string &reason, time_point now)
+{
+    target.failedJobs.insert(task.job);
+    const auto bound = static_cast<std::size_t>(state.settings.failuresBeforeAvoidance);
+    if (now >= target.avoidUntil && target.failedJobs.size() >= bound) {
+        avoid(state, target, reason, now);
+    }
+}
+
+void noteSuccess(target_conversation &target)
+{
+    target.failedJobs.clear();
+    target.avoidance = {};
+}
+
+/** An order has got no answer: either that was lost, or the target is silent. */
+void noteSilence(dispatch_state &state, target_conversation &target, const target_order &order,
+                 order_result result, time_point now)
+{
+    if (target.answeredAt >= order.sentAt) {
+        if (result == order_result::Unanswered) {
+            noteLostAnswer(state, target.id, now);
+        }
+        return;
+    }
+    const auto patience = state.settings.lossyLookWait + state.settings.lossyLookGrace;
+    const bool mayBeLost = losesAnswers(state) && now - target.answeredAt < patience;
+    if (mayBeLost || std::exchange(target.isSuspect, true)) {
+        return;
+    }
+    // No new work until it answers: most often its process has ended, or its host is cut off.
+    target.isReviewDue = true;
+    log_line {"target_suspect", log_line::severity::Warning}
+        .with("target", target.id)
+        .with("result", resultName(result))
+        .with("heard_ms_ago", (now - target.heardAt).count);
+}
+
+void answerStart(dispatch_state &state, target_conversation &target, const target_order &order,
+                 order_result result, run_view &run, time_point now)
+{
+    run.isOrderOpen = false;
+    if (result == order_result::Done || result == order_result::Old) {
+        run.confirmedAt = now;
+        run.mayBeThere = true;
+        if (run.phase == run_phase::Ordered) {
+            run.phase = run_phase::Started;
+            run.startedAt = now;
+            run.progressAt = now;
+        }
+        target.lookAt = std::min(target.lookAt, now);
+        return;
+    }
+    log_line {"start_not_taken", log_line::severity::Warning}
+        .with("task", textOf(order.task))
+        .with("run", order.run)
+        .with("target", target.id)
+        .with("result", resultName(result))
+        .with("waited_ms", (now - run.orderedAt).count);
+    const bool mayBeLost = result == order_result::Unanswered && losesAnswers(state);
+    if (isFaultOfTarget(result) && !mayBeLost) {
+        noteFailure(state, target, order.task, "its starts fail", now);
+    }
+    run.mayBeThere =
+        run.mayBeThere || result == order_result::Unanswered || result == order_result::CarrierLost;
+    const bool mayTryAgain =
+        (result == order_result::Unanswered || result == order_result::Unreachable
+         || result == order_result::CarrierLost)
+        && now - run.orderedAt < state.settings.startSpan;
+    if (mayTryAgain) {
+        const bool isSoon =
+            losesAnswers(state) || now - run.orderedAt < state.settings.startTimeout * 2;
+        run.retryAt = now + (isSoon ? state.settings.firstRetryPause : state.settings.retryPause);
+        return;
+    }
+    if (run.mayBeThere) {
+        requestStop(state, order.task, "its start has no clear answer", now);
+        return;
+    }
+    proposeDrop(state, order.task, run, target.id, std::string {resultName(result)});
+}
+
+void answerStop(dispatch_state &state, target_conversation &target, const target_order &order,
+                order_result result, time_point now)
+{
+    if (result == order_result::Done) {
+        target.strays.erase(order.task);
+    }
+    const auto found = target.runs.find(order.task);
+    if (found == target.runs.end() || found->second.run != order.run) {
+        return;
+    }
+    auto &run = found->second;
+    run.isOrderOpen = false;
+    if (result != order_result::Done && result != order_result::Old) {
+        run.retryAt = now + stopPause;
+        return;
+    }
+    run.confirmedAt = now;
+    const auto *task = findTask(*state.work, order.task);
+    if (task != nullptr && task->born != target.born) {
+        proposeDrop(state, order.task, run, target.id, "its life is over");
+        return;
+    }
+    target.lookAt = std::min(target.lookAt, now);
+}
+
+void updateRun(const reported_run &report, bool serves, run_view &run, time_point now)
+{
+    if (run.phase == run_phase::Ordered) {
+        run.phase = run_phase::Started;
+        run.startedAt = now;
+        run.progressAt = now;
+    }
+    if (report.percent != run.percent) {
+        run.progressAt = now;
+    }
+    run.seenAt = now;
+    run.percent = report.percent;
+    if (!report.checkpoint.empty()) {
+        run.checkpoint = report.checkpoint;
+    }
+    (serves ? run.tailMs : run.coresInUse) = report.gauge;
+}
+
+void takeReportedRuns(dispatch_state &state, target_conversation &target,
+                      const order_answer &answer, std::set<task_name> *present, time_point now)
+{
+    for (const auto &report : answer.runs) {
+        const auto found = target.runs.find(report.task);
+        if (found == target.runs.end() || found->second.run != report.run) {
+            if (target.strays.emplace(report.task, report.run).second) {
+                log_line {"stray_run", log_line::severity::Warning}
+                    .with("task", textOf(report.task))
+                    .with("run", report.run)
+                    .with("target", target.id);
+            }
+            continue;
+        }
+        present->insert(report.task);
+        const auto job = state.work->jobs.find(report.task.job);
+        const bool serves = job != state.work->jobs.end()
+            && specOf(job->second, report.task.step).latency_target_ms() > 0;
+        updateRun(report, serves, found->second, now);
+    }
+}
+
+void takeReportedEnds(dispatch_state &state, target_conversation &target, const life_record &life,
+                      const order_answer &answer, std::set<task_name> *present, time_point now)
+{
+    messages::work_command command;
+    auto *batch = command.mutable_end();
+    const auto known = std::max(target.proposedEnds, life.lastEndTaken);
+    for (const auto &end : answer.ends) {
+        present->insert(end.task);
+        if (end.number <= known) {
+            continue;
+        }
+        batch->set_last_seen(std::max(batch->last_seen(), end.number));
+        auto *out = batch->add_ends();
+        *out->mutable_task() = referenceTo(end.task);
+        out->set_run(end.run);
+        out->set_kind(end.kind);
+        out->set_checkpoint(end.checkpoint);
+        if (end.kind == messages::END_FAILED) {
+            noteFailure(state, target, end.task, "tasks fail there", now);
+        } else if (end.kind == messages::END_DONE) {
+            noteSuccess(target);
+        }
+    }
+    if (batch->ends_size() > 0) {
+        batch->set_target(target.id);
+        batch->set_born(target.born);
+        target.proposedEnds = batch->last_seen();
+        propose(state, std::move(command));
+    }
+}
+
+/** Runs that a target neither lists as running nor as ended. */
+void reviewAbsent(dispatch_state &state, target_conversation &target, const target_order &look,
+                  const std::set<task_name> &present, time_point now)
+{
+    for (auto &[task, run] : target.runs) {
+        if (present.contains(task) || run.isOrderOpen || run.isDropProposed
+            || run.phase == run_phase::Ordered) {
+            continue;
+        }
+        const bool isKnownBefore = run.confirmedAt < look.sentAt && run.confirmedAt.ms > 0;
+        if (run.phase == run_phase::Stopping && isKnownBefore) {
+            proposeDrop(state, task, run, target.id, "stopped, or never begun");
+        } else if (run.phase == run_phase::Started && (isKnownBefore || run.confirmedAt.ms == 0)) {
+            // A start of the leader before may still be on its way; a stop makes it void.
+            requestStop(state, task, "the target does not list it", now);
+        }
+    }
+}
+
+void answerLook(dispatch_state &state, target_conversation &target, const life_record &life,
+                const target_order &order, const order_answer &answer, time_point now)
+{
+    const bool isNewest = order.sentAt == target.lookSentAt;
+    if (isNewest) {
+        target.isLookOpen = false;
+        const bool mayBeLost = answer.result == order_result::Unanswered && losesAnswers(state);
+        const bool isRepeatedAtOnce = answer.result == order_result::Done || mayBeLost;
+        target.lookAt = isRepeatedAtOnce ? now : now + lookPauseAfterFault;
+    }
+    if (answer.result != order_result::Done) {
+        log_line {"look_failed", log_line::severity::Warning}
+            .with("target", target.id)
+            .with("result", resultName(answer.result))
+            .with("heard_ms_ago", (now - target.heardAt).count);
+        return;
+    }
+    target.isReviewDue = false;
+    target.acknowledged = std::max(target.acknowledged, order.lastEndTaken);
+    std::set<task_name> present;
+    takeReportedRuns(state, target, answer, &present, now);
+    takeReportedEnds(state, target, life, answer, &present, now);
+    reviewAbsent(state, target, order, present, now);
+    reviewInterference(state, target, now);
+}
+
+} // namespace
+
+void takeOrderAnswer(dispatch_state &state, const target_order &order, const order_answer &answer,
+                     time_point now)
+{
+    const auto found = state.targets.find(order.target);
+    const auto *life = lifeOf(state, order.target);
+    if (order.fencingToken != state.term || found == state.targets.end() || life == nullptr) {
+        return; // of an earlier term, or of a target that has gone
+    }
+    auto &target = found->second;
+    const bool isOfThisLife =
+        order.born == target.born && (!answer.born || *answer.born == target.born);
+    if (!isOfThisLife) {
+        if (order.kind == order_kind::Look && order.born == target.born) {
+            target.isLookOpen = false;
+            target.lookAt = now + lookPauseAfterFault;
+        }
+        return;
+    }
+    state.changedTargets.insert(order.target);
+    const bool isCarried = answer.result != order_result::CarrierLost;
+    const bool hasAnswered = isCarried && answer.result != order_result::Unanswered
+        && answer.result != order_result::Unreachable && answer.result != order_result::WrongLife;
+    if (hasAnswered) {
+        if (target.isSuspect) {
+            noteLostAnswer(state, target.id, now); // it was there all the time
+        }
+        target.heardAt = now;
+        target.answeredAt = now;
+        state.isChanged = state.isChanged || target.isSuspect;
+        target.isSuspect = false;
+    } else if (isCarried) {
+        noteSilence(state, target, order, answer.result, now);
+    }
+    if (answer.clockMs) {
+        takeClock(target, *answer.clockMs, now);
+    }
+    switch (order.kind) {
+    case order_kind::Start: {
+        const auto run = target.runs.find(order.task);
+        if (run != target.runs.end() && run->second.run == order.run) {
+            if (run->second.phase == run_phase::Ordered) {
+                answerStart(state, target, order, answer.result, run->second, now);
+            } else {
+                run->second.isOrderOpen = false;
+            }
+        }
+        break;
+    }
+    case order_kind::Stop:
+        answerStop(state, target, order, answer.result, now);
+        break;
+    case order_kind::Look:
+        answerLook(state, target, *life, order, answer, now);
+        break;
+    case order_kind::Pace:
+        break; // the next look shows whether it worked
+    }
+}
+
+} // namespace filbert
--- a/modules/filbert_dispatch/tests/target_conversation_test.cpp
+++ b/modules/filbert_dispatch/tests/target_conversation_test.cpp
@@ -167,7 +167,7 @@
     CHECK(cell.statusOf("j") == job_status::Completed);
     const auto looks = cell.waiting(order_kind::Look);
     REQUIRE(looks.size() == 1);
-    CHECK(looks[0].lastSeen == 4);
+    CHECK(looks[0].lastEndTaken == 4);
 }
 
 TEST_CASE("runs of a cancelled job are stopped, and strays too", "[dispatch]")
--- a/modules/filbert_node/order_relay.cpp
+++ b/modules/filbert_node/order_relay.cpp
@@ -163,7 +163,7 @@
     message.set_ticket(order.ticket);
     message.set_lease_until(order.leaseUntil);
     message.set_fencing_token(order.fencingToken);
-    message.set_last_seen(order.lastSeen);
+    message.set_last_seen(order.lastEndTaken);
     message.set_wait_ms(order.wait.count);
     message.set_pace(order.pace);
     message.set_timeout_ms(order.timeout.count);
@@ -184,7 +184,7 @@
     order.ticket = message.ticket();
     order.leaseUntil = message.lease_until();
     order.fencingToken = message.fencing_token();
-    order.lastSeen = message.last_seen();
+    order.lastEndTaken = message.last_seen();
     order.wait = {message.wait_ms()};
     order.pace = message.pace();
     order.timeout = {message.timeout_ms()};
--- a/modules/filbert_replication/log_member.cpp
+++ b/modules/filbert_replication/log_member.cpp
@@ -119,9 +119,8 @@
 {
     const auto count = std::min(most, effects.committed.size());
     const auto end = effects.committed.begin() + static_cast<std::ptrdiff_t>(count);
-    const std::vector<messages::log_entry> entries {std::make_move_iterator(
-                                                        effects.committed.begin()),
-                                                    std::make_move_iterator(end)};
+    const std::vector<messages::log_entry> entries {
+        std::make_move_iterator(effects.committed.begin()), std::make_move_iterator(end)};
     effects.committed.erase(effects.committed.begin(), end);
     for (const auto &entry : entries) {
         hooks.apply(entry);
--- a/modules/filbert_work/tests/work_commands_test.cpp
+++ b/modules/filbert_work/tests/work_commands_test.cpp
@@ -288,7 +288,7 @@
         for (const auto &[id, life] : cell.state.lives) {
             RC_ASSERT(read.lives.at(id).runs == life.runs);
             RC_ASSERT(read.lives.at(id).used == life.used);
-            RC_ASSERT(read.lives.at(id).lastSeen == life.lastSeen);
+            RC_ASSERT(read.lives.at(id).lastEndTaken == life.lastEndTaken);
         }
         for (const auto &[id, job] : cell.state.jobs) {
             RC_ASSERT(read.jobs.at(id).status == job.status);
--- a/modules/filbert_work/work_commands.cpp
+++ b/modules/filbert_work/work_commands.cpp
@@ -197,8 +197,8 @@
     for (const auto &each : command.ends()) {
         endRun(state, command.target(), command.born(), each, wallMs);
     }
-    auto &lastSeen = state.lives.at(command.target()).lastSeen;
-    lastSeen = std::max(lastSeen, command.last_seen());
+    auto &lastEndTaken = state.lives.at(command.target()).lastEndTaken;
+    lastEndTaken = std::max(lastEndTaken, command.last_seen());
     return {};
 }
 
@@ -244,7 +244,7 @@
     }
     const bool isNewLife = life.about.born() != about.born();
     if (isNewLife) {
-        life.lastSeen = 0;
+        life.lastEndTaken = 0;
         life.isOver = false;
     }
     life.about = about;
--- a/modules/filbert_work/work_snapshot.cpp
+++ b/modules/filbert_work/work_snapshot.cpp
@@ -76,7 +76,7 @@
     for (const auto &[id, life] : state.lives) {
         auto *out = image.add_lives();
         *out->mutable_about() = life.about;
-        out->set_last_seen(life.lastSeen);
+        out->set_last_seen(life.lastEndTaken);
         out->set_is_over(life.isOver);
     }
     return image.SerializeAsString();
@@ -93,7 +93,7 @@
     for (const auto &life : image.lives()) {
         auto &record = state->lives[life.about().id()];
         record.about = life.about();
-        record.lastSeen = life.last_seen();
+        record.lastEndTaken = life.last_seen();
         record.isOver = life.is_over();
     }
     for (const auto &job : image.jobs()) {
--- a/modules/filbert_work/work_state.cpp
+++ b/modules/filbert_work/work_state.cpp
@@ -41,10 +41,16 @@
     return const_cast<work_task *>(findTask(std::as_const(state), name));
 }
 
-resource_amounts reservedBy(const messages::step_spec &spec)
+resource_amounts wholeNeedOf(const messages::step_spec &spec)
 {
     auto need = amountsOf(spec.need());
     need.slots = 0; // a target's slots bound its requests, not its tasks
+    return need;
+}
+
+resource_amounts reservedBy(const messages::step_spec &spec)
+{
+    auto need = wholeNeedOf(spec);
     if (spec.fills_gaps()) {
         need.milliCores = 0;
     }
@@ -103,8 +109,7 @@
     auto &job = state.jobs.at(name.job);
     const auto &spec = specOf(job, name.step);
     const auto reserved = reservedBy(spec);
-    auto whole = amountsOf(spec.need());
-    whole.slots = 0;
+    const auto whole = wholeNeedOf(spec);
     auto &life = state.lives.at(target);
     auto &team = state.teamUse[job.job.team()];
     const std::int64_t fill = spec.fills_gaps() ? spec.need().milli_cores() : 0;
--- a/modules/filbert_work/work_state.h
+++ b/modules/filbert_work/work_state.h
@@ -67,7 +67,7 @@
 struct life_record
 {
     messages::target_life about;
-    std::uint64_t lastSeen = 0; // number of the last end that was taken
+    std::uint64_t lastEndTaken = 0; // number of the last end that was taken
     bool isOver = false;
     std::set<task_name> runs; // on this life, or on one before it under the same id
     resource_amounts used; // by these; cores of steps that fill gaps are in fillCores instead
@@ -99,6 +99,9 @@
 /** @return the step's record, or nullptr */
 const step_record *findStep(const work_state &state, const task_name &name);
 
+/** @return all that a task of the step takes, as teams are charged for it */
+resource_amounts wholeNeedOf(const messages::step_spec &spec);
+
 /** @return what a task takes of its target: no cores if its step fills gaps */
 resource_amounts reservedBy(const messages::step_spec &spec);
 
