--- a/extras/stand_in_target.cpp
+++ b/extras/stand_in_target.cpp
@@ -433,11 +433,11 @@
     }
     event_loop loop;
     stand_in_targets targets {loop};
-    const auto colon = FLAGS_listen.rfind(':');
+    const auto [address, port] = splitEndpoint(FLAGS_listen);
     std::unique_ptr<http_server> server;
     server = std::make_unique<http_server>(
-        loop, FLAGS_listen.substr(0, colon), std::stoi(FLAGS_listen.substr(colon + 1)),
-        http_limits {}, tls_files {FLAGS_tls_certificate, FLAGS_tls_private_key},
+        loop, address, port, http_limits {},
+        tls_files {FLAGS_tls_certificate, FLAGS_tls_private_key},
         [&](http_request &&request) { targets.takeRequest(*server, std::move(request)); },
         std::vector<std::string> {"filbert-target", "filbert-service", "filbert-placement",
                                   "filbert-epoch", "filbert-start-by"});
--- a/modules/filbert_core/settings.cpp
+++ b/modules/filbert_core/settings.cpp
@@ -66,6 +66,16 @@
     return problems.empty();
 }
 
+endpoint_parts splitEndpoint(const std::string &endpoint)
+{
+    const auto colon = endpoint.rfind(':');
+    endpoint_parts parts {endpoint.substr(0, colon)};
+    if (colon != std::string::npos) {
+        std::from_chars(endpoint.data() + colon + 1, endpoint.data() + endpoint.size(), parts.port);
+    }
+    return parts;
+}
+
 bool isEndpoint(const std::string &value)
 {
     const auto colon = value.rfind(':');
--- a/modules/filbert_core/settings.h
+++ b/modules/filbert_core/settings.h
@@ -35,6 +35,16 @@
     std::vector<std::string> problems;
 };
 
+/** The parts of `IP:port`. */
+struct endpoint_parts
+{
+    std::string address;
+    int port = 0; // 0 = none that can be read
+};
+
+/** @param endpoint  e.g. "127.0.0.1:8080"; isEndpoint() tells whether it is one */
+endpoint_parts splitEndpoint(const std::string &endpoint);
+
 /** Whether a text is an IPv4 address and a port. @param value e.g. "127.0.0.1:8080" */
 bool isEndpoint(const std::string &value);
 
--- a/modules/filbert_transport/http_client.cpp
+++ b/modules/filbert_transport/http_client.cpp
@@ -134,10 +134,7 @@
         vhosts.push_back(lws_create_vhost(loop.context(), &info));
     }
     const auto &endpoint = call->call.endpoint;
-    const auto colon = endpoint.rfind(':');
-    const auto address = endpoint.substr(0, colon);
-    int port = 0;
-    std::from_chars(endpoint.data() + colon + 1, endpoint.data() + endpoint.size(), port);
+    const auto [address, port] = splitEndpoint(endpoint);
     lws_client_connect_info info {};
     info.context = loop.context();
     info.vhost = vhosts[static_cast<std::size_t>(call->slot)];
--- a/programs/filbert_controller.cpp
+++ b/programs/filbert_controller.cpp
@@ -220,11 +220,10 @@
     const auto seed = std::hash<std::string> {}(stored.identity);
     running = std::make_unique<controller>(settings, replication, stored, seed, store, outbox,
                                            monotonicNow());
-    const auto colon = FLAGS_http.rfind(':');
+    const auto [address, port] = splitEndpoint(FLAGS_http);
     std::unique_ptr<http_server> server;
     server = std::make_unique<http_server>(
-        loop, FLAGS_http.substr(0, colon), std::stoi(FLAGS_http.substr(colon + 1)), http_limits {},
-        tls_files {},
+        loop, address, port, http_limits {}, tls_files {},
         [&](http_request &&request) { answerHealth(*server, request, *running, stored.identity); });
     if (!server->isListening()) {
         log_line {"listen_failed", log_line::severity::Error}.with("address", FLAGS_http);
--- a/programs/filbert_gateway.cpp
+++ b/programs/filbert_gateway.cpp
@@ -164,10 +164,9 @@
     running = std::make_unique<gateway>(settings, *links, callers, targets, metrics);
     http_limits limits;
     limits.bodyBytes = static_cast<std::size_t>(FLAGS_max_body_bytes);
-    const auto colon = FLAGS_http.rfind(':');
+    const auto [address, port] = splitEndpoint(FLAGS_http);
     auto server = std::make_unique<http_server>(
-        loop, FLAGS_http.substr(0, colon), std::stoi(FLAGS_http.substr(colon + 1)), limits,
-        tls_files {FLAGS_tls_certificate, FLAGS_tls_private_key},
+        loop, address, port, limits, tls_files {FLAGS_tls_certificate, FLAGS_tls_private_key},
         [&](http_request &&request) { running->takeRequest(std::move(request), monotonicNow()); });
     callers.server = server.get();
     if (!server->isListening()) {
