Planned starts are booked in one place; orders are composed in one place

Cause: scheduling booked a planned start and took it back by its own arithmetic beside unplan(); interference composed an order field by field beside orderFor(); the cores of a task that fills gaps were worked out in three places, the wait for a lost look in three, a doubtful answer in two. Change: planStart() and unplanStart(), orderFor() for throttles too, fillCoresOf(), lossyLookSpan(), mayBeLost(). Constants without a derivation get one.

--- a/modules/filbert_dispatch/dispatch_state.cpp
+++ b/modules/filbert_dispatch/dispatch_state.cpp
@@ -11,39 +11,18 @@
 
 namespace {
 
-constexpr milliseconds forgetPeriod {5'000};
+constexpr milliseconds forgetPeriod {5'000}; // far below the retention that it serves
 constexpr std::size_t stepsPerMillisecond = 4; // waiting steps that a pass looks at in that time
 constexpr std::size_t targetsPerMillisecond = 50; // a pass looks at each once
 constexpr milliseconds longestPassPause {40}; // a small part of the shortest latency objective
-constexpr int idBitsBelowTerm = 32;
-constexpr int jobsForgottenAtOnce = 500;
-
-void unplan(dispatch_state &state, const task_name &task)
-{
-    const auto planned = state.planned.find(task);
-    if (planned == state.planned.end()) {
-        return;
-    }
-    const auto job = state.work->jobs.find(task.job);
-    const auto target = state.targets.find(planned->second);
-    state.planned.erase(planned);
-    if (job == state.work->jobs.end()) {
-        return;
-    }
-    const auto &spec = specOf(job->second, task.step);
-    const auto whole = wholeNeedOf(spec);
-    state.teamPlanned[job->second.job.team()] -= whole;
-    if (target != state.targets.end()) {
-        target->second.planned -= reservedBy(spec);
-        target->second.plannedFill -= spec.fills_gaps() ? spec.need().milli_cores() : 0;
-    }
-}
+constexpr int idBitsBelowTerm = 32; // 2^32 requests a term
+constexpr int jobsForgottenAtOnce = 500; // an entry of some 10 kB
 
 void afterStart(dispatch_state &state, const messages::start_run_command &start, bool refused,
                 time_point now)
 {
     const auto task = nameOf(start.task());
-    unplan(state, task);
+    unplanStart(state, task);
     std::string ticket;
     if (const auto held = state.plannedTickets.extract(task)) {
         ticket = held.mapped();
@@ -155,6 +134,36 @@
 
 } // namespace
 
+void planStart(dispatch_state &state, const task_name &task, target_conversation &target)
+{
+    const auto &job = state.work->jobs.at(task.job);
+    const auto &spec = specOf(job, task.step);
+    state.planned[task] = target.id;
+    state.teamPlanned[job.job.team()] += wholeNeedOf(spec);
+    target.planned += reservedBy(spec);
+    target.plannedFill += fillCoresOf(spec);
+}
+
+void unplanStart(dispatch_state &state, const task_name &task)
+{
+    const auto planned = state.planned.find(task);
+    if (planned == state.planned.end()) {
+        return;
+    }
+    const auto job = state.work->jobs.find(task.job);
+    const auto target = state.targets.find(planned->second);
+    state.planned.erase(planned);
+    if (job == state.work->jobs.end()) {
+        return;
+    }
+    const auto &spec = specOf(job->second, task.step);
+    state.teamPlanned[job->second.job.team()] -= wholeNeedOf(spec);
+    if (target != state.targets.end()) {
+        target->second.planned -= reservedBy(spec);
+        target->second.plannedFill -= fillCoresOf(spec);
+    }
+}
+
 dispatch_state startDispatch(const work_state &work, const dispatch_settings &settings,
                              std::uint64_t term, time_point now, std::int64_t wallMs)
 {
--- a/modules/filbert_dispatch/dispatch_state.h
+++ b/modules/filbert_dispatch/dispatch_state.h
@@ -274,6 +274,12 @@
 /** @return an estimate of the target's clock that is not above its true reading */
 std::int64_t clockAtLeast(const target_conversation &target, time_point now);
 
+/** Keeps room for a start from its proposal until it is committed or refused. */
+void planStart(dispatch_state &state, const task_name &task, target_conversation &target);
+
+/** Gives back what planStart() has kept; one that was not planned is passed over. */
+void unplanStart(dispatch_state &state, const task_name &task);
+
 /** Starts a term: takes over what the replicated state says. */
 dispatch_state startDispatch(const work_state &work, const dispatch_settings &settings,
                              std::uint64_t term, time_point now, std::int64_t wallMs);
--- a/modules/filbert_dispatch/interference.cpp
+++ b/modules/filbert_dispatch/interference.cpp
@@ -1,5 +1,7 @@
 #include "interference.h"
 
+#include "target_orders.h"
+
 #include <algorithm>
 
 namespace filbert {
@@ -51,17 +53,10 @@
             .with("to_percent", pace);
         run.pace = pace;
         run.progressAt = now;
-        target_order order;
-        order.kind = order_kind::Pace;
-        order.target = target.id;
-        order.born = target.born;
-        order.address = life.about.address();
+        auto order = orderFor(state, target, life, order_kind::Pace, now);
         order.task = task;
         order.run = run.run;
         order.pace = pace;
-        order.fencingToken = state.term;
-        order.timeout = state.settings.orderTimeout;
-        order.sentAt = now;
         state.effects.orders.push_back(std::move(order));
     }
 }
--- a/modules/filbert_dispatch/scheduling.cpp
+++ b/modules/filbert_dispatch/scheduling.cpp
@@ -19,8 +19,9 @@
 constexpr double costlyPerTargetMs = 4.0;
 constexpr std::size_t targetsPerRefresh = 8; // of tickets: a few more than a gang needs
 constexpr std::size_t reservedPart = 4; // one in so many targets is kept for what waits, at most
-constexpr std::size_t failuresPerPass = 48; // steps without room that one pass looks at
-constexpr std::size_t passesPerTurn = 8;
+constexpr std::size_t failuresPerPass =
+    48; // steps without room that one pass looks at: a turn of 2 ms
+constexpr std::size_t passesPerTurn = 8; // at most 0.3 s with passes 40 ms apart
 constexpr milliseconds slowPolicy {300}; // tickets of such a one are renewed before there is room
 constexpr milliseconds askPause {100}; // between requests of one step for more than it has
 constexpr double fillShare = 0.6; // of the cores that a task which fills gaps should find unused
@@ -295,33 +296,23 @@
     return best;
 }
 
+/** Books a start on a room of this pass and in the state, or takes it back. @param sign 1 or -1 */
 void bookPlan(placement_pass &pass, open_step &step, service_view &service, room_view &room,
               const task_name &task, int sign)
 {
-    const auto &spec = *step.spec;
-    const auto whole = wholeNeedOf(spec);
-    auto &team = pass.state.teamPlanned[step.job->job.team()];
-    const std::int64_t fill = spec.fills_gaps() ? spec.need().milli_cores() : 0;
-    if (mindsCounts(spec)) {
+    const auto cores = step.spec->need().milli_cores();
+    if (mindsCounts(*step.spec)) {
         step.onTarget[room.target->id] += sign;
     }
     if (sign > 0) {
-        pass.state.planned[task] = room.target->id;
-        room.target->planned += step.need;
-        room.target->plannedFill += fill;
+        planStart(pass.state, task, *room.target);
         room.left -= step.need;
-        room.unusedCores -= spec.need().milli_cores();
-        team += whole;
-        service.freeCores -= spec.need().milli_cores();
-        return;
+    } else {
+        unplanStart(pass.state, task);
+        room.left += step.need;
     }
-    pass.state.planned.erase(task);
-    room.target->planned -= step.need;
-    room.target->plannedFill -= fill;
-    room.left += step.need;
-    room.unusedCores += spec.need().milli_cores();
-    team -= whole;
-    service.freeCores += spec.need().milli_cores();
+    room.unusedCores -= sign * cores;
+    service.freeCores -= sign * cores;
 }
 
 void proposeStart(placement_pass &pass, const open_step &step, const room_view &room,
--- a/modules/filbert_dispatch/target_answers.cpp
+++ b/modules/filbert_dispatch/target_answers.cpp
@@ -8,8 +8,9 @@
 
 namespace {
 
+// Four tries a second of a target that may be gone; a lease outlasts twenty of them.
 constexpr milliseconds lookPauseAfterFault {250};
-constexpr milliseconds stopPause {400};
+constexpr milliseconds stopPause {400}; // nobody waits for a stop; a few fit into a lease
 
 /** Notes that a target which answers has left an order without an answer. */
 void noteLostAnswer(dispatch_state &state, const std::string &target, time_point now)
@@ -23,6 +24,12 @@
     }
 }
 
+/** Whether the want of an answer may be the network's fault. */
+bool mayBeLost(const dispatch_state &state, order_result result)
+{
+    return result == order_result::Unanswered && losesAnswers(state);
+}
+
 bool isFaultOfTarget(order_result result)
 {
     return result == order_result::Unhealthy || result == order_result::Unreachable
@@ -55,9 +62,9 @@
         }
         return;
     }
-    const auto patience = state.settings.lossyLookWait + state.settings.lossyLookGrace;
-    const bool mayBeLost = losesAnswers(state) && now - target.answeredAt < patience;
-    if (mayBeLost || std::exchange(target.isSuspect, true)) {
+    const bool isPatient =
+        losesAnswers(state) && now - target.answeredAt < lossyLookSpan(state.settings);
+    if (isPatient || std::exchange(target.isSuspect, true)) {
         return;
     }
     // No new work until it answers: most often its process has ended, or its host is cut off.
@@ -89,8 +96,7 @@
         .with("target", target.id)
         .with("result", resultName(result))
         .with("waited_ms", (now - run.orderedAt).count);
-    const bool mayBeLost = result == order_result::Unanswered && losesAnswers(state);
-    if (isFaultOfTarget(result) && !mayBeLost) {
+    if (isFaultOfTarget(result) && !mayBeLost(state, result)) {
         noteFailure(state, target, order.task, "its starts fail", now);
     }
     run.mayBeThere =
@@ -233,8 +239,8 @@
     const bool isNewest = order.sentAt == target.lookSentAt;
     if (isNewest) {
         target.isLookOpen = false;
-        const bool mayBeLost = answer.result == order_result::Unanswered && losesAnswers(state);
-        const bool isRepeatedAtOnce = answer.result == order_result::Done || mayBeLost;
+        const bool isRepeatedAtOnce =
+            answer.result == order_result::Done || mayBeLost(state, answer.result);
         target.lookAt = isRepeatedAtOnce ? now : now + lookPauseAfterFault;
     }
     if (answer.result != order_result::Done) {
--- a/modules/filbert_dispatch/target_conversation.cpp
+++ b/modules/filbert_dispatch/target_conversation.cpp
@@ -293,8 +293,8 @@
     }
     reviewProgress(state, target, now);
     stepRuns(state, target, *life, now);
-    const bool isLookLost = losesAnswers(state)
-        && now - target.lookSentAt > state.settings.lossyLookWait + state.settings.lossyLookGrace;
+    const bool isLookLost =
+        losesAnswers(state) && now - target.lookSentAt > lossyLookSpan(state.settings);
     if ((!target.isLookOpen || isLookLost) && now >= target.lookAt
         && needsLook(state, target, *life, now)) {
         sendLook(state, target, *life, now);
--- a/modules/filbert_dispatch/target_orders.cpp
+++ b/modules/filbert_dispatch/target_orders.cpp
@@ -20,6 +20,8 @@
     return until;
 }
 
+} // namespace
+
 target_order orderFor(const dispatch_state &state, const target_conversation &target,
                       const life_record &life, order_kind kind, time_point now)
 {
@@ -34,8 +36,6 @@
     return order;
 }
 
-} // namespace
-
 const life_record *lifeOf(const dispatch_state &state, const std::string &id)
 {
     const auto found = state.work->lives.find(id);
--- a/modules/filbert_dispatch/target_orders.h
+++ b/modules/filbert_dispatch/target_orders.h
@@ -14,6 +14,16 @@
 void proposeDrop(dispatch_state &state, const task_name &task, run_view &run,
                  const std::string &target, const std::string &reason);
 
+/** @return an order of a kind to this life of a target; what else it says is the caller's */
+target_order orderFor(const dispatch_state &state, const target_conversation &target,
+                      const life_record &life, order_kind kind, time_point now);
+
+/** @return how long a look is waited for where answers get lost */
+inline milliseconds lossyLookSpan(const dispatch_settings &settings)
+{
+    return settings.lossyLookWait + settings.lossyLookGrace;
+}
+
 /** Sends the start of a run that the log holds. */
 void sendStart(dispatch_state &state, target_conversation &target, const life_record &life,
                const task_name &task, run_view &run, time_point now);
--- a/modules/filbert_work/work_state.cpp
+++ b/modules/filbert_work/work_state.cpp
@@ -57,6 +57,11 @@
     return need;
 }
 
+std::int64_t fillCoresOf(const messages::step_spec &spec)
+{
+    return spec.fills_gaps() ? spec.need().milli_cores() : 0;
+}
+
 bool isStepDone(const messages::step_spec &spec, const step_record &step)
 {
     return (spec.is_gang() && step.isGangDone) || step.done == step.tasks.size();
@@ -112,7 +117,7 @@
     const auto whole = wholeNeedOf(spec);
     auto &life = state.lives.at(target);
     auto &team = state.teamUse[job.job.team()];
-    const std::int64_t fill = spec.fills_gaps() ? spec.need().milli_cores() : 0;
+    const auto fill = fillCoresOf(spec);
     if (sign > 0) {
         life.runs.insert(name);
         life.used += reserved;
--- a/modules/filbert_work/work_state.h
+++ b/modules/filbert_work/work_state.h
@@ -105,6 +105,9 @@
 /** @return what a task takes of its target: no cores if its step fills gaps */
 resource_amounts reservedBy(const messages::step_spec &spec);
 
+/** @return cores that a task of the step uses if they are there: 0 unless it fills gaps */
+std::int64_t fillCoresOf(const messages::step_spec &spec);
+
 /** Whether all steps that a step depends on have ended well. */
 bool isStepReady(const work_job &job, const occurrence_record &occurrence, std::uint32_t step);
 
