Scheduling in four files: the pass's rooms, the order of steps, tickets, placement

Change: placement_pass (rooms, what fits, what is booked), step_order (which steps wait, in which order), ticket_requests (what the policy service is asked for, also ahead), scheduling (single tasks, gangs, reservations). No line of logic changes.

--- /dev/null
+++ b/modules/filbert_dispatch/placement_pass.cpp
@@ -0,0 +1,199 @@
+#include "placement_pass.h"
+
+#include "target_conversation.h"
+
+#include <algorithm>
+
+namespace filbert {
+
+namespace {
+
+constexpr double fillShare = 0.6; // of the cores that a task which fills gaps should find unused
+
+// Parts of fitCost(), in accelerators left idle: the unit that packing is about.
+constexpr double farFromDataCost = 20.0; // half as long again: more than any packing gains
+constexpr double sameTargetCost = 4.0; // of tasks that last: one target's end must not take many
+
+bool hasLabel(const room_view &room, const std::string &label)
+{
+    const auto &labels = room.life->about.labels();
+    return label.empty() || std::find(labels.begin(), labels.end(), label) != labels.end();
+}
+
+void addRoom(service_view &view, target_conversation &target, const life_record &life)
+{
+    room_view room;
+    room.target = &target;
+    room.life = &life;
+    room.capacity = amountsOf(life.about.capacity());
+    room.left = room.capacity - life.used - target.planned;
+    room.unusedCores = room.left.milliCores - life.fillCores - target.plannedFill;
+    const auto &labels = life.about.labels();
+    room.rack =
+        labels.size() > 1 ? std::string_view {labels.Get(labels.size() - 1)} : std::string_view {};
+    view.totalCores += room.capacity.milliCores;
+    view.freeCores += std::max<std::int64_t>(room.unusedCores, 0);
+    view.mostCores = std::max(view.mostCores, room.left.milliCores);
+    view.mostAccelerators = std::max(view.mostAccelerators, room.left.accelerators);
+    view.byId.emplace(target.id, view.rooms.size());
+    view.rooms.push_back(room);
+}
+
+int countOnTarget(const open_step &step, const std::string &target)
+{
+    const auto found = step.onTarget.find(target);
+    return found == step.onTarget.end() ? 0 : found->second;
+}
+
+} // namespace
+
+bool fits(const resource_amounts &need, const resource_amounts &room)
+{
+    return need.milliCores <= room.milliCores && need.memoryMb <= room.memoryMb
+        && need.accelerators <= room.accelerators;
+}
+
+service_view &serviceOf(placement_pass &pass, const std::string &service)
+{
+    const auto found = pass.services.find(service);
+    if (found != pass.services.end()) {
+        return found->second;
+    }
+    auto &view = pass.services[service];
+    for (auto &[id, target] : pass.state.targets) {
+        const auto life = pass.state.work->lives.find(id);
+        if (life != pass.state.work->lives.end() && life->second.about.service() == service
+            && takesWork(pass.state, target, life->second, pass.now)) {
+            addRoom(view, target, life->second);
+        }
+    }
+    for (const auto &queue : pass.state.work->configuration.queues()) {
+        if (queue.service() == service) {
+            view.urgentPriority = std::min(view.urgentPriority, queue.priority());
+        }
+    }
+    return view;
+}
+
+std::unordered_map<std::string_view, int> countsOnTargets(const placement_pass &pass,
+                                                          const task_name &step)
+{
+    std::unordered_map<std::string_view, int> counts;
+    const auto &record = *findStep(*pass.state.work, step);
+    auto name = step;
+    for (std::uint32_t i = 0; i < record.tasks.size(); ++i) {
+        const auto &task = record.tasks[i];
+        if (task.status == task_status::Running) {
+            ++counts[task.target];
+            continue;
+        }
+        name.index = i;
+        const auto planned = pass.state.planned.find(name);
+        if (planned != pass.state.planned.end()) {
+            ++counts[planned->second];
+        }
+    }
+    return counts;
+}
+
+bool mindsCounts(const messages::step_spec &spec)
+{
+    return spec.lasts() || spec.max_per_target() > 0;
+}
+
+bool isEligible(const open_step &step, const room_view &room)
+{
+    return room.reservedRank >= step.rank && fits(step.need, room.capacity)
+        && hasLabel(room, step.spec->required_label());
+}
+
+bool hasRoomFor(const placement_pass &pass, const open_step &step, const service_view &service,
+                const room_view &room)
+{
+    if (!fits(step.need, room.left)) {
+        return false;
+    }
+    const auto &spec = *step.spec;
+    if (spec.fills_gaps()) {
+        const auto wanted = static_cast<double>(spec.need().milli_cores()) * fillShare;
+        return room.life->serving == 0 && static_cast<double>(room.unusedCores) >= wanted;
+    }
+    if (spec.latency_target_ms() > 0 && room.life->fillCores + room.target->plannedFill > 0) {
+        return false;
+    }
+    if (spec.max_per_target() > 0
+        && countOnTarget(step, room.target->id) >= spec.max_per_target()) {
+        return false;
+    }
+    const bool isUrgent = step.queue->priority() <= service.urgentPriority;
+    if (service.urgentPriority > 0 || isUrgent || spec.lasts()) {
+        return true;
+    }
+    const auto kept = static_cast<double>(service.totalCores) * pass.state.settings.urgentHeadroom;
+    return static_cast<double>(service.freeCores - spec.need().milli_cores()) >= kept;
+}
+
+double fitCost(const open_step &step, const room_view &room)
+{
+    const auto &spec = *step.spec;
+    const auto cores = std::max<double>(static_cast<double>(room.capacity.milliCores), 1.0);
+    double cost = static_cast<double>(room.left.accelerators - step.need.accelerators);
+    if (spec.fills_gaps()) {
+        cost -= static_cast<double>(room.unusedCores) / cores;
+    } else {
+        cost += static_cast<double>(room.left.milliCores - step.need.milliCores) / cores;
+        cost += static_cast<double>(room.life->fillCores) / cores;
+    }
+    if (!spec.data_rack().empty() && spec.data_rack() != room.rack) {
+        cost += farFromDataCost;
+    }
+    if (spec.lasts()) {
+        cost += sameTargetCost * countOnTarget(step, room.target->id);
+    }
+    return cost;
+}
+
+bool isWithinTeamCap(const placement_pass &pass, const open_step &step, std::size_t tasks)
+{
+    const auto &team = step.job->job.team();
+    const auto *configured = findTeam(pass.state.work->configuration, team);
+    if (configured == nullptr) {
+        return true; // an open queue
+    }
+    auto use = timesOf(wholeNeedOf(*step.spec), tasks);
+    const auto add = [&](const std::map<std::string, resource_amounts> &uses) {
+        const auto found = uses.find(team);
+        if (found != uses.end()) {
+            use += found->second;
+        }
+    };
+    add(pass.state.work->teamUse);
+    add(pass.state.teamPlanned);
+    return isWithinCap(use, configured->cap());
+}
+
+const admission_view *admissionOf(const placement_pass &pass, const open_step &step)
+{
+    const auto view = pass.state.admissions.find(step.name);
+    return view == pass.state.admissions.end() ? nullptr : &view->second;
+}
+
+void bookPlan(placement_pass &pass, open_step &step, service_view &service, room_view &room,
+              const task_name &task, int sign)
+{
+    const auto cores = step.spec->need().milli_cores();
+    if (mindsCounts(*step.spec)) {
+        step.onTarget[room.target->id] += sign;
+    }
+    if (sign > 0) {
+        planStart(pass.state, task, *room.target);
+        room.left -= step.need;
+    } else {
+        unplanStart(pass.state, task);
+        room.left += step.need;
+    }
+    room.unusedCores -= sign * cores;
+    service.freeCores -= sign * cores;
+}
+
+} // namespace filbert
--- /dev/null
+++ b/modules/filbert_dispatch/step_order.cpp
@@ -0,0 +1,128 @@
+#include "step_order.h"
+
+#include "scheduling.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace filbert {
+
+namespace {
+
+bool isOpen(const work_job &job, const occurrence_record &occurrence, std::uint32_t step)
+{
+    const auto &record = occurrence.steps[step];
+    const auto &spec = specOf(job, step);
+    if (isStepDone(spec, record) || !isStepReady(job, occurrence, step)) {
+        return false;
+    }
+    return record.done + record.running < record.tasks.size();
+}
+
+/** Whether all that a step waits for is under way, and half of it done. */
+bool isComing(const work_job &job, const occurrence_record &occurrence, std::uint32_t step)
+{
+    const auto &needed = specOf(job, step).depends_on();
+    return !isStepReady(job, occurrence, step)
+        && std::all_of(needed.begin(), needed.end(), [&](std::int32_t each) {
+               const auto index = static_cast<std::uint32_t>(each);
+               const auto &record = occurrence.steps[index];
+               return isStepDone(specOf(job, index), record)
+                   || (record.done + record.running == record.tasks.size()
+                       && record.done * 2 >= record.tasks.size());
+           });
+}
+
+} // namespace
+
+open_step openStepOf(const dispatch_state &state, const queue_index &queues, const task_name &name,
+                     const job_view &view, time_point now)
+{
+    open_step open;
+    const auto &job = state.work->jobs.at(name.job);
+    const auto configured = queues.find(job.job.queue());
+    open.name = name;
+    open.job = &job;
+    open.spec = &specOf(job, name.step);
+    open.queue = configured == queues.end() ? &job.job.taken_under() : configured->second;
+    open.need = reservedBy(*open.spec);
+    const auto objective = milliseconds {std::llround(static_cast<double>(view.chain.count)
+                                                      * open.queue->slack_factor())}
+        + milliseconds {open.queue->latency_objective_ms()};
+    const auto left = view.chainFrom[name.step];
+    open.slackMs = (view.begunAt.at(name.occurrence) + objective - now - left).count;
+    const bool isLate = !open.spec->lasts() && open.slackMs < -left.count / 2;
+    open.rank = open.queue->priority() + (isLate ? lateRank : 0);
+    return open;
+}
+
+queue_index queuesOf(const dispatch_state &state)
+{
+    queue_index queues;
+    for (const auto &queue : state.work->configuration.queues()) {
+        queues.emplace(queue.name(), &queue);
+    }
+    return queues;
+}
+
+std::vector<open_step> openSteps(const dispatch_state &state, const queue_index &queues,
+                                 time_point now)
+{
+    std::vector<open_step> steps;
+    for (const auto &[id, view] : state.jobs) {
+        for (const auto &[occurrence, step] : view.open) {
+            steps.push_back(openStepOf(state, queues, {id, occurrence, step, 0}, view, now));
+        }
+    }
+    std::sort(steps.begin(), steps.end(), [](const open_step &a, const open_step &b) {
+        return std::tie(a.rank, a.slackMs) < std::tie(b.rank, b.slackMs);
+    });
+    return steps;
+}
+
+std::vector<milliseconds> chainsOf(const messages::staged_job &job)
+{
+    std::vector<milliseconds> chains(static_cast<std::size_t>(job.steps_size()));
+    for (int step = job.steps_size() - 1; step >= 0; --step) {
+        auto &chain = chains[static_cast<std::size_t>(step)];
+        chain = chain + milliseconds {job.steps(step).estimate_ms()};
+        for (const auto needed : job.steps(step).depends_on()) {
+            auto &before = chains[static_cast<std::size_t>(needed)];
+            before = std::max(before, chain); // its own estimate is added when its turn comes
+        }
+    }
+    return chains;
+}
+
+void refreshJob(dispatch_state &state, const std::string &id, time_point now)
+{
+    const auto job = state.work->jobs.find(id);
+    if (job == state.work->jobs.end() || job->second.isEnded()) {
+        state.jobs.erase(id);
+        for (auto view = state.admissions.lower_bound({id, 0, 0, 0});
+             view != state.admissions.end() && view->first.job == id;) {
+            view = view->second.openRequest == 0 ? state.admissions.erase(view) : std::next(view);
+        }
+        return;
+    }
+    auto &view = state.jobs[id];
+    if (view.chainFrom.empty()) {
+        view.chainFrom = chainsOf(job->second.job);
+        view.chain = *std::max_element(view.chainFrom.begin(), view.chainFrom.end());
+    }
+    view.open.clear();
+    view.coming.clear();
+    for (const auto &[number, occurrence] : job->second.occurrences) {
+        view.begunAt.emplace(number, now);
+        for (std::uint32_t step = 0; step < occurrence.steps.size(); ++step) {
+            if (isOpen(job->second, occurrence, step)) {
+                view.open.emplace(number, step);
+            } else if (isComing(job->second, occurrence, step)) {
+                view.coming.emplace(number, step);
+            }
+        }
+    }
+    state.isChanged = true;
+}
+
+} // namespace filbert
--- /dev/null
+++ b/modules/filbert_dispatch/step_order.h
@@ -0,0 +1,20 @@
+#pragma once
+
+#include "placement_pass.h"
+
+namespace filbert {
+
+using queue_index = std::unordered_map<std::string_view, const messages::work_queue *>;
+
+/** @return the configured queues by name */
+queue_index queuesOf(const dispatch_state &state);
+
+/** @param name of the step, index 0 @param view of its job @return the step with its rank now */
+open_step openStepOf(const dispatch_state &state, const queue_index &queues, const task_name &name,
+                     const job_view &view, time_point now);
+
+/** @return all steps with waiting tasks, in the order of the pass */
+std::vector<open_step> openSteps(const dispatch_state &state, const queue_index &queues,
+                                 time_point now);
+
+} // namespace filbert
--- /dev/null
+++ b/modules/filbert_dispatch/ticket_requests.cpp
@@ -0,0 +1,129 @@
+#include "ticket_requests.h"
+
+#include "admission_desk.h"
+
+#include <algorithm>
+
+namespace filbert {
+
+namespace {
+
+constexpr std::size_t targetsPerRequest = 100; // the most that the policy service takes
+constexpr std::size_t targetsPerCostlyRequest = 20; // where each one named takes 4 ms and more
+constexpr double costlyPerTargetMs = 4.0;
+constexpr std::size_t targetsPerRefresh = 8; // of tickets: a few more than a gang needs
+constexpr milliseconds slowPolicy {300}; // tickets of such a one are renewed before there is room
+constexpr milliseconds askPause {100}; // between requests of one step for more than it has
+
+/** @return targets that the step may ask the policy service for, those with the most room first */
+std::vector<std::string> targetsToAsk(const placement_pass &pass, const open_step &step,
+                                      const service_view &service, const admission_view &view,
+                                      bool isRefresh)
+{
+    constexpr double fullCost = 1'000.0; // behind all that have room now
+    std::vector<std::pair<double, std::size_t>> wanted;
+    for (std::size_t i = 0; i < service.rooms.size(); ++i) {
+        const auto &room = service.rooms[i];
+        const auto &id = room.target->id;
+        if (isEligible(step, room)
+            && (isRefresh ? view.admitted.contains(id) : !view.asked.contains(id))) {
+            const bool hasRoom = hasRoomFor(pass, step, service, room);
+            wanted.emplace_back(fitCost(step, room) + (hasRoom ? 0.0 : fullCost), i);
+        }
+    }
+    const bool isCostly = step.queue->admission().per_target_ms() >= costlyPerTargetMs;
+    const auto most = isRefresh ? targetsPerRefresh
+        : isCostly              ? targetsPerCostlyRequest
+                                : targetsPerRequest;
+    const auto count = std::min(most, wanted.size());
+    std::partial_sort(wanted.begin(), wanted.begin() + static_cast<std::ptrdiff_t>(count),
+                      wanted.end());
+    std::vector<std::string> ids;
+    for (std::size_t i = 0; i < count; ++i) {
+        ids.push_back(service.rooms[wanted[i].second].target->id);
+    }
+    return ids;
+}
+
+/** @return how many tasks of a size an amount of room takes, at most a bound */
+std::int64_t countFitting(const resource_amounts &need, const resource_amounts &left,
+                          std::int64_t most)
+{
+    const auto times = [&](std::int64_t needed, std::int64_t available) {
+        return needed > 0 ? std::min(most, available / needed) : most;
+    };
+    return std::min({times(need.milliCores, left.milliCores), times(need.memoryMb, left.memoryMb),
+                     times(need.accelerators, left.accelerators)});
+}
+
+/** Whether the admitted targets have room for what starts at once: a task, or a whole gang. */
+bool hasAdmittedRoom(const placement_pass &pass, const open_step &step, const service_view &service,
+                     const admission_view &view)
+{
+    const std::int64_t wanted = step.spec->is_gang() ? step.spec->count() : 1;
+    std::int64_t found = 0;
+    for (const auto &[id, ticket] : view.admitted) {
+        const auto index = service.byId.find(id);
+        if (index == service.byId.end()) {
+            continue;
+        }
+        const auto &room = service.rooms[index->second];
+        if (isEligible(step, room) && hasRoomFor(pass, step, service, room)) {
+            found += countFitting(step.need, room.left, wanted);
+        }
+    }
+    return found >= wanted;
+}
+
+} // namespace
+
+void askAdmission(placement_pass &pass, const open_step &step, const service_view &service)
+{
+    if (!step.queue->has_admission()) {
+        return;
+    }
+    auto &view = pass.state.admissions[step.name];
+    if (view.openRequest != 0 || pass.now < view.notBefore) {
+        return;
+    }
+    if (view.asked.empty()) {
+        requestAdmission(pass.state, step.name, *step.queue,
+                         targetsToAsk(pass, step, service, view, false), pass.now);
+        return;
+    }
+    const auto &policy = step.queue->admission();
+    if (hasAdmittedRoom(pass, step, service, view)) {
+        requestAdmission(pass.state, step.name, *step.queue,
+                         targetsToAsk(pass, step, service, view, true), pass.now);
+        return;
+    }
+    auto others = targetsToAsk(pass, step, service, view, false);
+    const bool hasFresh = std::any_of(view.admitted.begin(), view.admitted.end(), [&](auto &each) {
+        return isUsable(pass.state, each.second, policy, pass.now);
+    });
+    if (!others.empty()) {
+        requestAdmission(pass.state, step.name, *step.queue, std::move(others), pass.now);
+    } else if (admissionTime(policy, 1) >= slowPolicy && !hasFresh) {
+        requestAdmission(pass.state, step.name, *step.queue,
+                         targetsToAsk(pass, step, service, view, true), pass.now);
+    }
+    view.notBefore = pass.now + askPause;
+}
+
+void askAhead(placement_pass &pass, const open_step &step)
+{
+    const bool isQuick = step.queue->has_admission()
+        && admissionTime(step.queue->admission(), targetsPerRequest) <= quickAdmission;
+    if (!isQuick) {
+        return;
+    }
+    auto &admission = pass.state.admissions[step.name];
+    if (!admission.asked.empty() || admission.openRequest != 0) {
+        return;
+    }
+    const auto &service = serviceOf(pass, step.queue->service());
+    requestAdmission(pass.state, step.name, *step.queue,
+                     targetsToAsk(pass, step, service, admission, false), pass.now);
+}
+
+} // namespace filbert
