Controllers of both kinds share their sockets and the writing of the log; requests in a file of their own

Cause: platform_controller's member_connections was a second socket_outbox, and log_member's writing and addressing a second copy of controller's; work_controller.cpp held what callers ask beside the log's affairs (596 lines). Change: member_sockets (transport), persistEffects() and addresseeOf() (replication), used by both; work_requests.cpp. The order of writes, sends and installs is the same.

--- a/modules/filbert_controller/controller.cpp
+++ b/modules/filbert_controller/controller.cpp
@@ -160,43 +160,10 @@
 void controller::sendAll(std::vector<messages::replication_message> *messages)
 {
     for (const auto &message : std::exchange(*messages, {})) {
-        const auto *member = findMember(state.log.members, message.to());
-        if (member != nullptr) {
-            outbox.sendToMember(*member, message);
-            continue;
-        }
-        messages::member unknown; // this one may not have the membership yet: answer by identity
-        unknown.set_identity(message.to());
-        outbox.sendToMember(unknown, message);
+        outbox.sendToMember(addresseeOf(state.log, message), message);
     }
 }
 
-std::error_code controller::persist(time_point now)
-{
-    auto &effects = state.effects;
-    if (effects.mustInstall) {
-        snapshot.reset(); // the state that it was read from goes
-        if (const auto error = effects.mustDropTail ? store.dropAfter(state.log.snapshot.index())
-                                                    : std::error_code {}) {
-            return error;
-        }
-        if (const auto error = store.saveSnapshot(state.log.snapshot, *state.log.snapshotData)) {
-            return error;
-        }
-        effects.mustDropTail = false;
-    }
-    if (!effects.mustPersist) {
-        return {};
-    }
-    if (const auto error = store.append(state.log.term, state.log.votedFor, effects.persist)) {
-        return error;
-    }
-    effects.mustPersist = false;
-    effects.persist.clear();
-    stepPersisted(state.log, lastIndex(state.log), now, &effects);
-    return {};
-}
-
 void controller::install()
 {
     state.effects.mustInstall = false;
@@ -273,7 +240,10 @@
     while (effects.mustPersist || effects.mustInstall || !effects.early.empty()
            || !effects.send.empty() || !effects.committed.empty()) {
         sendAll(&effects.early);
-        const auto error = persist(now);
+        if (effects.mustInstall) {
+            snapshot.reset(); // the state that it was read from goes
+        }
+        const auto error = persistEffects(state.log, store, now, &effects);
         if (error == error_kind::DiskFull) {
             // Nothing was written, so nothing may be said; the entries are tried again later.
             if (!std::exchange(state.isDiskFull, true)) {
--- a/modules/filbert_controller/controller.h
+++ b/modules/filbert_controller/controller.h
@@ -70,7 +70,6 @@
     void proposePending(time_point now, std::int64_t wallMs);
     void takeLeadership(time_point now);
     void sendAll(std::vector<messages::replication_message> *messages);
-    std::error_code persist(time_point now);
     void install();
     void applyCommitted(time_point now);
     std::error_code compact(time_point now);
--- /dev/null
+++ b/modules/filbert_node/work_requests.cpp
@@ -0,0 +1,175 @@
+#include "work_controller.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace filbert {
+
+namespace {
+
+constexpr std::size_t idLength = 16; // hexadecimal digits
+constexpr milliseconds retryWhileForming {500}; // a formation takes about a second
+
+bool isJobId(std::string_view text)
+{
+    return text.size() == idLength && std::all_of(text.begin(), text.end(), [](char c) {
+               return (c >= '0' && c <= '9') || (c >= 'a' && c <= 'f') || (c >= 'A' && c <= 'F');
+           });
+}
+
+} // namespace
+
+void work_controller::takeRequest(const reply_to &from, const messages::work_request &request,
+                                  time_point now, std::int64_t wallMs)
+{
+    if (!dispatch || isStopping || !log.isServing(now)) {
+        answerKind(from, messages::ANSWER_NO_LEADER);
+        return;
+    }
+    using body = messages::work_request::BodyCase;
+    switch (request.body_case()) {
+    case body::kJob:
+        takeJobCall(from, request.job(), wallMs);
+        break;
+    case body::kReport: {
+        const auto known = dispatch->effects.commands.size();
+        if (!takeReport(*dispatch, request.report(), now)) {
+            answerKind(from, messages::ANSWER_OK);
+            break;
+        }
+        auto command = std::move(dispatch->effects.commands[known]);
+        dispatch->effects.commands.resize(known);
+        propose(std::move(command), from);
+        break;
+    }
+    case body::kTargetLeaves:
+        takeLeave(*dispatch, request.target_leaves(), now);
+        answerKind(from, messages::ANSWER_OK);
+        break;
+    case body::kConfigure:
+        takeConfiguration(from, request.configure());
+        break;
+    case body::kReadConfiguration: {
+        messages::work_answer what;
+        const bool isKnown = state.configuration.version() > 0;
+        what.set_kind(isKnown ? messages::ANSWER_DOCUMENT : messages::ANSWER_NOT_NOW);
+        what.set_document(state.configuration.document());
+        what.set_number(isKnown ? 0 : retryWhileForming.count);
+        answer(from, std::move(what));
+        break;
+    }
+    case body::BODY_NOT_SET:
+        answerKind(from, messages::ANSWER_MALFORMED, "a request that controllers do not take");
+    }
+}
+
+void work_controller::takeJobCall(const reply_to &from, const messages::job_call &call,
+                                  std::int64_t wallMs)
+{
+    const auto &configuration = state.configuration;
+    if (configuration.version() == 0) {
+        answerKind(from, messages::ANSWER_NOT_NOW, "no configuration yet", retryWhileForming.count);
+        return;
+    }
+    const auto *queue = queueFor(configuration, call.host(), call.path());
+    if (queue == nullptr) {
+        answerKind(from, messages::ANSWER_NO_QUEUE);
+        return;
+    }
+    const auto *team = teamWithKey(configuration, call.key());
+    if (team == nullptr && !queue->is_open()) {
+        answerKind(from, messages::ANSWER_UNAUTHORIZED);
+        return;
+    }
+    const auto id = call.path().substr(queue->path_prefix().size());
+    const auto teamName = team != nullptr ? team->name() : std::string {};
+    if (call.kind() == messages::JOB_STATE && id.empty()) {
+        const auto found = state.pendingByQueue.find(queue->name());
+        answerKind(from, messages::ANSWER_PENDING, {},
+                   found == state.pendingByQueue.end() ? 0 : found->second);
+        return;
+    }
+    if (call.kind() == messages::JOB_SUBMIT) {
+        takeSubmission(from, call, *queue, teamName, id, wallMs);
+        return;
+    }
+    const auto job = state.jobs.find(id);
+    const bool isOwn = job != state.jobs.end() && job->second.job.queue() == queue->name()
+        && (queue->is_open() || job->second.job.team() == teamName);
+    if (call.kind() == messages::JOB_STATE) {
+        messages::work_answer what;
+        what.set_kind(isOwn ? messages::ANSWER_STATE : messages::ANSWER_NO_JOB);
+        what.set_name(isOwn ? std::string {statusName(job->second.status)} : std::string {});
+        answer(from, std::move(what));
+        return;
+    }
+    const bool isBeingAccepted =
+        std::any_of(pending.begin(), pending.end(),
+                    [&](const auto &each) { return each.command.accept().id() == id; })
+        || !inFlight.empty();
+    if (!isOwn && !isBeingAccepted) {
+        answerKind(from, messages::ANSWER_NO_JOB);
+        return;
+    }
+    messages::work_command command;
+    command.set_cancel(id);
+    propose(std::move(command), from);
+}
+
+void work_controller::takeSubmission(const reply_to &from, const messages::job_call &call,
+                                     const messages::work_queue &queue, const std::string &team,
+                                     const std::string &id, std::int64_t wallMs)
+{
+    if (state.jobs.contains(id)) {
+        answerKind(from, messages::ANSWER_OK); // it was accepted before
+        return;
+    }
+    auto problem = call.problem();
+    if (problem.empty() && !isJobId(id)) {
+        problem = "expected an id of 16 hexadecimal digits";
+    }
+    if (problem.empty()) {
+        problem = problemIn(call.job()).value_or("");
+    }
+    if (!problem.empty()) {
+        log_line {"job_refused"}.with("job", id).with("queue", queue.name()).with("why", problem);
+        answerKind(from, messages::ANSWER_MALFORMED, problem);
+        return;
+    }
+    messages::work_command command;
+    auto *job = command.mutable_accept();
+    *job = call.job();
+    job->set_id(id);
+    job->set_queue(queue.name());
+    job->set_team(team);
+    job->set_accepted_wall_ms(wallMs);
+    *job->mutable_taken_under() = queue;
+    propose(std::move(command), from);
+}
+
+void work_controller::takeConfiguration(const reply_to &from,
+                                        const messages::work_configuration &document)
+{
+    if (const auto problem = problemIn(document)) {
+        log_line {"configuration_refused"}
+            .with("version", document.version())
+            .with("held", state.configuration.version())
+            .with("why", *problem);
+        answerKind(from, messages::ANSWER_MALFORMED, *problem);
+        return;
+    }
+    if (document.version() <= state.configuration.version()) {
+        answerKind(from, messages::ANSWER_OK); // acknowledged, without effect
+        return;
+    }
+    if (state.configuration.version() == 0 && countVoters() < wantedVoters(settings.formation)) {
+        answerKind(from, messages::ANSWER_NOT_NOW, "too few controllers have joined yet",
+                   retryWhileForming.count);
+        return;
+    }
+    messages::work_command command;
+    *command.mutable_configure() = document;
+    propose(std::move(command), from);
+}
+
+} // namespace filbert
--- a/modules/filbert_replication/filbert_replication.h
+++ b/modules/filbert_replication/filbert_replication.h
@@ -7,5 +7,6 @@
 */
 
 #include "formation.h"
+#include "log_effects.h"
 #include "log_member.h"
 #include "replicated_log.h"
--- /dev/null
+++ b/modules/filbert_replication/log_effects.cpp
@@ -0,0 +1,42 @@
+#include "log_effects.h"
+
+namespace filbert {
+
+std::error_code persistEffects(replicated_log_state &log, log_store &store, time_point now,
+                               replication_effects *effects)
+{
+    if (effects->mustInstall) {
+        if (effects->mustDropTail) {
+            if (const auto error = store.dropAfter(log.snapshot.index())) {
+                return error;
+            }
+        }
+        if (const auto error = store.saveSnapshot(log.snapshot, *log.snapshotData)) {
+            return error;
+        }
+        effects->mustDropTail = false;
+    }
+    if (!effects->mustPersist) {
+        return {};
+    }
+    if (const auto error = store.append(log.term, log.votedFor, effects->persist)) {
+        return error;
+    }
+    effects->mustPersist = false;
+    effects->persist.clear();
+    stepPersisted(log, lastIndex(log), now, effects);
+    return {};
+}
+
+messages::member addresseeOf(const replicated_log_state &log,
+                             const messages::replication_message &message)
+{
+    if (const auto *member = findMember(log.members, message.to())) {
+        return *member;
+    }
+    messages::member unknown;
+    unknown.set_identity(message.to());
+    return unknown;
+}
+
+} // namespace filbert
--- a/modules/filbert_replication/log_member.cpp
+++ b/modules/filbert_replication/log_member.cpp
@@ -1,5 +1,7 @@
 #include "log_member.h"
 
+#include "log_effects.h"
+
 #include <algorithm>
 #include <iterator>
 #include <utility>
@@ -56,42 +58,10 @@
 void log_member::sendAll(std::vector<messages::replication_message> *messages)
 {
     for (const auto &message : std::exchange(*messages, {})) {
-        const auto *member = findMember(log.members, message.to());
-        if (member != nullptr) {
-            hooks.send(*member, message);
-            continue;
-        }
-        messages::member unknown; // not in this one's membership yet: answer by identity
-        unknown.set_identity(message.to());
-        hooks.send(unknown, message);
+        hooks.send(addresseeOf(log, message), message);
     }
 }
 
-std::error_code log_member::persist(time_point now)
-{
-    if (effects.mustInstall) {
-        if (effects.mustDropTail) {
-            if (const auto error = store.dropAfter(log.snapshot.index())) {
-                return error;
-            }
-        }
-        if (const auto error = store.saveSnapshot(log.snapshot, *log.snapshotData)) {
-            return error;
-        }
-        effects.mustDropTail = false;
-    }
-    if (!effects.mustPersist) {
-        return {};
-    }
-    if (const auto error = store.append(log.term, log.votedFor, effects.persist)) {
-        return error;
-    }
-    effects.mustPersist = false;
-    effects.persist.clear();
-    stepPersisted(log, lastIndex(log), now, &effects);
-    return {};
-}
-
 std::error_code log_member::compact(time_point now)
 {
     const auto since = log.applied - log.snapshot.index();
@@ -134,7 +104,7 @@
     while (effects.mustPersist || effects.mustInstall || !effects.early.empty()
            || !effects.send.empty() || (toApply > 0 && !effects.committed.empty())) {
         sendAll(&effects.early);
-        const auto error = persist(now);
+        const auto error = persistEffects(log, store, now, &effects);
         if (error == error_kind::DiskFull) {
             // Nothing was written, so nothing may be said; the entries are tried again later.
             if (!std::exchange(hasFullDisk, true)) {
--- a/modules/filbert_replication/log_member.h
+++ b/modules/filbert_replication/log_member.h
@@ -87,7 +87,6 @@
 private:
     void sendAll(std::vector<messages::replication_message> *messages);
     std::size_t applyCommitted(std::size_t most);
-    std::error_code persist(time_point now);
     std::error_code compact(time_point now);
 
     replicated_log_state log;
--- a/modules/filbert_transport/filbert_transport.h
+++ b/modules/filbert_transport/filbert_transport.h
@@ -14,4 +14,5 @@
 #include "http_client.h"
 #include "http_server.h"
 #include "http_types.h"
+#include "member_sockets.h"
 #include "message_socket.h"
--- a/programs/filbert_controller.cpp
+++ b/programs/filbert_controller.cpp
@@ -7,7 +7,6 @@
 #include <algorithm>
 #include <gflags/gflags.h>
 #include <iostream>
-#include <map>
 #include <memory>
 
 DEFINE_string(name, "", "name of this controller, for logs");
@@ -41,20 +40,11 @@
 class socket_outbox : public controller_outbox
 {
 public:
-    using handler = std::function<void(const std::string &peer, std::string &&message)>;
-
     socket_outbox(event_loop &loop, zmq::context_t &context, const std::string &identity,
-                  const std::string &endpoint, const curve_site &site, handler onMessage)
-        : loop {loop}
-        , context {context}
-        , identity {identity}
-        , site {site}
-        , onMessage {std::move(onMessage)}
-        , server {loop, context, endpoint, site.serverKeys(),
-                  [this](const std::string &peer, std::string &&text) {
-                      heardAt[peer] = monotonicNow();
-                      this->onMessage(peer, std::move(text));
-                  }}
+                  const std::string &endpoint, const curve_site &site,
+                  const member_sockets::handler &onMessage)
+        : identity {identity}
+        , sockets {loop, context, identity, endpoint, site, silentSpan, onMessage}
     {
     }
 
@@ -64,61 +54,22 @@
         messages::envelope envelope;
         *envelope.mutable_replication() = message;
         envelope.set_from(identity);
-        const auto bytes = envelope.SerializeAsString();
-        if (member.address().empty()) {
-            server.send(member.identity(), bytes);
-            return;
-        }
-        connect(member);
-        clients[member.address()]->send(bytes); // what is lost is sent again by the protocol above
-    }
-
-    /** Connects beforehand: the first message to a member that is not connected would be lost. So
-        would one that is sent as its connection is renewed; both are done between messages.
-
-        A member that nothing comes from may not hear either, since its connection is silent.
-    */
-    void keepConnected(const messages::member &member)
-    {
-        connect(member);
-        // A host whose disk was replaced has two identities at one address for a while.
-        auto &quietSince = quietSinceOf[member.address()];
-        quietSince = std::max(quietSince, heardAt[member.identity()]);
-        const auto now = monotonicNow();
-        if (now - quietSince < silentSpan) {
-            return;
-        }
-        quietSince = now;
-        clients[member.address()]->reconnect();
+        sockets.sendToMember(member, envelope.SerializeAsString());
     }
 
     void sendToGateway(const std::string &gateway, const messages::envelope &envelope) override
     {
-        server.send(gateway, envelope.SerializeAsString());
+        sockets.sendToPeer(gateway, envelope.SerializeAsString());
     }
 
-private:
-    void connect(const messages::member &member)
+    void keepConnected(const messages::member &member)
     {
-        auto &client = clients[member.address()];
-        if (!client) {
-            client = std::make_unique<message_client>(
-                loop, context, identity, member.address(), site.clientKeys(member.address()),
-                [this, peer = member.identity()](std::string &&text) {
-                    onMessage(peer, std::move(text));
-                });
-        }
+        sockets.keepConnected(member, monotonicNow());
     }
 
-    event_loop &loop;
-    zmq::context_t &context;
+private:
     std::string identity;
-    curve_site site;
-    handler onMessage;
-    std::map<std::string, time_point> heardAt; // by the peer's name
-    std::map<std::string, time_point> quietSinceOf; // by address: last heard or renewed
-    message_server server;
-    std::map<std::string, std::unique_ptr<message_client>> clients;
+    member_sockets sockets;
 };
 
 int initialise(log_store &store)
