Tests of the conversation share their first placement

Cause: the same five lines opened eight and more tests. Change: dispatch_fixture::placeOne(). No assertion changes.

--- a/modules/filbert_dispatch/tests/dispatch_fixture.h
+++ b/modules/filbert_dispatch/tests/dispatch_fixture.h
@@ -39,6 +39,16 @@
         takeReport(*leader, about, now);
     }
 
+    /** A job "j" of one task, which is placed on the only target, "t1"; the start is not answered. */
+    void placeOne()
+    {
+        target("t1");
+        accept("j", {step(1)});
+        lead();
+        report("t1");
+        run({20});
+    }
+
     /** Lets time pass by small steps, and commits whatever is proposed. */
     void run(milliseconds span)
     {
--- a/modules/filbert_dispatch/tests/target_conversation_test.cpp
+++ b/modules/filbert_dispatch/tests/target_conversation_test.cpp
@@ -94,11 +94,7 @@
           "[dispatch]")
 {
     dispatch_fixture cell;
-    cell.target("t1");
-    cell.accept("j", {cell.step(1)});
-    cell.lead();
-    cell.report("t1");
-    cell.run({20});
+    cell.placeOne();
     int tries = 0;
     while (cell.waiting(order_kind::Stop).empty() && tries < 20) {
         tries += static_cast<int>(cell.waiting(order_kind::Start).size());
@@ -122,11 +118,7 @@
 TEST_CASE("a start that never left its host is given up without a stop", "[dispatch]")
 {
     dispatch_fixture cell;
-    cell.target("t1");
-    cell.accept("j", {cell.step(1)});
-    cell.lead();
-    cell.report("t1");
-    cell.run({20});
+    cell.placeOne();
     for (int i = 0; i < 20 && cell.status(first) == task_status::Running; ++i) {
         cell.answer(order_kind::Start, order_result::Unreachable);
         cell.run({200});
@@ -152,11 +144,7 @@
 TEST_CASE("an end is taken into the log before the target may forget it", "[dispatch]")
 {
     dispatch_fixture cell;
-    cell.target("t1");
-    cell.accept("j", {cell.step(1)});
-    cell.lead();
-    cell.report("t1");
-    cell.run({20});
+    cell.placeOne();
     cell.obey("t1");
     cell.run({20});
     order_answer list;
@@ -173,11 +161,7 @@
 TEST_CASE("runs of a cancelled job are stopped, and strays too", "[dispatch]")
 {
     dispatch_fixture cell;
-    cell.target("t1");
-    cell.accept("j", {cell.step(1)});
-    cell.lead();
-    cell.report("t1");
-    cell.run({20});
+    cell.placeOne();
     cell.obey("t1");
     messages::work_command cancel;
     cancel.set_cancel("j");
@@ -263,11 +247,7 @@
     "[dispatch]")
 {
     dispatch_fixture cell;
-    cell.target("t1");
-    cell.accept("j", {cell.step(1)});
-    cell.lead();
-    cell.report("t1");
-    cell.run({20});
+    cell.placeOne();
     takeLeave(*cell.leader, "t1", cell.now);
     const auto lease = cell.leader->settings.targetLease;
     for (const auto end = cell.now + lease; cell.now < end;) {
@@ -286,11 +266,7 @@
 TEST_CASE("a task that makes no progress is stopped and its target is avoided", "[dispatch]")
 {
     dispatch_fixture cell;
-    cell.target("t1");
-    cell.accept("j", {cell.step(1)});
-    cell.lead();
-    cell.report("t1");
-    cell.run({20});
+    cell.placeOne();
     for (int i = 0; i < 35 && cell.waiting(order_kind::Stop).empty(); ++i) {
         cell.report("t1");
         cell.answer(order_kind::Start, order_result::Done);
@@ -310,11 +286,7 @@
 TEST_CASE("work is not stopped for want of progress while no look has come back", "[dispatch]")
 {
     dispatch_fixture cell;
-    cell.target("t1");
-    cell.accept("j", {cell.step(1)});
-    cell.lead();
-    cell.report("t1");
-    cell.run({20});
+    cell.placeOne();
     cell.live({500}, {"t1"});
     REQUIRE(cell.status(first) == task_status::Running);
     for (int i = 0; i < 4; ++i) { // reports come, but the process that looked is gone
@@ -402,11 +374,7 @@
 TEST_CASE("one silent target does not make looks short", "[dispatch]")
 {
     dispatch_fixture cell;
-    cell.target("t1");
-    cell.accept("j", {cell.step(1)});
-    cell.lead();
-    cell.report("t1");
-    cell.run({20});
+    cell.placeOne();
     cell.answer(order_kind::Start, order_result::Unanswered);
     cell.run({60});
     cell.answer(order_kind::Start, order_result::Done);
