A call over TLS waits as long as it was told

The library gives up after 5 s by itself; the call's own time was told to it once, and over TLS the library sets its own again after that, when the body has left in a later turn. Ruled out: the foreign certificate (the gateway's log holds the same three errors in good runs), a kept connection (these calls take new ones), splitEndpoint() (120 plain calls all answered), the server's idle time (20 s). Change: the call's own time is told once a second.

--- a/modules/filbert_transport/http_client.cpp
+++ b/modules/filbert_transport/http_client.cpp
@@ -11,6 +11,7 @@
 namespace {
 
 constexpr milliseconds deadlinePeriod {50};
+constexpr milliseconds timeoutPeriod {1'000}; // a fifth of what the library waits by itself
 constexpr std::int64_t millisecondsPerSecond = 1'000;
 constexpr int spareSeconds = 2;
 constexpr std::size_t maxAnswerBytes = 8 << 20;
@@ -46,7 +47,7 @@
     int slot = -1;
     bool hasLeft = false;
     bool keepsConnection = false;
-    bool hasOwnTimeout = false;
+    time_point ownTimeoutAt; // when the library is told again how long to wait
     bool isEnded = false;
 };
 
@@ -302,8 +303,10 @@
     const auto now = monotonicNow();
     std::vector<std::shared_ptr<exchange>> late;
     for (const auto &[key, call] : live) {
-        if (call->hasLeft && call->wsi != nullptr && !std::exchange(call->hasOwnTimeout, true)) {
-            // The library would give up after a few seconds; this call's own deadline counts.
+        if (call->hasLeft && call->wsi != nullptr && now >= call->ownTimeoutAt) {
+            // The library gives up after 5 s and says so anew with each part that has left, over
+            // TLS also in a later turn; this call's own deadline counts.
+            call->ownTimeoutAt = now + timeoutPeriod;
             lws_set_timeout(call->wsi, PENDING_TIMEOUT_USER_OK,
                             libraryTimeoutSeconds(call->deadline, now));
         }
--- a/modules/filbert_transport/tests/http_test.cpp
+++ b/modules/filbert_transport/tests/http_test.cpp
@@ -1,9 +1,13 @@
 #include "filbert_transport/filbert_transport.h"
 
 #include <catch2/catch.hpp>
+#include <chrono>
+#include <filesystem>
 #include <fstream>
 #include <iomanip>
 #include <sstream>
+#include <thread>
+#include <unistd.h>
 
 using namespace filbert;
 
@@ -121,3 +125,49 @@
     CHECK(ended == 8);
     CHECK(answered == 4);
 }
+
+TEST_CASE("a call over TLS waits as long as it was told, however busy the loop was as it went out",
+          "[transport]")
+{
+    constexpr milliseconds libraryGivesUp {5'000};
+    constexpr int calls = 20; // of which about half were lost
+    const auto folder =
+        std::filesystem::temp_directory_path() / ("filbert-http-" + std::to_string(getpid()));
+    REQUIRE(!makeCertificates(folder, {{"host", "127.0.0.1"}}));
+    event_loop loop;
+    std::unique_ptr<http_server> server;
+    server = std::make_unique<http_server>(
+        loop, "127.0.0.1", 0, http_limits {},
+        tls_files {(folder / "host.pem").string(), (folder / "host.key").string()},
+        [&](http_request &&request) {
+            loop.after(libraryGivesUp + milliseconds {1'500},
+                       [&, id = request.id] { server->respond(id, http_answer {}); });
+        });
+    http_client client {loop, calls, true, (folder / "authority.pem").string()};
+    int answered = 0;
+    int ended = 0;
+    for (int i = 0; i < calls; ++i) {
+        loop.after({1 + 7 * i}, [&] {
+            http_call call;
+            call.endpoint = "127.0.0.1:" + std::to_string(server->port());
+            call.body = "{}";
+            call.timeout = libraryGivesUp * 3;
+            client.send(std::move(call), [&](std::error_code error, http_answer &&) {
+                answered += error ? 0 : 1;
+                if (++ended == calls) {
+                    loop.stop();
+                }
+            });
+        });
+    }
+    // Each turn takes longer than the client waits between its looks at deadlines.
+    const auto busyUntil = monotonicNow() + libraryGivesUp;
+    loop.every({1}, [&] {
+        if (monotonicNow() < busyUntil) {
+            std::this_thread::sleep_for(std::chrono::milliseconds {60});
+        }
+    });
+    loop.run();
+    std::filesystem::remove_all(folder);
+    CHECK(answered == calls);
+}
