--- a/modules/filbert_dispatch/tests/dispatch_fixture.h
+++ b/modules/filbert_dispatch/tests/dispatch_fixture.h
@@ -39,7 +39,8 @@
         takeReport(*leader, about, now);
     }
 
-    /** A job "j" of one task, which is placed on the only target, "t1"; the start is not answered. */
+    /** A job "j" of one task, which is placed on the only target, "t1"; the start is not answered.
+     */
     void placeOne()
     {
         target("t1");
