--- a/modules/filbert_node/work_controller.cpp
+++ b/modules/filbert_node/work_controller.cpp
@@ -403,6 +403,7 @@
 std::error_code work_controller::flush(time_point now, std::int64_t wallMs)
 {
     flushNow = now;
+    log.takeTime(now); // heartbeats leave on time, however long turns are
     reviewLeadership(now, wallMs);
     if (dispatch && log.isServing(now)) {
         stepDispatch(*dispatch, now, wallMs);
--- a/modules/filbert_replication/replicated_log.cpp
+++ b/modules/filbert_replication/replicated_log.cpp
@@ -332,8 +332,30 @@
     return state;
 }
 
+namespace {
+
+// Twice the longest span between two calls of stepTime() that is asked for.
+constexpr milliseconds stallSpan {40};
+// Reading what has queued up takes a turn or two of a busy member.
+constexpr milliseconds catchUpSpan {50};
+
+/** A follower that stood still for a while calls no leader silent before it has read what came
+    meanwhile. One such pause counts in an election timeout, so that a member which is slow all
+    the time acts too. */
+void noteStall(replicated_log_state &state, time_point now)
+{
+    const bool hasStalled = state.steppedAt.ms > 0 && now - state.steppedAt > stallSpan;
+    state.steppedAt = now;
+    if (hasStalled && now - state.catchUpUntil > state.settings.electionTimeout) {
+        state.catchUpUntil = now + catchUpSpan;
+    }
+}
+
+} // namespace
+
 void stepTime(replicated_log_state &state, time_point now, replication_effects *effects)
 {
+    noteStall(state, now);
     if (state.role == replica_role::Leader) {
         if (now - state.lastQuorum >= state.settings.electionTimeout && !isSoleVoter(state)) {
             becomeFollower(state, state.term, {}, now, effects);
@@ -352,7 +374,7 @@
         }
         return;
     }
-    if (now >= state.electionAt) {
+    if (now >= state.electionAt && now >= state.catchUpUntil) {
         startPreVote(state, now, effects);
     }
 }
--- a/modules/filbert_replication/replicated_log.h
+++ b/modules/filbert_replication/replicated_log.h
@@ -80,6 +80,8 @@
     time_point lastQuorum; // as a leader
     time_point electionAt;
     time_point heartbeatAt;
+    time_point steppedAt; // the last stepTime()
+    time_point catchUpUntil; // after a stall of its own: what others sent meanwhile is read first
     std::optional<time_point> handOverUntil; // proposals stop, leadership goes to another member
     std::string handOverMember;
     std::string incoming; // a snapshot on its way
--- a/modules/filbert_replication/tests/replicated_log_test.cpp
+++ b/modules/filbert_replication/tests/replicated_log_test.cpp
@@ -303,3 +303,38 @@
     stepMessage(state, accepted(state, "b", lastIndex(state)), later, &effects);
     CHECK(state.commit == lastIndex(state));
 }
+
+TEST_CASE("a member that stood still reads what came meanwhile before it stands for election")
+{
+    auto state = memberOf("a");
+    replication_effects effects;
+    messages::replication_message heartbeat;
+    heartbeat.set_from("b");
+    heartbeat.set_to("a");
+    heartbeat.mutable_append()->set_term(1);
+    heartbeat.mutable_append()->set_previous_index(1);
+    heartbeat.mutable_append()->set_previous_term(1);
+    stepTime(state, {100}, &effects);
+    stepMessage(state, heartbeat, {100}, &effects);
+    effects = {};
+    stepTime(state, {2'000}, &effects); // after a stall, with a heartbeat unread
+    CHECK(effects.send.empty());
+    stepMessage(state, heartbeat, {2'010}, &effects);
+    stepTime(state, {2'200}, &effects);
+    CHECK(state.role == replica_role::Follower);
+    CHECK(state.leader == "b");
+}
+
+TEST_CASE("a member that is slow all the time stands for election too")
+{
+    auto state = memberOf("a");
+    replication_effects effects;
+    const milliseconds slowStep {60};
+    time_point now {slowStep.count};
+    const auto until = now + state.settings.electionTimeout + state.settings.electionTimeout;
+    while (now < until && state.role == replica_role::Follower) {
+        stepTime(state, now, &effects);
+        now = now + slowStep;
+    }
+    CHECK(state.role == replica_role::PreCandidate);
+}
--- a/modules/filbert_work/tests/work_commands_test.cpp
+++ b/modules/filbert_work/tests/work_commands_test.cpp
@@ -99,6 +99,33 @@
     CHECK(cell.apply(cancel).error == error_kind::NotFound);
 }
 
+TEST_CASE("a job that has ended keeps its answer, and not its tasks", "[work]")
+{
+    work_fixture cell;
+    cell.target("t1");
+    messages::work_command cancel;
+    cancel.set_cancel("cancelled");
+    cell.accept("done", {cell.step(1)});
+    cell.accept("cancelled", {cell.step(2)});
+    cell.start({"done", 0, 0, 0}, 1, "t1");
+    cell.start({"cancelled", 0, 0, 1}, 1, "t1");
+    cell.apply(cancel);
+    CHECK_FALSE(cell.state.jobs.at("cancelled").occurrences.empty()); // a run is still there
+    cell.end({"done", 0, 0, 0}, 1, "t1", messages::END_DONE, 1);
+    cell.end({"cancelled", 0, 0, 1}, 1, "t1", messages::END_STOPPED, 2);
+    for (const auto *id : {"done", "cancelled"}) {
+        CHECK(cell.state.jobs.at(id).occurrences.empty());
+        CHECK(cell.state.jobs.at(id).job.spec().empty());
+    }
+    CHECK(cell.statusOf("done") == job_status::Completed);
+    CHECK(cell.statusOf("cancelled") == job_status::Cancelled);
+    CHECK(cell.state.lives.at("t1").used.milliCores == 0);
+    CHECK(cell.start({"done", 0, 0, 0}, 2, "t1").error != none);
+    CHECK(cell.accept("done", {cell.step(1)}).error == none); // the same request once more
+    CHECK(cell.statusOf("done") == job_status::Completed);
+    CHECK(cell.state.jobs.at("done").occurrences.empty());
+}
+
 TEST_CASE("a job fails once a task has failed as often as its queue allows", "[work]")
 {
     work_fixture cell;
--- a/modules/filbert_work/work_commands.cpp
+++ b/modules/filbert_work/work_commands.cpp
@@ -23,6 +23,16 @@
     job.endedWallMs = wallMs;
 }
 
+/** Of a job that has ended and has nothing running, only what answers about it need is kept: jobs
+    are held for minutes after their end, and their tasks would be most of a snapshot. */
+void dropDetailsOfEnded(work_job &job)
+{
+    if (job.isEnded() && job.running == 0) {
+        job.occurrences.clear();
+        job.job.clear_spec();
+    }
+}
+
 std::uint32_t occurrencesOf(const work_job &job)
 {
     return static_cast<std::uint32_t>(std::max(job.job.repeat_count(), 1));
@@ -78,6 +88,7 @@
     }
     if (!job->second.isEnded()) {
         endJob(state, job->second, job_status::Cancelled, wallMs);
+        dropDetailsOfEnded(job->second);
     }
     return {};
 }
@@ -85,17 +96,21 @@
 command_outcome start(work_state &state, const messages::start_run_command &command)
 {
     const auto name = nameOf(command.task());
+    const auto known = state.jobs.find(name.job);
+    if (known != state.jobs.end() && known->second.isEnded()) {
+        return {error_kind::Conflict, "the job has ended"};
+    }
     auto *task = findTask(state, name);
     const auto life = state.lives.find(command.target());
     if (task == nullptr || life == state.lives.end()) {
         return {error_kind::NotFound, "no such task or target"};
     }
-    auto &job = state.jobs.at(name.job);
+    auto &job = known->second;
     auto &occurrence = job.occurrences.at(name.occurrence);
     auto &step = occurrence.steps[name.step];
     const auto &spec = specOf(job, name.step);
-    const bool isDue = !job.isEnded() && !(spec.is_gang() && step.isGangDone)
-        && isStepReady(job, occurrence, name.step);
+    const bool isDue =
+        !(spec.is_gang() && step.isGangDone) && isStepReady(job, occurrence, name.step);
     if (task->status != task_status::Waiting || command.run() <= task->run || !isDue) {
         return {error_kind::Conflict, "the task runs, has ended or is not due"};
     }
@@ -185,6 +200,7 @@
     } else if (end.kind() == messages::END_DONE && !lasts) {
         markDone(state, name, *task, step, wallMs);
     }
+    dropDetailsOfEnded(job);
 }
 
 command_outcome end(work_state &state, const messages::end_runs_command &command,
@@ -209,11 +225,12 @@
     if (task == nullptr || task->status != task_status::Running || task->run != command.run()) {
         return {};
     }
-    auto &step = state.jobs.at(name.job).occurrences.at(name.occurrence).steps[name.step];
-    release(state, name, *task, step);
+    auto &job = state.jobs.at(name.job);
+    release(state, name, *task, job.occurrences.at(name.occurrence).steps[name.step]);
     if (!command.checkpoint().empty()) {
         task->checkpoint = command.checkpoint();
     }
+    dropDetailsOfEnded(job);
     return {};
 }
 
@@ -221,8 +238,10 @@
 {
     const auto runs = life.runs;
     for (const auto &name : runs) {
-        auto &step = state.jobs.at(name.job).occurrences.at(name.occurrence).steps[name.step];
+        auto &job = state.jobs.at(name.job);
+        auto &step = job.occurrences.at(name.occurrence).steps[name.step];
         release(state, name, step.tasks[name.index], step);
+        dropDetailsOfEnded(job);
     }
 }
 
