Entry hosts hear of a new leader at once, and a new leader's orders wait for them

Cause: after a restart of all, a leader of a grown site placed nothing for 0.5 s: entry hosts had said hello to the three seeds only, so that a leader which is no seed knew no carrier, and called 350 targets itself; they found it by their next hello, and looked for one no oftener than otherwise. Ruled out: the election, reading the log (leading at 36.32, 350 looks out in the same turn). Change: a new leader sends its welcome to all that said hello within 3 s; a process says hello soon to a controller that it hears of, and each 100 ms while it knows no leader; orders of a new term wait up to 400 ms for a first carrier (dropped with their term). Tests failed first, or have no counterpart (the relay's).

--- a/modules/filbert_node/leader_link.cpp
+++ b/modules/filbert_node/leader_link.cpp
@@ -104,7 +104,9 @@
                               time_point now)
 {
     for (const auto &member : welcome.members()) {
-        members.insert(member.address());
+        if (members.insert(member.address()).second) {
+            helloAt = std::min(helloAt, now + settings.retryPause); // it may come to lead
+        }
     }
     const bool isOwnWord = welcome.leader_address() == address;
     if (welcome.leader_address().empty() || (!isOwnWord && hasLeader(now))) {
@@ -138,7 +140,7 @@
 
 void leader_link::sayHello(time_point now)
 {
-    helloAt = now + settings.helloPeriod;
+    helloAt = now + (hasLeader(now) ? settings.helloPeriod : settings.searchPeriod);
     messages::work_envelope envelope;
     envelope.set_from(settings.name);
     envelope.mutable_hello()->set_name(settings.name);
--- a/modules/filbert_node/leader_link.h
+++ b/modules/filbert_node/leader_link.h
@@ -22,6 +22,7 @@
     bool carriesOrders = false; // whether it can call targets
     std::string failureDomain; // of this process' host
     milliseconds helloPeriod {300}; // three fit into the span after which a caller counts as gone
+    milliseconds searchPeriod {100}; // between hellos while no leader is known: work waits
     milliseconds resendAfter {600}; // several times the longest commit; requests can be repeated
     milliseconds retryPause {60}; // after an answer that there is no leader
     milliseconds unsentSpan {1'500}; // a request waits for an election, but not longer
--- a/modules/filbert_node/order_relay.cpp
+++ b/modules/filbert_node/order_relay.cpp
@@ -63,13 +63,22 @@
 void order_relay::send(const target_order &order, std::size_t targets,
                        const std::string &failureDomain, time_point now)
 {
-    const auto carrier = targets > settings.ownTargets
-        ? carrierFor(order.target, failureDomain, now)
-        : std::string {};
-    if (carrier.empty()) {
+    if (targets <= settings.ownTargets) {
         given.callTarget(order);
         return;
     }
+    const auto carrier = carrierFor(order.target, failureDomain, now);
+    if (!carrier.empty()) {
+        pass(order, carrier, now);
+    } else if (now < carriersAwaitedUntil) {
+        held.push_back({order, failureDomain});
+    } else {
+        given.callTarget(order);
+    }
+}
+
+void order_relay::pass(const target_order &order, const std::string &carrier, time_point now)
+{
     const auto id = ++lastId;
     open[id] = {order, carrier, now + order.timeout + settings.answerGrace};
     auto *added = gathered[carrier].mutable_carried()->add_orders();
@@ -77,8 +86,25 @@
     added->set_id(id);
 }
 
-void order_relay::flush()
+void order_relay::passHeld(time_point now)
+{
+    const bool isCarrierKnown = !carrierFor({}, {}, now).empty();
+    if (held.empty() || (!isCarrierKnown && now < carriersAwaitedUntil)) {
+        return;
+    }
+    for (const auto &[order, failureDomain] : std::exchange(held, {})) {
+        const auto carrier = carrierFor(order.target, failureDomain, now);
+        if (carrier.empty()) {
+            given.callTarget(order);
+        } else {
+            pass(order, carrier, now);
+        }
+    }
+}
+
+void order_relay::flush(time_point now)
 {
+    passHeld(now);
     for (const auto &[carrier, envelope] : std::exchange(gathered, {})) {
         given.send(carrier, envelope);
     }
@@ -143,10 +169,12 @@
     }
 }
 
-void order_relay::clear()
+void order_relay::startTerm(time_point now)
 {
     open.clear();
     gathered.clear();
+    held.clear();
+    carriersAwaitedUntil = now + settings.carrierWait;
 }
 
 messages::carried_order carriedOrderOf(const target_order &order)
--- a/modules/filbert_node/order_relay.h
+++ b/modules/filbert_node/order_relay.h
@@ -18,6 +18,9 @@
     // many the leader's host would have little left for decisions.
     std::size_t ownTargets = 100;
     milliseconds carrierSpan {1'000}; // three missed hellos
+    // After a restart of all, entry hosts find the new leader within their hello period; calls of
+    // so many targets from here would take the leader as long as that.
+    milliseconds carrierWait {400};
     milliseconds answerGrace {350}; // on top of the order's own time: two hops and a turn each
 };
 
@@ -53,16 +56,17 @@
     void send(const target_order &order, std::size_t targets, const std::string &failureDomain,
               time_point now);
 
-    /** Sends what send() has gathered; call it once a turn. */
-    void flush();
+    /** Sends what send() has gathered; call it once a turn, and only while its term is served. */
+    void flush(time_point now);
 
     void takeAnswers(const std::string &carrier, const messages::carried_answers &answers);
 
     /** Ends the orders of carriers that are silent, or have not answered one of them in time. */
     void takeTime(time_point now);
 
-    /** Forgets all open orders: their term is over. */
-    void clear();
+    /** Forgets all open orders, since their term is over; those of the new one wait a little where
+        no carrier is known yet. */
+    void startTerm(time_point now);
 
 private:
     struct carrier_state
@@ -79,8 +83,16 @@
         time_point deadline;
     };
 
+    struct held_order
+    {
+        target_order order;
+        std::string failureDomain; // of its target
+    };
+
     std::string carrierFor(const std::string &target, const std::string &failureDomain,
                            time_point now) const;
+    void pass(const target_order &order, const std::string &carrier, time_point now);
+    void passHeld(time_point now);
     void loseCarrier(const std::string &name, const std::string &reason, time_point now);
 
     order_relay_settings settings;
@@ -88,6 +100,8 @@
     std::map<std::string, carrier_state> carriers;
     std::map<std::uint64_t, open_order> open;
     std::map<std::string, messages::work_envelope> gathered; // by carrier
+    std::vector<held_order> held; // until a carrier is known
+    time_point carriersAwaitedUntil;
     std::uint64_t lastId = 0;
 };
 
--- a/modules/filbert_node/tests/leader_link_test.cpp
+++ b/modules/filbert_node/tests/leader_link_test.cpp
@@ -131,6 +131,34 @@
     CHECK(std::count(cell.renewed.begin(), cell.renewed.end(), "tcp://c1") >= 1);
 }
 
+TEST_CASE("a controller that a process hears of gets its hello soon", "[link]")
+{
+    link_fixture cell;
+    cell.welcome("tcp://c1", "tcp://c1");
+    cell.pass({40});
+    cell.sent.clear();
+    messages::work_envelope envelope;
+    envelope.mutable_welcome()->add_members()->set_address("tcp://c3");
+    cell.link.takeEnvelope("tcp://c2", envelope, cell.now);
+    cell.pass({100});
+    CHECK(std::any_of(cell.sent.begin(), cell.sent.end(),
+                      [](const auto &each) { return each.first == "tcp://c3"; }));
+}
+
+TEST_CASE("without a leader hellos are more frequent", "[link]")
+{
+    const auto hellosOf = [](link_fixture &cell) {
+        cell.sent.clear();
+        cell.pass({900});
+        return cell.sent.size() / 2; // to two controllers each
+    };
+    link_fixture searching;
+    CHECK(hellosOf(searching) >= 8);
+    link_fixture settled;
+    settled.welcome("tcp://c1", "tcp://c1");
+    CHECK(hellosOf(settled) <= 4);
+}
+
 TEST_CASE("a process that stops says so in its next hello", "[link]")
 {
     link_fixture cell;
--- a/modules/filbert_node/tests/order_relay_test.cpp
+++ b/modules/filbert_node/tests/order_relay_test.cpp
@@ -48,7 +48,7 @@
     void send(const std::string &target, std::size_t targets = 350)
     {
         relay.send(orderFor(target), targets, "a", now);
-        relay.flush();
+        relay.flush(now);
     }
 };
 
@@ -68,6 +68,38 @@
     CHECK(cell.sent[0].first == "g1");
 }
 
+TEST_CASE("a new leader's orders wait a little for the first carrier, then it calls itself", "[relay]")
+{
+    relay_fixture cell;
+    cell.relay.startTerm(cell.now);
+    cell.send("t1");
+    CHECK(cell.called.empty());
+    CHECK(cell.sent.empty());
+    const bool comesOne = GENERATE(true, false);
+    if (comesOne) {
+        cell.relay.takeCarrier("g1", "a", 1, cell.now);
+    } else {
+        cell.now = cell.now + milliseconds {400};
+    }
+    cell.relay.flush(cell.now);
+    CHECK(cell.sent.size() == (comesOne ? 1 : 0));
+    CHECK(cell.called.size() == (comesOne ? 0 : 1));
+    cell.relay.flush(cell.now);
+    CHECK(cell.sent.size() + cell.called.size() == 1); // once
+}
+
+TEST_CASE("orders that wait for a carrier end with their term", "[relay]")
+{
+    relay_fixture cell;
+    cell.relay.startTerm(cell.now);
+    cell.send("t1");
+    cell.relay.startTerm(cell.now);
+    cell.relay.takeCarrier("g1", "a", 1, cell.now);
+    cell.relay.flush(cell.now);
+    CHECK(cell.sent.empty());
+    CHECK(cell.called.empty());
+}
+
 TEST_CASE("a target stays with a carrier of its own failure domain", "[relay]")
 {
     relay_fixture cell;
--- a/modules/filbert_node/tests/work_controller_test.cpp
+++ b/modules/filbert_node/tests/work_controller_test.cpp
@@ -20,6 +20,7 @@
     std::vector<target_order> orders;
     std::map<std::uint64_t, messages::work_answer> answers; // by exchange
     std::vector<std::pair<std::string, messages::admission_request>> admissions; // by process
+    std::vector<std::string> toldOfLeader; // processes that were told that this one leads
     std::unique_ptr<work_controller> controller;
     std::uint64_t lastExchange = 0;
 
@@ -43,6 +44,9 @@
         hooks.sendToMember = [](const messages::member &, const messages::work_envelope &) {};
         hooks.sendToPeer = [this](const std::string &peer,
                                   const messages::work_envelope &envelope) {
+            if (envelope.has_welcome() && !envelope.welcome().leader().empty()) {
+                toldOfLeader.push_back(peer);
+            }
             if (envelope.has_admission()) {
                 admissions.emplace_back(peer, envelope.admission());
                 return;
@@ -219,6 +223,14 @@
     CHECK(cell.admissions[0].first == "gateway-1");
 }
 
+TEST_CASE("a new leader says so at once to all that said hello to it before", "[controller]")
+{
+    CHECK(controller_fixture {}.toldOfLeader.empty());
+    const controller_fixture cell {0, true};
+    REQUIRE(cell.toldOfLeader.size() == 1);
+    CHECK(cell.toldOfLeader[0] == "gateway-1");
+}
+
 TEST_CASE("a controller that stops turns requests away", "[controller]")
 {
     controller_fixture cell;
--- a/modules/filbert_node/work_controller.cpp
+++ b/modules/filbert_node/work_controller.cpp
@@ -7,6 +7,8 @@
 
 namespace {
 
+constexpr milliseconds peerSpan {3'000}; // ten hellos: who is silent for longer has gone
+
 std::string commandName(const messages::work_command &command)
 {
     const auto *field = messages::work_command::descriptor()->FindFieldByNumber(
@@ -112,6 +114,12 @@
     } else {
         relay.dropCarrier(peer);
     }
+    peersHeardAt[peer] = now;
+    sendWelcome(peer, now);
+}
+
+void work_controller::sendWelcome(const std::string &peer, time_point now)
+{
     messages::work_envelope envelope;
     envelope.set_from(settings.name);
     auto *answer = envelope.mutable_welcome();
@@ -131,6 +139,16 @@
     hooks.sendToPeer(peer, envelope);
 }
 
+/** Tells whoever said hello lately: they would find out by their next one, and wait until then. */
+void work_controller::announceLeadership(time_point now)
+{
+    std::erase_if(peersHeardAt,
+                  [&](const auto &each) { return now - each.second >= peerSpan; });
+    for (const auto &[peer, heardAt] : peersHeardAt) {
+        sendWelcome(peer, now);
+    }
+}
+
 void work_controller::answer(const reply_to &to, messages::work_answer &&what)
 {
     if (to.exchange == 0) {
@@ -356,12 +374,13 @@
     }
     if (!dispatch && log.isSettled() && !isStopping && hasLease(view, now)) {
         turnAwayAll();
-        relay.clear();
+        relay.startTerm(now);
         dispatch = startDispatch(state, settings.dispatch, view.term, now, wallMs);
         for (const auto &[name, caller] : policyCallers) {
             takeCaller(*dispatch, name, caller.process, caller.heardAt);
         }
         leadingSince = now;
+        announceLeadership(now);
         metrics.countElection();
         log_line {"leading"}
             .with("term", view.term)
@@ -391,7 +410,7 @@
             life == state.lives.end() ? std::string {} : life->second.about.failure_domain();
         relay.send(order, dispatch->targets.size(), domain, now);
     }
-    relay.flush();
+    relay.flush(now);
     for (const auto &call : std::exchange(dispatch->effects.admissions, {})) {
         messages::work_envelope envelope;
         envelope.set_from(settings.name);
--- a/modules/filbert_node/work_controller.h
+++ b/modules/filbert_node/work_controller.h
@@ -86,6 +86,8 @@
                         const std::string &id, std::int64_t wallMs);
     void takeConfiguration(const reply_to &from, const messages::work_configuration &document);
     void welcome(const std::string &peer, const messages::peer_hello &hello, time_point now);
+    void sendWelcome(const std::string &peer, time_point now);
+    void announceLeadership(time_point now);
     void answer(const reply_to &to, messages::work_answer &&what);
     void answerKind(const reply_to &to, messages::work_answer_kind kind,
                     const std::string &detail = {}, std::int64_t number = 0);
@@ -129,6 +131,7 @@
     std::map<std::uint64_t, open_batch> inFlight; // by index of the log
     std::map<std::string, join_candidate> candidates; // by identity
     std::map<std::string, policy_caller> policyCallers; // by name
+    std::map<std::string, time_point> peersHeardAt; // of processes that say hello
     time_point leadingSince;
     time_point joinAt;
     time_point flushNow; // of the flush under way, for hooks that it calls
