Followers carry orders where entry hosts have narrow links

Links: entry hosts have 2 Mbit/s, each start passes one twice with its text of 1.2 kB, each request to the policy service named 100 targets and its answer was passed on; domains with 12 entry hosts had three times the failures of that with 16. Controllers have 1,000 Mbit/s, and four of five hardly work. Change: a request names 3 targets a task and 15 (most 100); a process says its host's link in its hello; a carrier with a tenth of another's link gets orders only if there is no wide one; controllers that follow carry too. Weighed: weights by link (bytes between domains), the leader itself (its time is for decisions). The relay's choice is kept by target until carriers change. Test: narrow and wide.

--- a/modules/filbert_dispatch/ticket_requests.cpp
+++ b/modules/filbert_dispatch/ticket_requests.cpp
@@ -9,6 +9,10 @@
 namespace {
 
 constexpr std::size_t targetsPerRequest = 100; // the most that the policy service takes
+// A policy admits a third of the targets or more, and others take some of the room meanwhile. Each
+// one more takes the service's time, and bytes of a link that starts need too.
+constexpr std::size_t targetsPerTask = 3;
+constexpr std::size_t targetsBesides = 15;
 constexpr std::size_t targetsPerCostlyRequest = 20; // where each one named takes 4 ms and more
 constexpr double costlyPerTargetMs = 4.0;
 constexpr std::size_t targetsPerRefresh = 8; // of tickets: a few more than a gang needs
@@ -32,9 +36,11 @@
         }
     }
     const bool isCostly = step.queue->admission().per_target_ms() >= costlyPerTargetMs;
+    const auto tasks = static_cast<std::size_t>(step.spec->count());
+    const auto useful = std::min(targetsPerRequest, tasks * targetsPerTask + targetsBesides);
     const auto most = isRefresh ? targetsPerRefresh
         : isCostly              ? targetsPerCostlyRequest
-                                : targetsPerRequest;
+                                : useful;
     const auto count = std::min(most, wanted.size());
     std::partial_sort(wanted.begin(), wanted.begin() + static_cast<std::ptrdiff_t>(count),
                       wanted.end());
--- a/modules/filbert_node/leader_link.cpp
+++ b/modules/filbert_node/leader_link.cpp
@@ -148,6 +148,7 @@
     envelope.mutable_hello()->set_carries_orders(settings.carriesOrders);
     envelope.mutable_hello()->set_failure_domain(settings.failureDomain);
     envelope.mutable_hello()->set_process(settings.idsAbove);
+    envelope.mutable_hello()->set_link_mbps(settings.linkMbps);
     for (const auto &address : addresses()) {
         const auto quiet = std::max(heardAt[address], renewedAt[address]);
         if (now - quiet > settings.silentSpan) {
--- a/modules/filbert_node/leader_link.h
+++ b/modules/filbert_node/leader_link.h
@@ -21,6 +21,7 @@
     bool asksAdmission = false; // whether it can call the policy service
     bool carriesOrders = false; // whether it can call targets
     std::string failureDomain; // of this process' host
+    std::uint32_t linkMbps = 0; // of this process' host; 0 = not known
     milliseconds helloPeriod {300}; // three fit into the span after which a caller counts as gone
     milliseconds searchPeriod {100}; // between hellos while no leader is known: work waits
     milliseconds resendAfter {600}; // several times the longest commit; requests can be repeated
--- a/modules/filbert_node/order_relay.cpp
+++ b/modules/filbert_node/order_relay.cpp
@@ -1,11 +1,16 @@
 #include "order_relay.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace filbert {
 
 namespace {
 
+// A host with so much less bandwidth than another would be filled by starts with their texts while
+// the other is idle.
+constexpr std::uint64_t narrowFactor = 10;
+
 /** @return how much a carrier weighs for a target: the same in every process */
 std::size_t hashOf(const std::string &target, const std::string &carrier)
 {
@@ -29,28 +34,57 @@
 {
 }
 
-void order_relay::takeCarrier(const std::string &name, const std::string &failureDomain,
-                              std::uint64_t process, time_point now)
+void order_relay::takeCarrier(const std::string &name, const order_carrier_view &about,
+                              time_point now)
 {
     const auto known = carriers.find(name);
-    if (known != carriers.end() && known->second.process != process) {
+    const bool isNew = known == carriers.end() || known->second.heardAt.ms == 0;
+    const bool isReplaced = known != carriers.end() && known->second.about.process != about.process;
+    if (isReplaced) {
         loseCarrier(name, "its process was replaced", now);
     }
-    carriers[name] = {failureDomain, process, now};
+    if (isNew || isReplaced) {
+        chosen.clear();
+    }
+    carriers[name] = {about, now};
+}
+
+void order_relay::dropCarrier(const std::string &name)
+{
+    if (carriers.erase(name) > 0) {
+        chosen.clear();
+    }
 }
 
-std::string order_relay::carrierFor(const std::string &target, const std::string &failureDomain,
-                                    time_point now) const
+const std::string &order_relay::carrierFor(const std::string &target,
+                                           const std::string &failureDomain, time_point now)
 {
+    const auto found = chosen.find(target);
+    if (found != chosen.end()) {
+        return found->second;
+    }
+    return chosen[target] = chooseCarrier(target, failureDomain, now);
+}
+
+std::string order_relay::chooseCarrier(const std::string &target, const std::string &failureDomain,
+                                       time_point now) const
+{
+    const auto isHeard = [&](const carrier_state &carrier) {
+        return now - carrier.heardAt < settings.carrierSpan;
+    };
+    std::uint64_t widest = 0;
+    for (const auto &[name, carrier] : carriers) {
+        widest = isHeard(carrier) ? std::max<std::uint64_t>(widest, carrier.about.linkMbps) : widest;
+    }
     // Rendezvous hashing: a carrier that comes or goes moves only its own share of the targets,
     // and a target's connections stay with one carrier.
     std::string best;
     std::pair<bool, std::size_t> bestWeight;
     for (const auto &[name, carrier] : carriers) {
-        if (now - carrier.heardAt >= settings.carrierSpan) {
+        if (!isHeard(carrier) || carrier.about.linkMbps * narrowFactor < widest) {
             continue;
         }
-        const std::pair<bool, std::size_t> weight {carrier.failureDomain == failureDomain,
+        const std::pair<bool, std::size_t> weight {carrier.about.failureDomain == failureDomain,
                                                    hashOf(target, name)};
         if (best.empty() || weight > bestWeight) {
             best = name;
@@ -67,7 +101,7 @@
         given.callTarget(order);
         return;
     }
-    const auto carrier = carrierFor(order.target, failureDomain, now);
+    const auto &carrier = carrierFor(order.target, failureDomain, now);
     if (!carrier.empty()) {
         pass(order, carrier, now);
     } else if (now < carriersAwaitedUntil) {
@@ -88,12 +122,12 @@
 
 void order_relay::passHeld(time_point now)
 {
-    const bool isCarrierKnown = !carrierFor({}, {}, now).empty();
+    const bool isCarrierKnown = !chooseCarrier({}, {}, now).empty();
     if (held.empty() || (!isCarrierKnown && now < carriersAwaitedUntil)) {
         return;
     }
     for (const auto &[order, failureDomain] : std::exchange(held, {})) {
-        const auto carrier = carrierFor(order.target, failureDomain, now);
+        const auto &carrier = carrierFor(order.target, failureDomain, now);
         if (carrier.empty()) {
             given.callTarget(order);
         } else {
@@ -162,6 +196,7 @@
     if (carrier != nullptr) {
         carrier->heardAt = {};
     }
+    chosen.clear();
     order_answer none;
     none.result = order_result::CarrierLost;
     for (const auto &order : orders) {
--- a/modules/filbert_node/order_relay.h
+++ b/modules/filbert_node/order_relay.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <map>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 namespace filbert {
@@ -24,9 +25,20 @@
     milliseconds answerGrace {350}; // on top of the order's own time: two hops and a turn each
 };
 
+/** What a process that carries orders says of itself. */
+struct order_carrier_view
+{
+    std::string failureDomain;
+    std::uint64_t process = 0; // differs between two processes of one name
+    std::uint32_t linkMbps = 0; // of its host; 0 = not known
+};
+
 /** Passes a leader's orders to processes near the targets, or makes the calls itself where there
     are few targets.
 
+    Each target has one carrier, so that its connections stay: of its own failure domain if there
+    is one, and none with a much narrower link than another has.
+
     An order ends once: with the carrier's answer, or as CarrierLost when that does not come. What
     protects targets from late orders (leases, run numbers, fencing tokens) does so here too.
 */
@@ -43,14 +55,13 @@
     order_relay(const order_relay_settings &settings, hooks given);
 
     /** A process said that it carries orders.
-        @param process  differs between two processes of one name: what the one before had taken
-                        ends as CarrierLost at once
+        @param about  what it said of itself; where its process differs from the one before, what
+                      that one had taken ends as CarrierLost at once
     */
-    void takeCarrier(const std::string &name, const std::string &failureDomain,
-                     std::uint64_t process, time_point now);
+    void takeCarrier(const std::string &name, const order_carrier_view &about, time_point now);
 
     /** A process said that it carries none (any more): it stops, or never did. */
-    void dropCarrier(const std::string &name) { carriers.erase(name); }
+    void dropCarrier(const std::string &name);
 
     /** @param targets  how many there are @param failureDomain of the order's target */
     void send(const target_order &order, std::size_t targets, const std::string &failureDomain,
@@ -71,8 +82,7 @@
 private:
     struct carrier_state
     {
-        std::string failureDomain;
-        std::uint64_t process = 0;
+        order_carrier_view about;
         time_point heardAt; // 0 = lost: not before its next hello
     };
 
@@ -89,8 +99,10 @@
         std::string failureDomain; // of its target
     };
 
-    std::string carrierFor(const std::string &target, const std::string &failureDomain,
-                           time_point now) const;
+    const std::string &carrierFor(const std::string &target, const std::string &failureDomain,
+                                  time_point now);
+    std::string chooseCarrier(const std::string &target, const std::string &failureDomain,
+                              time_point now) const;
     void pass(const target_order &order, const std::string &carrier, time_point now);
     void passHeld(time_point now);
     void loseCarrier(const std::string &name, const std::string &reason, time_point now);
@@ -98,6 +110,7 @@
     order_relay_settings settings;
     hooks given;
     std::map<std::string, carrier_state> carriers;
+    std::unordered_map<std::string, std::string> chosen; // by target, as long as carriers stay
     std::map<std::uint64_t, open_order> open;
     std::map<std::string, messages::work_envelope> gathered; // by carrier
     std::vector<held_order> held; // until a carrier is known
--- a/modules/filbert_node/tests/order_relay_test.cpp
+++ b/modules/filbert_node/tests/order_relay_test.cpp
@@ -59,7 +59,7 @@
     relay_fixture cell;
     cell.send("t1");
     CHECK(cell.called.size() == 1); // there is no carrier
-    cell.relay.takeCarrier("g1", "a", 1, cell.now);
+    cell.relay.takeCarrier("g1", {"a", 1}, cell.now);
     cell.send("t1", 48);
     CHECK(cell.called.size() == 2);
     cell.send("t1");
@@ -77,7 +77,7 @@
     CHECK(cell.sent.empty());
     const bool comesOne = GENERATE(true, false);
     if (comesOne) {
-        cell.relay.takeCarrier("g1", "a", 1, cell.now);
+        cell.relay.takeCarrier("g1", {"a", 1}, cell.now);
     } else {
         cell.now = cell.now + milliseconds {400};
     }
@@ -94,7 +94,7 @@
     cell.relay.startTerm(cell.now);
     cell.send("t1");
     cell.relay.startTerm(cell.now);
-    cell.relay.takeCarrier("g1", "a", 1, cell.now);
+    cell.relay.takeCarrier("g1", {"a", 1}, cell.now);
     cell.relay.flush(cell.now);
     CHECK(cell.sent.empty());
     CHECK(cell.called.empty());
@@ -104,7 +104,7 @@
 {
     relay_fixture cell;
     for (const auto *name : {"g1", "g2", "g3"}) {
-        cell.relay.takeCarrier(name, name == std::string {"g3"} ? "b" : "a", 1, cell.now);
+        cell.relay.takeCarrier(name, {name == std::string {"g3"} ? "b" : "a", 1}, cell.now);
     }
     for (int i = 0; i < 20; ++i) {
         cell.send("t1");
@@ -115,10 +115,25 @@
     }
 }
 
+TEST_CASE("a carrier with a narrow link gets orders only while there is no wide one", "[relay]")
+{
+    relay_fixture cell;
+    cell.relay.takeCarrier("entry", {"a", 1, 2}, cell.now);
+    cell.send("t1");
+    cell.relay.takeCarrier("follower", {"b", 1, 1'000}, cell.now);
+    cell.send("t1");
+    cell.relay.dropCarrier("follower");
+    cell.send("t1");
+    REQUIRE(cell.sent.size() == 3);
+    CHECK(cell.sent[0].first == "entry");
+    CHECK(cell.sent[1].first == "follower");
+    CHECK(cell.sent[2].first == "entry");
+}
+
 TEST_CASE("an order whose carrier is silent ends once, and not as the target's fault", "[relay]")
 {
     relay_fixture cell;
-    cell.relay.takeCarrier("g1", "a", 1, cell.now);
+    cell.relay.takeCarrier("g1", {"a", 1}, cell.now);
     cell.send("t1");
     cell.now = cell.now + milliseconds {700};
     cell.relay.takeTime(cell.now);
@@ -139,11 +154,11 @@
     look.kind = order_kind::Look;
     look.timeout = {2'200};
     const bool isReplaced = GENERATE(true, false);
-    cell.relay.takeCarrier("g1", "a", 1, cell.now);
+    cell.relay.takeCarrier("g1", {"a", 1}, cell.now);
     cell.relay.send(look, 350, "a", cell.now);
     if (isReplaced) {
         cell.now = cell.now + milliseconds {300};
-        cell.relay.takeCarrier("g1", "a", 2, cell.now);
+        cell.relay.takeCarrier("g1", {"a", 2}, cell.now);
     } else {
         cell.now = cell.now + milliseconds {1'000};
         cell.relay.takeTime(cell.now);
@@ -156,7 +171,7 @@
 TEST_CASE("one order without an answer ends the others of its carrier too", "[relay]")
 {
     relay_fixture cell;
-    cell.relay.takeCarrier("g1", "a", 1, cell.now);
+    cell.relay.takeCarrier("g1", {"a", 1}, cell.now);
     auto look = relay_fixture::orderFor("t2");
     look.kind = order_kind::Look;
     look.timeout = {2'200};
@@ -170,7 +185,7 @@
 TEST_CASE("a carrier that stops gets no more orders, and what it has is still answered", "[relay]")
 {
     relay_fixture cell;
-    cell.relay.takeCarrier("g1", "a", 1, cell.now);
+    cell.relay.takeCarrier("g1", {"a", 1}, cell.now);
     cell.send("t1");
     cell.relay.dropCarrier("g1");
     cell.send("t2");
@@ -186,12 +201,12 @@
 TEST_CASE("an answer to an earlier process of the same name fits no order", "[relay]")
 {
     relay_fixture before {1'000};
-    before.relay.takeCarrier("g1", "a", 1, before.now);
+    before.relay.takeCarrier("g1", {"a", 1}, before.now);
     before.send("t1");
     messages::carried_answers answers;
     answers.add_answers()->set_id(before.sent[0].second.carried().orders(0).id());
     relay_fixture after {2'000};
-    after.relay.takeCarrier("g1", "a", 1, after.now);
+    after.relay.takeCarrier("g1", {"a", 1}, after.now);
     after.send("t2");
     after.relay.takeAnswers("g1", answers);
     CHECK(after.answered.empty());
--- a/modules/filbert_node/work_controller.cpp
+++ b/modules/filbert_node/work_controller.cpp
@@ -109,8 +109,9 @@
     } else if (dispatch) {
         dropCaller(*dispatch, peer);
     }
-    if (hello.carries_orders()) {
-        relay.takeCarrier(peer, hello.failure_domain(), hello.process(), now);
+    const bool isOwn = hello.name() == settings.name; // it leads: its time is for decisions
+    if (hello.carries_orders() && !isOwn) {
+        relay.takeCarrier(peer, {hello.failure_domain(), hello.process(), hello.link_mbps()}, now);
     } else {
         relay.dropCarrier(peer);
     }
