Costly policies are asked by several processes at once; tickets are renewed for whole gangs

Cause: gangs of relief-proof and clipscreen (policy 0.55 s and 8 ms a target, a third admitted) began 1.5 s (median) after they were handed in, 3 to 9 s at p75 to p90: 20 targets a call, one call after the other, and a renewal of 8 tickets can never hold a gang of more members. Ruled out: caps of teams; waiting for room alone (first calls came back with too few targets). Tests: four, that of renewals and that of age failed first.

--- a/modules/filbert_dispatch/admission_desk.cpp
+++ b/modules/filbert_dispatch/admission_desk.cpp
@@ -11,6 +11,9 @@
 constexpr milliseconds callerSpan {1'500}; // three missed hellos
 constexpr milliseconds answerGrace {250}; // on top of the service's own time: many round trips
 constexpr std::size_t callersForQuick = 3; // one in so many is kept for quick policies
+// A request of a lower class goes before later ones of a higher class after so long, for each class
+// between them: gangs that renew tickets all the time would keep lower work from any call.
+constexpr milliseconds agePerClass {500};
 
 std::vector<std::string> freeCallers(const dispatch_state &state, time_point now)
 {
@@ -55,6 +58,15 @@
     state.effects.admissions.push_back(std::move(call));
 }
 
+/** A request of a step that needs it no more ends without an answer. */
+void dropRequest(dispatch_state &state, const task_name &step)
+{
+    const auto view = state.admissions.find(step);
+    if (view != state.admissions.end() && --view->second.openRequests == 0) {
+        state.admissions.erase(view);
+    }
+}
+
 void reviewOpen(dispatch_state &state, time_point now)
 {
     for (auto entry = state.openAdmissions.begin(); entry != state.openAdmissions.end();) {
@@ -73,7 +85,7 @@
             open.caller.clear();
         }
         if (open.caller.empty() && !isWanted) {
-            state.admissions.erase(open.step);
+            dropRequest(state, open.step);
             entry = state.openAdmissions.erase(entry);
             continue;
         }
@@ -83,6 +95,13 @@
 
 } // namespace
 
+std::size_t spareCallers(const dispatch_state &state, time_point now)
+{
+    const auto free = freeCallers(state, now).size();
+    const auto kept = state.callers.size() / callersForQuick;
+    return free > kept ? free - kept : 0;
+}
+
 milliseconds admissionTime(const messages::admission_policy &policy, std::size_t targets)
 {
     return {
@@ -105,20 +124,24 @@
 }
 
 void requestAdmission(dispatch_state &state, const task_name &step,
-                      const messages::work_queue &queue, std::vector<std::string> targets,
-                      time_point now)
+                      const messages::work_queue &queue, const std::vector<std::string> &targets,
+                      std::size_t perCall, time_point now)
 {
     auto &view = state.admissions[step];
-    if (view.openRequest != 0 || now < view.notBefore || targets.empty()) {
+    if (view.openRequests > 0 || now < view.notBefore) {
         return;
     }
-    const auto id = ++state.lastAdmission;
-    view.openRequest = id;
-    auto &open = state.openAdmissions[id];
-    open.step = step;
-    open.expected = admissionTime(queue.admission(), targets.size());
-    open.targets = std::move(targets);
-    open.priority = queue.priority();
+    for (std::size_t from = 0; from < targets.size(); from += perCall) {
+        const auto first = targets.begin() + static_cast<std::ptrdiff_t>(from);
+        const auto count = std::min(perCall, targets.size() - from);
+        ++view.openRequests;
+        auto &open = state.openAdmissions[++state.lastAdmission];
+        open.step = step;
+        open.expected = admissionTime(queue.admission(), count);
+        open.targets.assign(first, first + static_cast<std::ptrdiff_t>(count));
+        open.priority = queue.priority();
+        open.since = now;
+    }
 }
 
 void takeCaller(dispatch_state &state, const std::string &name, std::uint64_t process,
@@ -154,7 +177,7 @@
         return;
     }
     auto &view = state.admissions[open.step];
-    view.openRequest = 0;
+    --view.openRequests;
     view.asked.insert(open.targets.begin(), open.targets.end());
     for (const auto &ticket : answer.admitted()) {
         view.admitted[ticket.target()] = {ticket.ticket(), now};
@@ -165,6 +188,9 @@
         .with("asked", open.targets.size())
         .with("admitted", answer.admitted_size())
         .with("took_ms", (now - open.sentAt).count);
+    if (view.openRequests == 0 && !state.jobs.contains(open.step.job)) {
+        state.admissions.erase(open.step); // the job has ended meanwhile
+    }
     state.openAdmissions.erase(found);
     state.isChanged = true;
 }
@@ -181,9 +207,12 @@
     if (waiting.empty()) {
         return;
     }
-    std::stable_sort(waiting.begin(), waiting.end(), [&](auto a, auto b) {
-        return state.openAdmissions[a].priority < state.openAdmissions[b].priority;
-    });
+    const auto turnOf = [&](std::uint64_t id) {
+        const auto &open = state.openAdmissions[id];
+        return open.since + milliseconds {agePerClass.count * open.priority};
+    };
+    std::stable_sort(waiting.begin(), waiting.end(),
+                     [&](auto a, auto b) { return turnOf(a) < turnOf(b); });
     auto free = freeCallers(state, now);
     const auto kept = state.callers.size() / callersForQuick;
     for (const auto id : waiting) {
--- a/modules/filbert_dispatch/admission_desk.h
+++ b/modules/filbert_dispatch/admission_desk.h
@@ -14,10 +14,11 @@
 
     @param step     index 0
     @param targets  to name, the most wanted first
+    @param perCall  most that one call names: further ones go into calls at the same time
 */
 void requestAdmission(dispatch_state &state, const task_name &step,
-                      const messages::work_queue &queue, std::vector<std::string> targets,
-                      time_point now);
+                      const messages::work_queue &queue, const std::vector<std::string> &targets,
+                      std::size_t perCall, time_point now);
 
 /** A process said that it can call the policy service.
     @param name     of the process
@@ -37,6 +38,9 @@
 /** Sends waiting requests to free processes, and those without an answer to others. */
 void stepAdmissions(dispatch_state &state, time_point now);
 
+/** @return processes that could make a call of a costly policy now */
+std::size_t spareCallers(const dispatch_state &state, time_point now);
+
 /** @return the time that the service takes for a call */
 milliseconds admissionTime(const messages::admission_policy &policy, std::size_t targets);
 
--- a/modules/filbert_dispatch/dispatch_state.h
+++ b/modules/filbert_dispatch/dispatch_state.h
@@ -113,7 +113,7 @@
     };
     std::unordered_map<std::string, ticket> admitted; // by target
     std::unordered_set<std::string> asked; // targets that were named in an answered request
-    std::uint64_t openRequest = 0; // 0 = none
+    std::size_t openRequests = 0; // that have no answer yet
     time_point notBefore;
 };
 
@@ -124,6 +124,7 @@
     std::vector<std::string> targets;
     milliseconds expected; // time that the service takes for it
     int priority = 0;
+    time_point since;
     std::string caller; // process that makes the call; empty = waits for one
     time_point sentAt;
 };
--- a/modules/filbert_dispatch/step_order.cpp
+++ b/modules/filbert_dispatch/step_order.cpp
@@ -101,7 +101,7 @@
         state.jobs.erase(id);
         for (auto view = state.admissions.lower_bound({id, 0, 0, 0});
              view != state.admissions.end() && view->first.job == id;) {
-            view = view->second.openRequest == 0 ? state.admissions.erase(view) : std::next(view);
+            view = view->second.openRequests == 0 ? state.admissions.erase(view) : std::next(view);
         }
         return;
     }
--- a/modules/filbert_dispatch/tests/scheduling_test.cpp
+++ b/modules/filbert_dispatch/tests/scheduling_test.cpp
@@ -195,6 +195,115 @@
     CHECK(running(cell, "j") == 2);
 }
 
+namespace {
+
+/** Targets "t10" to "t39" with room for one task each, and a gang "j" under a costly policy. */
+struct costly_gang_fixture : dispatch_fixture
+{
+    std::vector<std::string> targets;
+    int callers = 12;
+
+    explicit costly_gang_fixture(int members)
+    {
+        auto *admission = queueOf(*this)->mutable_admission();
+        admission->set_decide_ms(550);
+        admission->set_per_target_ms(8);
+        admission->set_ticket_ms(2'000);
+        for (int i = 0; i < 30; ++i) {
+            targets.push_back("t" + std::to_string(10 + i));
+            target(targets.back(), 1, 2'000);
+        }
+        auto gang = step(members);
+        gang.set_is_gang(true);
+        accept("j", {gang});
+        lead();
+    }
+
+    void hearAll()
+    {
+        for (const auto &each : targets) {
+            report(each);
+        }
+        for (int i = 0; i < callers; ++i) {
+            takeCaller(*leader, "gateway-" + std::to_string(i), 1, now);
+        }
+        run({50});
+    }
+
+    /** The policy service admits whatever it was asked. @return how many targets it was asked */
+    int admitAll()
+    {
+        int asked = 0;
+        for (const auto &call : std::exchange(admissions, {})) {
+            messages::admission_answer answer;
+            answer.set_id(call.request.id());
+            answer.set_is_answered(true);
+            asked += call.request.targets_size();
+            for (const auto &each : call.request.targets()) {
+                answer.add_admitted()->set_target(each);
+                answer.mutable_admitted(answer.admitted_size() - 1)->set_ticket("t");
+            }
+            takeAdmission(*leader, answer, now);
+        }
+        return asked;
+    }
+};
+
+} // namespace
+
+TEST_CASE("a costly policy is asked by several processes at the same time", "[dispatch]")
+{
+    costly_gang_fixture cell {2};
+    cell.hearAll();
+    REQUIRE(cell.admissions.size() == 2); // 20 and 10 targets
+    CHECK(cell.admissions[0].caller != cell.admissions[1].caller);
+    CHECK(cell.admitAll() == 30);
+    cell.run({50});
+    CHECK(running(cell, "j") == 2);
+}
+
+TEST_CASE("where few processes are free, a costly policy is asked by one of them", "[dispatch]")
+{
+    costly_gang_fixture cell {2};
+    cell.callers = 4;
+    cell.hearAll();
+    CHECK(cell.admissions.size() == 1);
+}
+
+TEST_CASE("a policy call of lower work is not put off by higher work for ever", "[dispatch]")
+{
+    dispatch_fixture cell;
+    queueOf(cell)->mutable_admission()->set_decide_ms(300);
+    queueOf(cell)->mutable_admission()->set_ticket_ms(1'500);
+    queueOf(cell)->set_priority(2);
+    cell.target("t1");
+    cell.accept("low", {cell.step(1)});
+    cell.lead();
+    cell.report("t1");
+    cell.run({20}); // it asks, and no process is free
+    cell.now = cell.now + milliseconds {1'100}; // more than two classes' worth
+    cell.report("t1");
+    queueOf(cell)->set_priority(0);
+    cell.accept("high", {cell.step(1)});
+    cell.run({20});
+    takeCaller(*cell.leader, "gateway-1", 1, cell.now);
+    cell.run({20});
+    REQUIRE(cell.admissions.size() == 1);
+    CHECK(cell.admissions[0].request.step().job() == "low");
+}
+
+TEST_CASE("tickets are renewed for all members of a wide gang", "[dispatch]")
+{
+    costly_gang_fixture cell {12};
+    cell.hearAll();
+    cell.admitAll();
+    cell.now = cell.now + milliseconds {1'900}; // the tickets have aged before there was a pass
+    cell.hearAll();
+    CHECK(cell.admitAll() >= 12);
+    cell.run({50});
+    CHECK(running(cell, "j") == 12);
+}
+
 TEST_CASE("a policy call without an answer goes to another process soon", "[dispatch]")
 {
     dispatch_fixture cell;
--- a/modules/filbert_dispatch/ticket_requests.cpp
+++ b/modules/filbert_dispatch/ticket_requests.cpp
@@ -13,12 +13,33 @@
 // one more takes the service's time, and bytes of a link that starts need too.
 constexpr std::size_t targetsPerTask = 3;
 constexpr std::size_t targetsBesides = 15;
-constexpr std::size_t targetsPerCostlyRequest = 20; // where each one named takes 4 ms and more
+constexpr std::size_t targetsPerCostlyCall = 20; // where each one named takes 4 ms and more
 constexpr double costlyPerTargetMs = 4.0;
-constexpr std::size_t targetsPerRefresh = 8; // of tickets: a few more than a gang needs
+// Calls of a costly policy at the same time: one after the other, they take seconds. A step takes a
+// part of the processes that are free, so that others find some too.
+constexpr std::size_t mostCostlyCalls = 3;
+constexpr std::size_t sparePerCall = 2;
+constexpr std::size_t targetsPerRefresh = 8; // of tickets, besides one for each member of a gang
 constexpr milliseconds slowPolicy {300}; // tickets of such a one are renewed before there is room
 constexpr milliseconds askPause {100}; // between requests of one step for more than it has
 
+bool isCostly(const messages::work_queue &queue)
+{
+    return queue.admission().per_target_ms() >= costlyPerTargetMs;
+}
+
+std::size_t costlyCallsNow(const placement_pass &pass)
+{
+    return std::clamp<std::size_t>(spareCallers(pass.state, pass.now) / sparePerCall, 1,
+                                   mostCostlyCalls);
+}
+
+void request(placement_pass &pass, const open_step &step, const std::vector<std::string> &targets)
+{
+    requestAdmission(pass.state, step.name, *step.queue, targets,
+                     isCostly(*step.queue) ? targetsPerCostlyCall : targetsPerRequest, pass.now);
+}
+
 /** @return targets that the step may ask the policy service for, those with the most room first */
 std::vector<std::string> targetsToAsk(const placement_pass &pass, const open_step &step,
                                       const service_view &service, const admission_view &view,
@@ -35,11 +56,11 @@
             wanted.emplace_back(fitCost(step, room) + (hasRoom ? 0.0 : fullCost), i);
         }
     }
-    const bool isCostly = step.queue->admission().per_target_ms() >= costlyPerTargetMs;
     const auto tasks = static_cast<std::size_t>(step.spec->count());
     const auto useful = std::min(targetsPerRequest, tasks * targetsPerTask + targetsBesides);
-    const auto most = isRefresh ? targetsPerRefresh
-        : isCostly              ? targetsPerCostlyRequest
+    const auto renewed = targetsPerRefresh + (step.spec->is_gang() ? tasks : 0);
+    const auto most = isRefresh  ? renewed
+        : isCostly(*step.queue) ? targetsPerCostlyCall * costlyCallsNow(pass)
                                 : useful;
     const auto count = std::min(most, wanted.size());
     std::partial_sort(wanted.begin(), wanted.begin() + static_cast<std::ptrdiff_t>(count),
@@ -89,29 +110,26 @@
         return;
     }
     auto &view = pass.state.admissions[step.name];
-    if (view.openRequest != 0 || pass.now < view.notBefore) {
+    if (view.openRequests > 0 || pass.now < view.notBefore) {
         return;
     }
     if (view.asked.empty()) {
-        requestAdmission(pass.state, step.name, *step.queue,
-                         targetsToAsk(pass, step, service, view, false), pass.now);
+        request(pass, step, targetsToAsk(pass, step, service, view, false));
         return;
     }
     const auto &policy = step.queue->admission();
     if (hasAdmittedRoom(pass, step, service, view)) {
-        requestAdmission(pass.state, step.name, *step.queue,
-                         targetsToAsk(pass, step, service, view, true), pass.now);
+        request(pass, step, targetsToAsk(pass, step, service, view, true));
         return;
     }
-    auto others = targetsToAsk(pass, step, service, view, false);
+    const auto others = targetsToAsk(pass, step, service, view, false);
     const bool hasFresh = std::any_of(view.admitted.begin(), view.admitted.end(), [&](auto &each) {
         return isUsable(pass.state, each.second, policy, pass.now);
     });
     if (!others.empty()) {
-        requestAdmission(pass.state, step.name, *step.queue, std::move(others), pass.now);
+        request(pass, step, others);
     } else if (admissionTime(policy, 1) >= slowPolicy && !hasFresh) {
-        requestAdmission(pass.state, step.name, *step.queue,
-                         targetsToAsk(pass, step, service, view, true), pass.now);
+        request(pass, step, targetsToAsk(pass, step, service, view, true));
     }
     view.notBefore = pass.now + askPause;
 }
@@ -124,12 +142,11 @@
         return;
     }
     auto &admission = pass.state.admissions[step.name];
-    if (!admission.asked.empty() || admission.openRequest != 0) {
+    if (!admission.asked.empty() || admission.openRequests > 0) {
         return;
     }
     const auto &service = serviceOf(pass, step.queue->service());
-    requestAdmission(pass.state, step.name, *step.queue,
-                     targetsToAsk(pass, step, service, admission, false), pass.now);
+    request(pass, step, targetsToAsk(pass, step, service, admission, false));
 }
 
 } // namespace filbert
