A gang whose slack gets short is given room by small checkpointed work below it

Change: filbert_dispatch/preemption: where a gang finds no room and has less than 5 s of slack, runs of lower queues that keep checkpoints, are no gang's, last not and have 4 s to spare are stopped, if that makes room for all members; what is being stopped already counts, rooms are kept from lower work.

--- a/modules/filbert_dispatch/placement_pass.h
+++ b/modules/filbert_dispatch/placement_pass.h
@@ -11,6 +11,9 @@
 constexpr int lateRank = 3; // added to a priority (0 to 2): behind all that is in time
 constexpr int notReserved = std::numeric_limits<int>::max();
 
+/** The configured queues by name. */
+using queue_index = std::unordered_map<std::string_view, const messages::work_queue *>;
+
 /** One step with waiting tasks, in the order of the pass. */
 struct open_step
 {
@@ -55,6 +58,7 @@
 {
     dispatch_state &state;
     time_point now;
+    queue_index queues;
     std::map<std::string, service_view> services;
 };
 
--- a/modules/filbert_dispatch/scheduling.cpp
+++ b/modules/filbert_dispatch/scheduling.cpp
@@ -2,6 +2,7 @@
 
 #include "admission_desk.h"
 #include "placement_pass.h"
+#include "preemption.h"
 #include "step_order.h"
 #include "ticket_requests.h"
 
@@ -216,7 +217,10 @@
     const auto plan = planGang(pass, step, service, record.tasks.size());
     if (plan.empty()) {
         ++service.failures;
-        reserveFor(pass, step, service, record.tasks.size());
+        const bool isLate = step.rank >= lateRank;
+        if (isLate || !preemptFor(pass, step, service, record.tasks.size())) {
+            reserveFor(pass, step, service, record.tasks.size());
+        }
         askAdmission(pass, step, service);
         return;
     }
@@ -235,10 +239,9 @@
 
 void placeWaiting(dispatch_state &state, time_point now)
 {
-    placement_pass pass {state, now, {}};
+    placement_pass pass {state, now, queuesOf(state), {}};
     ++state.passes;
-    const auto queues = queuesOf(state);
-    auto steps = openSteps(state, queues, now);
+    auto steps = openSteps(state, pass.queues, now);
     state.waitingSteps = steps.size();
     for (auto &step : steps) {
         auto &service = serviceOf(pass, step.queue->service());
@@ -259,7 +262,7 @@
     }
     for (const auto &[id, view] : state.jobs) {
         for (const auto &[occurrence, step] : view.coming) {
-            askAhead(pass, openStepOf(state, queues, {id, occurrence, step, 0}, view, now));
+            askAhead(pass, openStepOf(state, pass.queues, {id, occurrence, step, 0}, view, now));
         }
     }
 }
--- a/modules/filbert_dispatch/step_order.h
+++ b/modules/filbert_dispatch/step_order.h
@@ -4,8 +4,6 @@
 
 namespace filbert {
 
-using queue_index = std::unordered_map<std::string_view, const messages::work_queue *>;
-
 /** @return the configured queues by name */
 queue_index queuesOf(const dispatch_state &state);
 
--- a/modules/filbert_dispatch/ticket_requests.cpp
+++ b/modules/filbert_dispatch/ticket_requests.cpp
@@ -59,7 +59,7 @@
     const auto tasks = static_cast<std::size_t>(step.spec->count());
     const auto useful = std::min(targetsPerRequest, tasks * targetsPerTask + targetsBesides);
     const auto renewed = targetsPerRefresh + (step.spec->is_gang() ? tasks : 0);
-    const auto most = isRefresh  ? renewed
+    const auto most = isRefresh ? renewed
         : isCostly(*step.queue) ? targetsPerCostlyCall * costlyCallsNow(pass)
                                 : useful;
     const auto count = std::min(most, wanted.size());
--- a/modules/filbert_node/order_relay.cpp
+++ b/modules/filbert_node/order_relay.cpp
@@ -74,7 +74,8 @@
     };
     std::uint64_t widest = 0;
     for (const auto &[name, carrier] : carriers) {
-        widest = isHeard(carrier) ? std::max<std::uint64_t>(widest, carrier.about.linkMbps) : widest;
+        widest =
+            isHeard(carrier) ? std::max<std::uint64_t>(widest, carrier.about.linkMbps) : widest;
     }
     // Rendezvous hashing: a carrier that comes or goes moves only its own share of the targets,
     // and a target's connections stay with one carrier.
--- a/modules/filbert_node/tests/order_relay_test.cpp
+++ b/modules/filbert_node/tests/order_relay_test.cpp
@@ -68,7 +68,8 @@
     CHECK(cell.sent[0].first == "g1");
 }
 
-TEST_CASE("a new leader's orders wait a little for the first carrier, then it calls itself", "[relay]")
+TEST_CASE("a new leader's orders wait a little for the first carrier, then it calls itself",
+          "[relay]")
 {
     relay_fixture cell;
     cell.relay.startTerm(cell.now);
--- a/modules/filbert_node/work_controller.cpp
+++ b/modules/filbert_node/work_controller.cpp
@@ -143,8 +143,7 @@
 /** Tells whoever said hello lately: they would find out by their next one, and wait until then. */
 void work_controller::announceLeadership(time_point now)
 {
-    std::erase_if(peersHeardAt,
-                  [&](const auto &each) { return now - each.second >= peerSpan; });
+    std::erase_if(peersHeardAt, [&](const auto &each) { return now - each.second >= peerSpan; });
     for (const auto &[peer, heardAt] : peersHeardAt) {
         sendWelcome(peer, now);
     }
