A target's next life may carry out orders of the one before; a fault soak that found it

A target that starts again under its id may get a start that was meant for the life before, up to 12 s late. (1) Its lease names a time on the earlier clock; the leader took that lease for ended as the new life's clock knows none, and started the task elsewhere at once. (2) A stop that the new life answered freed the room, though stopping takes a while. (3) A good end in the new life did not count, and was acknowledged, so that the task ran again. Ruled out: the soak's own targets (their rules are the protocol's; the log shows stray_run). Checks replaced: a test said that an end on the later life does not count, which is the fault; it now says so for an end of a life that is over, and a new one that a good end on the later life ends the job. Another started the task again right after the stop's answer; it now waits for a look. Not in the soak: clocks that jump and disks that stall (the programs have no seam for them outside).

--- a/modules/filbert_dispatch/dispatch_state.h
+++ b/modules/filbert_dispatch/dispatch_state.h
@@ -37,6 +37,7 @@
     milliseconds lossyStartTimeout {70}; // ten round trips between failure domains
     milliseconds startSpan {2'200}; // a start without an answer is taken back after three tries
     milliseconds contactSpan {3'300}; // two missed reports of 1.5 s: no new work for that target
+    milliseconds lateOrderSpan {12'000}; // an order without an answer may be carried out so late
     milliseconds stallSpan {2'500}; // without any progress, longer than a restore from a checkpoint
     milliseconds firstAvoidance {3'000}; // of a target that failed several jobs in a row
     milliseconds longestAvoidance {12'000};
@@ -62,6 +63,7 @@
     time_point startedAt;
     time_point retryAt;
     time_point confirmedAt; // a start or stop was answered
+    time_point mayLingerUntil; // an order to the life before may begin it in this one until then
     std::string ticket;
     int percent = 0;
     time_point progressAt;
--- a/modules/filbert_dispatch/target_answers.cpp
+++ b/modules/filbert_dispatch/target_answers.cpp
@@ -134,12 +134,7 @@
         run.retryAt = now + stopPause;
         return;
     }
-    run.confirmedAt = now;
-    const auto *task = findTask(*state.work, order.task);
-    if (task != nullptr && task->born != target.born) {
-        proposeDrop(state, order.task, run, target.id, "its life is over");
-        return;
-    }
+    run.confirmedAt = now; // its end is listed, or a later look shows that it is not there
     target.lookAt = std::min(target.lookAt, now);
 }
 
--- a/modules/filbert_dispatch/target_conversation.cpp
+++ b/modules/filbert_dispatch/target_conversation.cpp
@@ -63,11 +63,21 @@
     }
 }
 
-void giveUpLapsed(dispatch_state &state, target_conversation &target)
+/** Whether all that the target may run is over, once its lease has ended. */
+bool mayNothingLinger(const target_conversation &target, time_point now)
+{
+    return std::all_of(target.runs.begin(), target.runs.end(),
+                       [&](const auto &each) { return now >= each.second.mayLingerUntil; });
+}
+
+/** Gives up what a lease that has ended says is over. */
+void giveUpLapsed(dispatch_state &state, target_conversation &target, time_point now)
 {
     target.isReviewDue = true;
     for (auto &[task, run] : target.runs) {
-        proposeDrop(state, task, run, target.id, "the lease of its target has ended");
+        if (now >= run.mayLingerUntil) {
+            proposeDrop(state, task, run, target.id, "the lease of its target has ended");
+        }
     }
 }
 
@@ -138,8 +148,13 @@
         const auto before = std::move(target);
         target = {};
         target.runs = before.runs; // stopped in the new life too, see stepRuns
+        // Orders to the life before name a time on its clock, which says nothing on this one's.
+        // This life shortens the lease, counted from when such an order arrives.
+        const auto lingerUntil =
+            now + state.settings.lateOrderSpan + clockRateMargin(state.settings.longestLease);
         for (auto &[task, run] : target.runs) {
             run.isOrderOpen = false; // its answer would be of the life before
+            run.mayLingerUntil = lingerUntil;
         }
         target.planned = before.planned;
         target.plannedFill = before.plannedFill;
@@ -276,7 +291,8 @@
     }
     // A target whose good-bye was not acknowledged runs on for seconds, so that only the end of its
     // lease says that its runs are over; it is not renewed any more.
-    if (target.leavingSince && (target.runs.empty() || hasLapsed(target, now))) {
+    const bool isOver = hasLapsed(target, now) && mayNothingLinger(target, now);
+    if (target.leavingSince && (target.runs.empty() || isOver)) {
         if (!std::exchange(target.isLeaveProposed, true)) {
             messages::work_command command;
             command.set_target_left(id);
@@ -285,8 +301,10 @@
         return;
     }
     if (!target.runs.empty() && hasLapsed(target, now)) {
-        giveUpLapsed(state, target);
-        return;
+        giveUpLapsed(state, target, now);
+        if (isOver) {
+            return;
+        }
     }
     if (life->about.is_draining()) {
         reviewDrain(state, target, now);
--- a/modules/filbert_dispatch/tests/target_conversation_test.cpp
+++ b/modules/filbert_dispatch/tests/target_conversation_test.cpp
@@ -201,10 +201,36 @@
     cell.answer(order_kind::Stop, order_result::Done);
     cell.report("t1", 2);
     cell.run({30});
+    CHECK(findTask(cell.state, first)->run == 1); // it may be there, and take a while to stop
+    cell.answer(order_kind::Look, order_result::Done, "t1");
+    cell.run({200});
+    cell.answer(order_kind::Look, order_result::Done, "t1"); // sent after the stop's answer
+    cell.run({30});
     CHECK(findTask(cell.state, first)->run == 2);
     CHECK(findTask(cell.state, first)->born == 2);
 }
 
+TEST_CASE("a lease of the life before is not taken for ended by the clock of the new one",
+          "[dispatch]")
+{
+    dispatch_fixture cell;
+    cell.target("t1", 1);
+    cell.accept("j", {cell.step(1)});
+    cell.lead();
+    cell.live({8'000}, {"t1"}); // the leader is old enough to know all leases
+    REQUIRE(cell.targetOf(first) == "t1");
+    cell.orders.clear(); // starts and looks of now may be carried out by the new life
+    cell.report("t1", 2);
+    cell.run({100});
+    CHECK(findTask(cell.state, first)->run == 1);
+    CHECK(cell.waiting(order_kind::Stop, "t1").size() == 1);
+    cell.run({10'000}); // it is silent: an order may still be carried out, with a lease of 6 s
+    CHECK(findTask(cell.state, first)->run == 1);
+    CHECK(cell.status(first) == task_status::Running);
+    cell.run({9'000});
+    CHECK(cell.status(first) == task_status::Waiting);
+}
+
 TEST_CASE("a report that was overtaken says nothing about the clock", "[dispatch]")
 {
     dispatch_fixture cell;
--- a/modules/filbert_work/tests/work_commands_test.cpp
+++ b/modules/filbert_work/tests/work_commands_test.cpp
@@ -209,10 +209,26 @@
     cell.start(task, 1, "t1", 5);
     cell.target("t1", 6);
     CHECK(findTask(cell.state, task)->status == task_status::Running);
-    cell.end(task, 1, "t1", messages::END_DONE, 1, 6);
+    CHECK(cell.state.lives.at("t1").used.milliCores == 2'000);
+    cell.end(task, 1, "t1", messages::END_DONE, 1, 5); // late news of a life that is over
     CHECK(findTask(cell.state, task)->status == task_status::Running);
     cell.drop(task, 1);
     CHECK(findTask(cell.state, task)->status == task_status::Waiting);
+    CHECK(cell.state.lives.at("t1").used.milliCores == 0);
+}
+
+TEST_CASE("a good end on the life after the one that was asked counts: it is never run again",
+          "[work]")
+{
+    work_fixture cell;
+    cell.target("t1", 5);
+    cell.accept("j", {cell.step(1)});
+    const task_name task {"j", 0, 0, 0};
+    cell.start(task, 1, "t1", 5);
+    cell.target("t1", 6); // the order was on its way, and came to this life
+    cell.end(task, 1, "t1", messages::END_DONE, 1, 6);
+    CHECK(cell.statusOf("j") == job_status::Completed);
+    CHECK(cell.start(task, 2, "t1", 6).error != none);
 }
 
 TEST_CASE("a configuration with a lower or equal version has no effect", "[work]")
--- a/modules/filbert_work/work_commands.cpp
+++ b/modules/filbert_work/work_commands.cpp
@@ -183,8 +183,9 @@
 {
     const auto name = nameOf(end.task());
     auto *task = findTask(state, name);
+    // An order for the life before may have been carried out by the one after it.
     const bool isCurrent = task != nullptr && task->status == task_status::Running
-        && task->run == end.run() && task->target == target && task->born == born;
+        && task->run == end.run() && task->target == target && task->born <= born;
     if (!isCurrent) {
         return;
     }
