--- a/modules/filbert_dispatch/target_answers.cpp
+++ b/modules/filbert_dispatch/target_answers.cpp
@@ -118,8 +118,8 @@
     proposeDrop(state, order.task, run, target.id, std::string {resultName(result)});
 }
 
-void answerStop(dispatch_state &state, target_conversation &target, const target_order &order,
-                order_result result, time_point now)
+void answerStop(target_conversation &target, const target_order &order, order_result result,
+                time_point now)
 {
     if (result == order_result::Done) {
         target.strays.erase(order.task);
@@ -305,7 +305,7 @@
         break;
     }
     case order_kind::Stop:
-        answerStop(state, target, order, answer.result, now);
+        answerStop(target, order, answer.result, now);
         break;
     case order_kind::Look:
         answerLook(state, target, *life, order, answer, now);
--- a/modules/filbert_dispatch/tests/preemption_test.cpp
+++ b/modules/filbert_dispatch/tests/preemption_test.cpp
@@ -32,7 +32,7 @@
         }
     }
 
-    void fill(messages::step_spec small)
+    void fill(const messages::step_spec &small)
     {
         accept("small", {small});
         lead();
