Ends are acknowledged only to the life of a target that has listed them

The target had started again unnoticed, carried out starts of its earlier life, and a look that still named the last end of that life (its numbers begin anew) made it forget the new life's ends before anybody had taken them. Ruled out: bytes held up in the relay alone (the new life was up 0.4 s before its report was in the log, and tries of the starts and looks went on in that time). Change: a look names the last end taken only if the look before was answered by this life within 400 ms; else it acknowledges nothing, and the one after does. Test failed first.

--- a/modules/filbert_dispatch/dispatch_state.h
+++ b/modules/filbert_dispatch/dispatch_state.h
@@ -27,6 +27,7 @@
     milliseconds startTimeout {150}; // many round trips; a start may be sent again without harm
     milliseconds firstRetryPause {20}; // after the first time-out, since urgent work waits
     milliseconds orderTimeout {700}; // of stops and throttles, which nobody waits for
+    milliseconds sameLifeSpan {400}; // no process ends and starts again between two looks so close
     milliseconds lookGrace {700}; // on top of a look's wait
     milliseconds retryPause {150}; // between tries of one order; an unreachable target costs little
     // Where answers get lost on their way, a short wait and a second try cost less than they save.
@@ -89,6 +90,7 @@
     bool isLookOpen = false;
     time_point lookAt; // the next look, not before
     time_point lookSentAt;
+    time_point lookedAt; // the last look was answered by this life then; 0 = it was not
     std::uint64_t proposedEnds = 0; // number of the last end that was proposed
     std::uint64_t acknowledged = 0; // number of the last end that a look has acknowledged
     std::uint64_t sequence = 0; // of its last report
--- a/modules/filbert_dispatch/target_answers.cpp
+++ b/modules/filbert_dispatch/target_answers.cpp
@@ -238,6 +238,7 @@
             answer.result == order_result::Done || mayBeLost(state, answer.result);
         target.lookAt = isRepeatedAtOnce ? now : now + lookPauseAfterFault;
     }
+    target.lookedAt = answer.result == order_result::Done ? now : time_point {};
     if (answer.result != order_result::Done) {
         log_line {"look_failed", log_line::severity::Warning}
             .with("target", target.id)
@@ -270,6 +271,7 @@
     if (!isOfThisLife) {
         if (order.kind == order_kind::Look && order.born == target.born) {
             target.isLookOpen = false;
+            target.lookedAt = {};
             target.lookAt = now + lookPauseAfterFault;
         }
         return;
--- a/modules/filbert_dispatch/target_orders.cpp
+++ b/modules/filbert_dispatch/target_orders.cpp
@@ -114,7 +114,10 @@
     } else if (isStopping) {
         order.wait = state.settings.retryPause;
     }
-    order.lastEndTaken = life.lastEndTaken;
+    // A life that has begun unnoticed numbers its ends anew: it would forget what nobody has taken.
+    const bool isSurelySameLife =
+        target.lookedAt.ms > 0 && now - target.lookedAt < state.settings.sameLifeSpan;
+    order.lastEndTaken = isSurelySameLife ? life.lastEndTaken : 0;
     order.timeout =
         order.wait + (isLossy ? state.settings.lossyLookGrace : state.settings.lookGrace);
     target.isLookOpen = true;
--- a/modules/filbert_dispatch/tests/target_conversation_test.cpp
+++ b/modules/filbert_dispatch/tests/target_conversation_test.cpp
@@ -158,6 +158,37 @@
     CHECK(looks[0].lastEndTaken == 4);
 }
 
+TEST_CASE("ends are acknowledged only to the life that has listed them", "[dispatch]")
+{
+    dispatch_fixture cell;
+    cell.target("t1");
+    cell.accept("j", {cell.step(2)});
+    cell.lead();
+    cell.report("t1");
+    cell.run({20});
+    cell.answer(order_kind::Start, order_result::Done);
+    cell.run({20});
+    order_answer list;
+    list.ends.push_back({7, first, 1, messages::END_DONE, {}});
+    list.runs.push_back({{"j", 0, 0, 1}, 1, {}, 50, 0});
+    cell.answer(order_kind::Look, order_result::Done, "t1", list);
+    cell.run({20});
+    auto looks = cell.waiting(order_kind::Look, "t1");
+    REQUIRE(looks.size() == 1);
+    CHECK(looks[0].lastEndTaken == 7);
+    cell.answer(order_kind::Look, order_result::Unanswered); // its process may have ended
+    cell.run({300});
+    looks = cell.waiting(order_kind::Look, "t1");
+    REQUIRE(looks.size() == 1);
+    CHECK(looks[0].lastEndTaken == 0); // another life has ends of its own under these numbers
+    list.ends.clear();
+    cell.answer(order_kind::Look, order_result::Done, "t1", list);
+    cell.run({20});
+    looks = cell.waiting(order_kind::Look, "t1");
+    REQUIRE(looks.size() == 1);
+    CHECK(looks[0].lastEndTaken == 7);
+}
+
 TEST_CASE("runs of a cancelled job are stopped, and strays too", "[dispatch]")
 {
     dispatch_fixture cell;
