One isAdmitted() for reservations and preemption

Cause: preemption had written again what reserveFor() says of a policy's admitted targets, and looked the step's admissions up once for each target of a service instead of once a step. Change: isAdmitted() beside admissionOf(); both call it. Ruled out: changes of behaviour.

--- a/modules/filbert_dispatch/placement_pass.cpp
+++ b/modules/filbert_dispatch/placement_pass.cpp
@@ -178,6 +178,12 @@
     return view == pass.state.admissions.end() ? nullptr : &view->second;
 }
 
+bool isAdmitted(const open_step &step, const admission_view *view, const room_view &room)
+{
+    return !step.queue->has_admission()
+        || (view != nullptr && view->admitted.contains(room.target->id));
+}
+
 void bookPlan(placement_pass &pass, open_step &step, service_view &service, room_view &room,
               const task_name &task, int sign)
 {
--- a/modules/filbert_dispatch/placement_pass.h
+++ b/modules/filbert_dispatch/placement_pass.h
@@ -88,6 +88,10 @@
 /** @return what is known of the policy for the step, or nullptr */
 const admission_view *admissionOf(const placement_pass &pass, const open_step &step);
 
+/** Whether the step's policy, if it has one, is known to let it run on a target.
+    @param view  what admissionOf() gave for the step */
+bool isAdmitted(const open_step &step, const admission_view *view, const room_view &room);
+
 /** Books a start on a room of this pass and in the state, or takes it back. @param sign 1 or -1 */
 void bookPlan(placement_pass &pass, open_step &step, service_view &service, room_view &room,
               const task_name &task, int sign);
--- a/modules/filbert_dispatch/preemption.cpp
+++ b/modules/filbert_dispatch/preemption.cpp
@@ -76,15 +76,6 @@
     return fits(step.need, left) ? std::optional {plan} : std::nullopt;
 }
 
-bool isAdmitted(const placement_pass &pass, const open_step &step, const room_view &room)
-{
-    if (!step.queue->has_admission()) {
-        return true;
-    }
-    const auto *view = admissionOf(pass, step);
-    return view != nullptr && view->admitted.contains(room.target->id);
-}
-
 } // namespace
 
 bool preemptFor(placement_pass &pass, const open_step &step, service_view &service,
@@ -93,10 +84,11 @@
     if (step.slackMs > slackOfUrgency.count) {
         return false;
     }
+    const auto *view = admissionOf(pass, step);
     std::vector<room_plan> plans;
     for (auto &room : service.rooms) {
         if (room.reservedRank != notReserved || !isEligible(step, room)
-            || !isAdmitted(pass, step, room)) {
+            || !isAdmitted(step, view, room)) {
             continue;
         }
         if (auto plan = planRoom(pass, step, room)) {
--- a/modules/filbert_dispatch/scheduling.cpp
+++ b/modules/filbert_dispatch/scheduling.cpp
@@ -112,9 +112,8 @@
     std::vector<std::pair<double, std::size_t>> wanted;
     for (std::size_t i = 0; i < service.rooms.size(); ++i) {
         const auto &room = service.rooms[i];
-        const bool isAdmitted = !step.queue->has_admission()
-            || (view != nullptr && view->admitted.contains(room.target->id));
-        if (isAdmitted && room.reservedRank == notReserved && isEligible(step, room)) {
+        if (isAdmitted(step, view, room) && room.reservedRank == notReserved
+            && isEligible(step, room)) {
             wanted.emplace_back(-static_cast<double>(room.left.accelerators) * acceleratorWeight
                                     - static_cast<double>(room.left.milliCores),
                                 i);
