Bound starts under way per target; count time-outs from the time of sending

Cause: all starts of a target were handed to four connections at once, and their time-outs counted the wait for a connection and stalls of the own loop. Late answers then counted as lost, and the shorter time-outs of the loss mode made more of them late. Change: four starts under way per target, the others wait with the leader in the order of their placement; http_call::responseTimeout counts from sending; no deadline is enforced in the check that follows a stall; start time-outs follow the answer times seen (RFC 6298) and double per attempt; early retries come from a budget; poll grace in loss mode follows the answer times too. Tests: target_tracking_test (a target that answers one of twenty starts at a time; order of waiting starts; learned time-outs; retry budget), http_test (response time-out, stalled loop).

--- a/modules/filbert_dispatch/dispatch_state.cpp
+++ b/modules/filbert_dispatch/dispatch_state.cpp
@@ -177,6 +177,7 @@
     state.term = term;
     state.lastAdmissionId = term << requestIdBits; // answers of earlier terms match no request
     state.leadingSince = now;
+    state.retryTokens = settings.maxRetryTokens;
     state.nextCleanupAt = now + cleanupPeriod;
     for (const auto &[id, registered] : work.targets) {
         syncTarget(state, id, now);
--- a/modules/filbert_dispatch/dispatch_state.h
+++ b/modules/filbert_dispatch/dispatch_state.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "round_trip_estimate.h"
+
 #include "filbert_work/filbert_work.h"
 
 #include <cstdint>
@@ -25,7 +27,11 @@
     milliseconds pollWait {1'500}; // a poll returns by then; a lease is longer than two polls
     // Instead of pollWait on a target with both best-effort and latency-sensitive runs.
     milliseconds mixedLoadPollWait {400};
-    milliseconds startTimeout {150}; // many round trips; sending a start again does no harm
+    // Many round trips; sending a start again does no harm. Longer where answers take longer.
+    milliseconds startTimeout {150};
+    // Starts under way to one target at a time, as many as its connections for orders. The others
+    // wait with the leader, so that no timeout counts the time that they wait for a connection.
+    std::size_t maxPendingStarts = 4;
     milliseconds initialRetryDelay {20}; // after the first timeout, since urgent work waits
     milliseconds orderTimeout {700}; // of stops and work rates; no task waits for these
     // A target that answered a poll this recently is taken for the same incarnation: no process
@@ -41,7 +47,12 @@
     std::size_t lossyTargetThreshold = 2;
     milliseconds lossyPollWait {250}; // a third of the shortest usual task
     milliseconds lossyPollGracePeriod {150};
-    milliseconds lossyStartTimeout {70}; // ten round trips between failure domains
+    // Ten round trips between failure domains. Longer where answers take longer.
+    milliseconds lossyStartTimeout {70};
+    // Early retries of starts that each start permits on average, so that retries cannot become the
+    // larger part of the load.
+    double retriesPerStart = 0.5;
+    double maxRetryTokens = 50; // early retries permitted at once
     // After this time, three attempts, a start without an answer is not sent again but withdrawn.
     milliseconds startRetryPeriod {2'200};
     milliseconds contactTimeout {3'300}; // two missed reports of 1.5 s: then no new work
@@ -69,7 +80,9 @@
     bool isOrderPending = false; // a start or stop was sent and is not answered yet
     bool isAbandonmentProposed = false; // a command that ends it without a report was proposed
     bool mayHaveReachedTarget = true; // at least one start order may have arrived
-    time_point orderedAt;
+    time_point orderedAt; // when its start was sent first; 0 = not yet
+    std::uint64_t startNumber = 0; // starts wait for their target in this order
+    int startAttempts = 0;
     time_point startedAt;
     time_point retryAt;
     time_point confirmedAt; // when the target confirmed the last start or stop; 0 = not yet
@@ -271,6 +284,9 @@
     std::set<std::pair<std::string, std::uint32_t>> proposedOccurrences; // (job, occurrence)
     std::uint64_t lastAdmissionId = 0;
     std::map<std::string, time_point> lostAnswers; // by target: when its last answer got lost
+    round_trip_estimate startAnswerTime; // from sending a start to its answer, of all targets
+    double retryTokens = 0; // early retries of starts that are permitted at present
+    std::uint64_t lastStartNumber = 0;
     time_point nextCleanupAt;
     std::set<std::string> changedTargets; // ids of those with new events since the last tick
     time_point nextTargetTickAt; // the next tick of all targets, not only of the changed ones
--- a/modules/filbert_dispatch/order_answers.cpp
+++ b/modules/filbert_dispatch/order_answers.cpp
@@ -64,7 +64,7 @@
         return;
     }
     const bool isTolerated =
-        isLosingAnswers(state) && now - target.lastAnswerAt < lossyPollTimeout(state.settings);
+        isLosingAnswers(state) && now - target.lastAnswerAt < lossyPollTimeout(state);
     if (isTolerated || std::exchange(target.isSuspect, true)) {
         return;
     }
@@ -83,6 +83,7 @@
     if (result == order_result::Done || result == order_result::Superseded) {
         run.confirmedAt = now;
         run.mayHaveReachedTarget = true;
+        addSample(state.startAnswerTime, now - order.sentAt);
         if (run.phase == run_phase::Ordered) {
             run.phase = run_phase::Started;
             run.startedAt = now;
@@ -107,7 +108,7 @@
         && now - run.orderedAt < state.settings.startRetryPeriod;
     if (canRetry) {
         const bool isRetriedSoon =
-            isLosingAnswers(state) || now - run.orderedAt < state.settings.startTimeout * 2;
+            (isLosingAnswers(state) || run.startAttempts == 1) && takeRetryToken(state);
         run.retryAt =
             now + (isRetriedSoon ? state.settings.initialRetryDelay : state.settings.retryDelay);
         return;
--- a/modules/filbert_dispatch/target_orders.cpp
+++ b/modules/filbert_dispatch/target_orders.cpp
@@ -21,6 +21,19 @@
     return expiresAt;
 }
 
+milliseconds startTimeoutFor(const dispatch_state &state, int earlierAttempts)
+{
+    const auto &settings = state.settings;
+    auto timeout =
+        answerTimeout(state.startAnswerTime,
+                      isLosingAnswers(state) ? settings.lossyStartTimeout : settings.startTimeout,
+                      settings.orderTimeout);
+    for (int i = 0; i < earlierAttempts && timeout < settings.orderTimeout; ++i) {
+        timeout = timeout * 2;
+    }
+    return std::min(timeout, settings.orderTimeout);
+}
+
 } // namespace
 
 target_order orderFor(const dispatch_state &state, const tracked_target &target,
@@ -78,8 +91,12 @@
     order.checkpoint = run.checkpoint;
     order.ticket = run.ticket;
     order.leaseExpiresAt = leaseExpiryFor(state, target, now);
-    order.timeout =
-        isLosingAnswers(state) ? state.settings.lossyStartTimeout : state.settings.startTimeout;
+    order.timeout = startTimeoutFor(state, run.startAttempts);
+    if (run.startAttempts++ == 0) {
+        run.orderedAt = now;
+        state.retryTokens = std::min(state.retryTokens + state.settings.retriesPerStart,
+                                     state.settings.maxRetryTokens);
+    }
     run.isOrderPending = true;
     state.effects.orders.push_back(std::move(order));
 }
@@ -121,13 +138,28 @@
     const bool isSurelySameIncarnation = target.pollAnsweredAt.ms > 0
         && now - target.pollAnsweredAt < state.settings.sameIncarnationWindow;
     order.lastAppliedEnd = isSurelySameIncarnation ? registered.lastAppliedEnd : 0;
-    order.timeout = order.pollWait
-        + (isLossy ? state.settings.lossyPollGracePeriod : state.settings.pollGracePeriod);
+    order.timeout =
+        order.pollWait + (isLossy ? lossyPollGracePeriod(state) : state.settings.pollGracePeriod);
     target.isPollPending = true;
     target.pollSentAt = now;
     state.effects.orders.push_back(std::move(order));
 }
 
+milliseconds lossyPollGracePeriod(const dispatch_state &state)
+{
+    return answerTimeout(state.startAnswerTime, state.settings.lossyPollGracePeriod,
+                         state.settings.pollGracePeriod);
+}
+
+bool takeRetryToken(dispatch_state &state)
+{
+    if (state.retryTokens < 1) {
+        return false;
+    }
+    state.retryTokens -= 1;
+    return true;
+}
+
 void quarantineTarget(dispatch_state &state, tracked_target &target, const std::string &reason,
                       time_point now)
 {
--- a/modules/filbert_dispatch/target_orders.h
+++ b/modules/filbert_dispatch/target_orders.h
@@ -19,13 +19,20 @@
 target_order orderFor(const dispatch_state &state, const tracked_target &target,
                       const registered_target &registered, order_kind kind, time_point now);
 
+/** @return the time by which the answer to a poll may be late while answers get lost */
+milliseconds lossyPollGracePeriod(const dispatch_state &state);
+
 /** @return the timeout of a poll while answers get lost */
-inline milliseconds lossyPollTimeout(const dispatch_settings &settings)
+inline milliseconds lossyPollTimeout(const dispatch_state &state)
 {
-    return settings.lossyPollWait + settings.lossyPollGracePeriod;
+    return state.settings.lossyPollWait + lossyPollGracePeriod(state);
 }
 
-/** Sends the order to start a run that the log holds. */
+/** Whether a start may be retried early; takes a token of the retry budget for it. */
+bool takeRetryToken(dispatch_state &state);
+
+/** Sends the order to start a run that the log holds. Each further attempt waits longer for its
+    answer. */
 void sendStart(dispatch_state &state, tracked_target &target, const registered_target &registered,
                const task_name &task, run_view &run, time_point now);
 
--- a/modules/filbert_dispatch/target_tracking.cpp
+++ b/modules/filbert_dispatch/target_tracking.cpp
@@ -37,9 +37,19 @@
         && (!target.clockMs || clockLowerBound(target, now) > target.leaseExpiresAt);
 }
 
+std::size_t countPendingStarts(const tracked_target &target)
+{
+    return static_cast<std::size_t>(
+        std::count_if(target.runs.begin(), target.runs.end(), [](const auto &each) {
+            return each.second.phase == run_phase::Ordered && each.second.isOrderPending;
+        }));
+}
+
 void tickRuns(dispatch_state &state, tracked_target &target, const registered_target &registered,
               time_point now)
 {
+    auto pendingStarts = countPendingStarts(target);
+    std::vector<std::pair<std::uint64_t, task_name>> dueStarts;
     for (auto &[task, run] : target.runs) {
         const auto &job = state.work->jobs.at(task.job);
         const auto *record = findTask(*state.work, task);
@@ -54,12 +64,19 @@
             continue;
         }
         if (run.phase == run_phase::Ordered) {
-            sendStart(state, target, registered, task, run, now);
+            dueStarts.emplace_back(run.startNumber, task);
         } else if (run.phase == run_phase::Stopping && run.confirmedAt.ms == 0) {
             run.isOrderPending = true;
             sendStop(state, target, registered, task, run.run, now);
         }
     }
+    std::sort(dueStarts.begin(), dueStarts.end());
+    for (const auto &[number, task] : dueStarts) {
+        if (pendingStarts++ >= state.settings.maxPendingStarts) {
+            break;
+        }
+        sendStart(state, target, registered, task, target.runs.at(task), now);
+    }
     for (const auto &[task, run] : target.orphanRuns) {
         if (now >= target.pollSentAt + state.settings.retryDelay) {
             sendStop(state, target, registered, task, run, now);
@@ -284,10 +301,12 @@
     run.run = start.run();
     run.phase = run_phase::Ordered;
     run.mayHaveReachedTarget = false;
-    run.orderedAt = now;
+    run.startNumber = ++state.lastStartNumber;
     run.checkpoint = start.checkpoint();
     run.ticket = ticket;
-    sendStart(state, found->second, *registered, task, run, now);
+    if (countPendingStarts(found->second) < state.settings.maxPendingStarts) {
+        sendStart(state, found->second, *registered, task, run, now);
+    }
 }
 
 namespace {
@@ -322,7 +341,7 @@
     reviewProgress(state, target, now);
     tickRuns(state, target, *registered, now);
     const bool isPollLost =
-        isLosingAnswers(state) && now - target.pollSentAt > lossyPollTimeout(state.settings);
+        isLosingAnswers(state) && now - target.pollSentAt > lossyPollTimeout(state);
     if ((!target.isPollPending || isPollLost) && now >= target.nextPollAt
         && needsPoll(state, target, *registered, now)) {
         sendPoll(state, target, *registered, now);
--- a/modules/filbert_dispatch/tests/target_tracking_test.cpp
+++ b/modules/filbert_dispatch/tests/target_tracking_test.cpp
@@ -445,3 +445,91 @@
     REQUIRE(polls.size() == 1);
     CHECK(polls.back().pollWait == cell.leader->settings.pollWait);
 }
+
+// Pattern: many starts packed onto one target that carries out one at a time, slowly.
+TEST_CASE("starts packed onto one target wait with the leader, and each is sent once", "[dispatch]")
+{
+    constexpr int tasks = 20;
+    dispatch_fixture cell;
+    cell.registerTarget("t1", 1, tasks * 1'000);
+    cell.accept("j", {cell.step(tasks, 1'000)});
+    cell.startLeading();
+    cell.reportTarget("t1");
+    cell.runFor({20});
+    std::map<task_name, int> sentStarts;
+    for (int i = 0; i < tasks; ++i) {
+        const auto pending = cell.pendingOrders(order_kind::Start);
+        REQUIRE_FALSE(pending.empty());
+        CHECK(pending.size() <= cell.leader->settings.maxPendingStarts);
+        order_answer answer;
+        answer.result = order_result::Done;
+        answer.clockMs = cell.now.ms;
+        ++sentStarts[pending.front().task];
+        handleOrderAnswer(*cell.leader, pending.front(), answer, cell.now);
+        std::erase_if(cell.orders, [&](const auto &order) {
+            return order.kind == order_kind::Start && order.task == pending.front().task;
+        });
+        cell.runFor({30});
+    }
+    CHECK(sentStarts.size() == tasks);
+    CHECK(cell.pendingOrders(order_kind::Start).empty());
+    CHECK(cell.leader->lostAnswers.empty());
+}
+
+TEST_CASE("starts that wait for their target are sent in the order of their placement",
+          "[dispatch]")
+{
+    dispatch_fixture cell;
+    cell.registerTarget("t1", 1, 20'000);
+    cell.accept("z", {cell.step(6, 1'000)});
+    cell.startLeading();
+    cell.reportTarget("t1");
+    cell.runFor({20});
+    cell.accept("a", {cell.step(2, 1'000)});
+    refreshJob(*cell.leader, "a", cell.now);
+    cell.runFor({20});
+    cell.answerOrders(order_kind::Start, order_result::Done);
+    cell.runFor({10});
+    const auto pending = cell.pendingOrders(order_kind::Start);
+    REQUIRE(pending.size() == 4);
+    CHECK(pending[0].task.job == "z");
+    CHECK(pending[1].task.job == "z");
+    CHECK(pending[2].task.job == "a");
+}
+
+TEST_CASE("starts wait longer for an answer where answers take longer", "[dispatch]")
+{
+    dispatch_fixture cell;
+    cell.registerTarget("t1", 1, 40'000);
+    cell.accept("j", {cell.step(40, 1'000)});
+    cell.startLeading();
+    cell.reportTarget("t1");
+    cell.runFor({20});
+    CHECK(cell.pendingOrders(order_kind::Start).front().timeout
+          == cell.leader->settings.startTimeout);
+    for (int i = 0; i < 5; ++i) {
+        cell.runFor({140});
+        cell.answerOrders(order_kind::Start, order_result::Done);
+        cell.runFor({10});
+    }
+    CHECK(cell.pendingOrders(order_kind::Start).front().timeout
+          > cell.leader->settings.startTimeout);
+}
+
+TEST_CASE("early retries of starts stay within their budget, and timeouts grow", "[dispatch]")
+{
+    dispatch_fixture cell;
+    cell.placeOneTask();
+    cell.leader->retryTokens = 1;
+    const auto first = cell.pendingOrders(order_kind::Start).front();
+    cell.answerOrders(order_kind::Start, order_result::Unanswered);
+    cell.runFor({40});
+    REQUIRE(cell.pendingOrders(order_kind::Start).size() == 1);
+    CHECK(cell.pendingOrders(order_kind::Start).front().timeout > first.timeout);
+    cell.leader->retryTokens = 0;
+    cell.answerOrders(order_kind::Start, order_result::Unanswered);
+    cell.runFor({40});
+    CHECK(cell.pendingOrders(order_kind::Start).empty());
+    cell.runFor({200});
+    CHECK(cell.pendingOrders(order_kind::Start).size() == 1);
+}
--- a/modules/filbert_transport/http_client.cpp
+++ b/modules/filbert_transport/http_client.cpp
@@ -62,6 +62,7 @@
     , usesTls {usesTls}
     , trustedFile {trustedFile}
 {
+    lastDeadlineCheck = monotonicNow();
     loop.callEvery(deadlineCheckPeriod, [this] { checkDeadlines(); });
 }
 
@@ -136,6 +137,9 @@
         info.client_ssl_ca_filepath = trustedFile.empty() ? nullptr : trustedFile.c_str();
         vhosts.push_back(lws_create_vhost(loop.context(), &info));
     }
+    if (call->request.responseTimeout.count > 0) {
+        call->deadline = std::min(call->deadline, monotonicNow() + call->request.responseTimeout);
+    }
     const auto &endpoint = call->request.endpoint;
     const auto [address, port] = splitEndpoint(endpoint);
     lws_client_connect_info info {};
@@ -302,9 +306,21 @@
     });
 }
 
+/** Whether the loop has stalled since the last check, so that responses may not have been read yet.
+    Two checks in a row are never skipped: a loop that is always late still enforces deadlines. */
+bool http_client::mustSkipDeadlineCheck(time_point now)
+{
+    const auto elapsed = now - std::exchange(lastDeadlineCheck, now);
+    wasCheckSkipped = elapsed >= deadlineCheckPeriod * 2 && !wasCheckSkipped;
+    return wasCheckSkipped;
+}
+
 void http_client::checkDeadlines()
 {
     const auto now = monotonicNow();
+    if (mustSkipDeadlineCheck(now)) {
+        return;
+    }
     std::vector<std::shared_ptr<pending_call>> overdue;
     for (const auto &[key, call] : activeCalls) {
         if (call->mayHaveBeenSent && call->wsi != nullptr && now >= call->nextTimeoutUpdate) {
--- a/modules/filbert_transport/http_client.h
+++ b/modules/filbert_transport/http_client.h
@@ -20,7 +20,8 @@
     std::string path = "/";
     std::vector<http_header> headers;
     std::string body;
-    milliseconds timeout {5'000};
+    milliseconds timeout {5'000}; // includes the wait for a connection
+    milliseconds responseTimeout; // from the time of sending; 0 = only the timeout applies
     // A server may close an idle connection at the moment at which it is reused.
     bool needsNewConnection = false;
 };
@@ -40,6 +41,9 @@
     The handler of a call is invoked exactly once, with a complete response or with an error that
     tells whether the server may have seen the request: with ConnectionFailed no byte of it was
     sent, with TargetLost and Timeout the server may have read it.
+
+    After the event loop has stalled, calls end with Timeout only once their sockets were served
+    again: the response may have arrived meanwhile.
 */
 class http_client
 {
@@ -98,6 +102,7 @@
     int writeBody(lws *wsi, pending_call &call);
     static void finish(pending_call &call, std::error_code error);
     static void abandon(pending_call &call, std::error_code error);
+    bool mustSkipDeadlineCheck(time_point now);
     void checkDeadlines();
 
     lws_protocols protocols[2];
@@ -107,6 +112,8 @@
     bool usesTls;
     std::string trustedFile;
     milliseconds suspectPeriod {15'000}; // idle connections are kept for this long
+    time_point lastDeadlineCheck;
+    bool wasCheckSkipped = false;
     std::unordered_map<std::string, std::unique_ptr<endpoint_state>> endpoints;
     std::unordered_map<pending_call *, std::shared_ptr<pending_call>> activeCalls;
 };
--- a/modules/filbert_transport/tests/http_test.cpp
+++ b/modules/filbert_transport/tests/http_test.cpp
@@ -102,6 +102,59 @@
     CHECK(countEstablishedConnections(server->port()) <= 1);
 }
 
+TEST_CASE("the response timeout of a call starts when it is sent, not while it waits",
+          "[transport]")
+{
+    // Pattern: many starts packed onto one target, which carries out one at a time.
+    constexpr int calls = 6;
+    event_loop loop;
+    std::unique_ptr<http_server> server;
+    server = std::make_unique<http_server>(
+        loop, "127.0.0.1", 0, http_limits {}, tls_files {}, [&](http_request &&request) {
+            loop.callAfter({60}, [&, id = request.id] { server->respond(id, http_response {}); });
+        });
+    http_client client {loop, 1};
+    int answered = 0;
+    int ended = 0;
+    for (int i = 0; i < calls; ++i) {
+        http_call call;
+        call.endpoint = "127.0.0.1:" + std::to_string(server->port());
+        call.body = "{}";
+        call.timeout = {30'000};
+        call.responseTimeout = {250};
+        client.send(std::move(call), [&](std::error_code error, http_response &&) {
+            answered += error ? 0 : 1;
+            if (++ended == calls) {
+                loop.stop();
+            }
+        });
+    }
+    loop.run();
+    CHECK(answered == calls);
+}
+
+TEST_CASE("a stall of the loop is not taken for a missing response", "[transport]")
+{
+    event_loop loop;
+    std::unique_ptr<http_server> server;
+    server = std::make_unique<http_server>(
+        loop, "127.0.0.1", 0, http_limits {}, tls_files {},
+        [&](http_request &&request) { server->respond(request.id, http_response {}); });
+    http_client client {loop, 1};
+    std::error_code result = error_kind::Timeout;
+    http_call call;
+    call.endpoint = "127.0.0.1:" + std::to_string(server->port());
+    call.body = "{}";
+    call.timeout = {150};
+    client.send(std::move(call), [&](std::error_code error, http_response &&) {
+        result = error;
+        loop.stop();
+    });
+    std::this_thread::sleep_for(std::chrono::milliseconds {300}); // the deadline passes meanwhile
+    loop.run();
+    CHECK_FALSE(result);
+}
+
 TEST_CASE("after calls without an answer, later calls succeed, on idle connections too",
           "[transport]")
 {
