Sync the replicated log on a thread of its own

Cause: each round of a controller's loop waited for a sync of 6 ms, on followers too. Change: log_store::startAppend() writes a frame and syncs it on a sync_thread; log_member sends what relies on it, and counts it as durable, when the sync has ended; what happens meanwhile goes into the next write. An entry that a new leader replaced meanwhile does not count. A retry after a full disk in a new segment now syncs the folder.

--- a/modules/filbert_replication/log_member.cpp
+++ b/modules/filbert_replication/log_member.cpp
@@ -1,5 +1,6 @@
 #include "log_member.h"
 
+#include "log_access.h"
 #include "log_effects.h"
 
 #include <algorithm>
@@ -68,7 +69,7 @@
 std::error_code log_member::compact(time_point now)
 {
     const auto entriesSinceSnapshot = log.appliedIndex - log.snapshot.index();
-    const bool isDue = entriesSinceSnapshot > 0 && now >= nextSnapshotAttempt
+    const bool isDue = entriesSinceSnapshot > 0 && !syncing && now >= nextSnapshotAttempt
         && effects.entriesToApply.empty()
         && (entriesSinceSnapshot >= snapshots.entries || store.logBytes() >= snapshots.bytes);
     if (!isDue) {
@@ -102,33 +103,87 @@
     return count;
 }
 
+bool log_member::hasWork(std::size_t remainingEntries) const
+{
+    const bool canPersist = !syncing
+        && (effects.mustPersist || effects.mustInstall || !effects.messagesAfterSync.empty());
+    const bool canApply =
+        remainingEntries > 0 && !effects.entriesToApply.empty() && !effects.mustInstall;
+    return canPersist || canApply || !effects.messagesBeforeSync.empty();
+}
+
+/** Makes the effects durable, or starts to: then there is a pending sync afterwards. */
+std::error_code log_member::persist(time_point now)
+{
+    if (!store.syncsInBackground() || effects.mustInstall || !effects.mustPersist) {
+        return persistEffects(log, store, now, &effects);
+    }
+    if (const auto error = store.startAppend(log.term, log.votedFor, effects.entriesToPersist)) {
+        return error;
+    }
+    effects.mustPersist = false;
+    effects.entriesToPersist.clear();
+    const auto index = lastIndex(log);
+    syncing = {index, termAt(log, index).value_or(0), std::exchange(effects.messagesAfterSync, {})};
+    return {};
+}
+
+std::error_code log_member::finishSync(time_point now)
+{
+    const auto result = store.takeSyncResult();
+    if (!result) {
+        return {};
+    }
+    if (*result) {
+        return *result;
+    }
+    auto finished = std::move(*std::exchange(syncing, std::nullopt));
+    // If the entry is still there, so are all before it. Otherwise a new leader has replaced some,
+    // and the next write makes the log durable as it is now.
+    if (termAt(log, finished.lastIndex) == finished.lastTerm) {
+        handlePersisted(log, finished.lastIndex, now, &effects);
+    }
+    sendMessages(&finished.messages);
+    return {};
+}
+
 std::error_code log_member::flush(time_point now)
 {
+    if (syncing) {
+        if (const auto error = finishSync(now)) {
+            return error;
+        }
+    }
     std::size_t remainingEntries = maxEntriesPerFlush;
-    while (effects.mustPersist || effects.mustInstall || !effects.messagesBeforeSync.empty()
-           || !effects.messagesAfterSync.empty()
-           || (remainingEntries > 0 && !effects.entriesToApply.empty())) {
+    while (hasWork(remainingEntries)) {
         sendMessages(&effects.messagesBeforeSync);
-        const auto error = persistEffects(log, store, now, &effects);
-        if (error == error_kind::DiskFull) {
-            // Nothing was written, so the messages that depend on it must not be sent. The write is
-            // repeated at the next flush.
-            if (!std::exchange(hasFullDisk, true)) {
-                log_line {"disk_full", log_line::severity::Error}.with("role", roleName(log.role));
+        if (!syncing) {
+            const auto error = persist(now);
+            if (error == error_kind::DiskFull) {
+                // Nothing was written, so the messages that depend on it must not be sent. The
+                // write is repeated at the next flush.
+                if (!std::exchange(hasFullDisk, true)) {
+                    log_line {"disk_full", log_line::severity::Error}.with("role",
+                                                                           roleName(log.role));
+                }
+                effects.messagesAfterSync.clear();
+                break;
             }
-            effects.messagesAfterSync.clear();
-            break;
+            if (error) {
+                return error;
+            }
+            hasFullDisk = false;
         }
-        if (error) {
-            return error;
+        if (!syncing) {
+            sendMessages(&effects.messagesAfterSync);
+            if (std::exchange(effects.mustInstall, false)) {
+                hooks.restore(*log.snapshotData);
+                log_line {"snapshot_installed"}.with("index", log.snapshot.index());
+            }
         }
-        hasFullDisk = false;
-        sendMessages(&effects.messagesAfterSync);
-        if (std::exchange(effects.mustInstall, false)) {
-            hooks.restore(*log.snapshotData);
-            log_line {"snapshot_installed"}.with("index", log.snapshot.index());
+        if (!effects.mustInstall) {
+            remainingEntries -= applyCommitted(remainingEntries);
         }
-        remainingEntries -= applyCommitted(remainingEntries);
     }
     return compact(now);
 }
--- a/modules/filbert_replication/log_member.h
+++ b/modules/filbert_replication/log_member.h
@@ -4,6 +4,7 @@
 
 #include <functional>
 #include <map>
+#include <optional>
 
 namespace filbert {
 
@@ -39,6 +40,10 @@
     of it, so that it needs only one sync. flush() carries out the effects in the only safe order:
     send the messages that may leave before the sync, write and sync, send the other messages, apply
     committed entries.
+
+    With a store that syncs in the background, flush() does not wait for the disk: it returns while
+    the sync is in progress, and a later call sends the messages that rely on it. What happens
+    meanwhile goes into the next write.
 */
 class log_member
 {
@@ -76,8 +81,9 @@
     /** Transfers leadership to another member, as before a planned stop. */
     void transferLeadership(time_point now);
 
-    /** Writes and syncs, sends messages, applies committed entries, and takes a snapshot if one is
-        due. A full disk is no error: the write is repeated at the next flush.
+    /** Writes and syncs, or continues a sync in the background, sends messages, applies committed
+       entries, and takes a snapshot if one is due. A full disk is no error: the write is repeated
+       at the next flush.
 
         @return StorageFailed if the process must stop
     */
@@ -98,6 +104,17 @@
     const replicated_log_state &state() const { return log; }
 
 private:
+    /** A write whose sync is in progress. */
+    struct pending_sync
+    {
+        std::uint64_t lastIndex = 0; // of the log at the time of the write
+        std::uint64_t lastTerm = 0; // of that entry
+        std::vector<messages::replication_message> messages; // to send after the sync
+    };
+
+    bool hasWork(std::size_t remainingEntries) const;
+    std::error_code persist(time_point now);
+    std::error_code finishSync(time_point now);
     void sendMessages(std::vector<messages::replication_message> *messages);
     std::size_t applyCommitted(std::size_t maxEntries);
     std::error_code compact(time_point now);
@@ -108,6 +125,7 @@
     log_store &store;
     log_member_hooks hooks;
     std::map<std::string, time_point> lastContactAt;
+    std::optional<pending_sync> syncing;
     time_point nextSnapshotAttempt;
     bool hasFullDisk = false;
 };
--- a/modules/filbert_storage/filbert_storage.h
+++ b/modules/filbert_storage/filbert_storage.h
@@ -10,6 +10,7 @@
     and which is cut off, from damage to synced data, with which a process must not start.
 
     - file_system.h: the file operations that storage needs, as an interface, and the real files.
+    - sync_thread.h: syncs in the background, so that an event loop goes on meanwhile.
     - log_store.h: term, vote, log entries and snapshots in these files.
 
     Depends on: filbert_core, filbert_messages, xxHash.
@@ -17,3 +18,4 @@
 
 #include "file_system.h"
 #include "log_store.h"
+#include "sync_thread.h"
--- a/modules/filbert_storage/log_store.cpp
+++ b/modules/filbert_storage/log_store.cpp
@@ -50,6 +50,18 @@
     return frame;
 }
 
+messages::stored_frame makeAppendFrame(std::uint64_t term, const std::string &votedFor,
+                                       const std::vector<messages::log_entry> &entries)
+{
+    messages::stored_frame message;
+    message.set_term(term);
+    message.set_voted_for(votedFor);
+    for (const auto &entry : entries) {
+        *message.add_entries() = entry;
+    }
+    return message;
+}
+
 /** Reads a frame. @return whether there is a complete frame with a valid checksum at the offset */
 bool readFrame(std::string_view content, std::size_t offset, frame_header *header,
                std::string_view *payload)
@@ -118,8 +130,9 @@
 
 } // namespace
 
-log_store::log_store(file_system &files)
+log_store::log_store(file_system &files, sync_thread *background)
     : files {files}
+    , background {background}
 {
 }
 
@@ -281,34 +294,52 @@
 std::error_code log_store::append(std::uint64_t newTerm, const std::string &newVote,
                                   const std::vector<messages::log_entry> &entries)
 {
-    messages::stored_frame message;
-    message.set_term(newTerm);
-    message.set_voted_for(newVote);
-    for (const auto &entry : entries) {
-        *message.add_entries() = entry;
+    const auto error = writeAndSync(makeAppendFrame(newTerm, newVote, entries));
+    if (!error) {
+        term = newTerm;
+        votedFor = newVote;
     }
-    if (const auto error = writeFrame(message)) {
+    return error;
+}
+
+std::error_code log_store::startAppend(std::uint64_t newTerm, const std::string &newVote,
+                                       const std::vector<messages::log_entry> &entries)
+{
+    FILBERT_INVARIANT(background != nullptr, "the store can sync in the background");
+    if (const auto error = writeFrame(makeAppendFrame(newTerm, newVote, entries))) {
         return error;
     }
     term = newTerm;
     votedFor = newVote;
+    background->start([this] { return syncLog(); });
     return {};
 }
 
+std::optional<std::error_code> log_store::takeSyncResult()
+{
+    return background != nullptr ? background->takeResult() : std::nullopt;
+}
+
 std::error_code log_store::truncateAfter(std::uint64_t index)
 {
     messages::stored_frame message;
     message.set_term(term);
     message.set_voted_for(votedFor);
     message.set_drop_after(index);
-    return writeFrame(message);
+    return writeAndSync(message);
+}
+
+std::error_code log_store::writeAndSync(const messages::stored_frame &message)
+{
+    const auto error = writeFrame(message);
+    return error ? error : syncLog();
 }
 
 std::error_code log_store::writeFrame(const messages::stored_frame &message)
 {
-    const bool isNew = segments.empty() || segments.back().bytes >= segmentBytes;
-    if (isNew) {
+    if (segments.empty() || segments.back().bytes >= segmentBytes) {
         startSegment();
+        mustSyncFolder = true;
     }
     auto &current = segments.back();
     const auto frame = makeFrame(nextFrame, message.SerializeAsString());
@@ -317,9 +348,6 @@
         const bool isTruncated = !files.truncate(current.name, current.bytes);
         return error == error_kind::DiskFull && isTruncated ? error : error_kind::StorageFailed;
     }
-    if (files.syncFile(current.name) || (isNew && files.syncFolder())) {
-        return error_kind::StorageFailed; // after a failed sync the content of the disk is unknown
-    }
     ++nextFrame;
     current.bytes += frame.size();
     for (const auto &entry : message.entries()) {
@@ -328,6 +356,16 @@
     return {};
 }
 
+/** Syncs what writeFrame() has written. */
+std::error_code log_store::syncLog()
+{
+    if (files.syncFile(segments.back().name) || (mustSyncFolder && files.syncFolder())) {
+        return error_kind::StorageFailed; // after a failed sync the content of the disk is unknown
+    }
+    mustSyncFolder = false;
+    return {};
+}
+
 std::error_code log_store::saveSnapshot(const messages::snapshot_header &header,
                                         std::string_view data)
 {
--- a/modules/filbert_storage/log_store.h
+++ b/modules/filbert_storage/log_store.h
@@ -2,6 +2,7 @@
 
 #include "filbert_messages/filbert_messages.h"
 #include "file_system.h"
+#include "sync_thread.h"
 
 #include <cstdint>
 #include <string>
@@ -42,8 +43,10 @@
 class log_store
 {
 public:
-    /** @param files  the files of the data folder; they outlive the store */
-    explicit log_store(file_system &files);
+    /** @param files       the files of the data folder; they outlive the store
+        @param background  runs the syncs of startAppend(), and outlives the store; nullptr = the
+                           store is used with append() only */
+    explicit log_store(file_system &files, sync_thread *background = nullptr);
 
     /** Initialises an empty data folder.
 
@@ -70,6 +73,22 @@
     std::error_code append(std::uint64_t term, const std::string &votedFor,
                            const std::vector<messages::log_entry> &entries);
 
+    /** Writes one frame and starts to sync it in the background. Until takeSyncResult() returns the
+        result, no other function may be called that writes.
+
+        @param term, votedFor, entries  as for append()
+        @return as append(); what was written is durable only once the sync has succeeded
+    */
+    std::error_code startAppend(std::uint64_t term, const std::string &votedFor,
+                                const std::vector<messages::log_entry> &entries);
+
+    /** @return the result of the sync that startAppend() started, once it has ended: StorageFailed
+                if the process must stop */
+    std::optional<std::error_code> takeSyncResult();
+
+    /** Whether the store can sync in the background. */
+    bool syncsInBackground() const { return background != nullptr; }
+
     /** Writes and syncs a frame that invalidates all stored entries after an index.
 
         @param index  the last entry that is kept
@@ -117,11 +136,15 @@
     std::error_code readSnapshot(stored_state *state, storage_damage *damage);
     std::error_code startSegment();
     std::error_code writeFrame(const messages::stored_frame &message);
+    std::error_code syncLog();
+    std::error_code writeAndSync(const messages::stored_frame &message);
     std::error_code writeSnapshotFrame(std::uint64_t number, std::string_view payload);
     std::error_code removeCoveredSegments(std::uint64_t index);
 
     file_system &files;
+    sync_thread *background;
     std::vector<segment> segments;
+    bool mustSyncFolder = false; // a segment was created since the last sync
     std::uint64_t nextFrame = 1; // number of the next frame of the log
     std::uint64_t term = 0;
     std::string votedFor;
