Do not stop gang members that wait for the others

Each such stop broke its whole gang, 5 s on up to 20 targets. Change: a member whose work is done is waiting, not stalled, while any other member is below 100 percent. A member that stands still below that is still stopped. Tests: both cases in target_tracking_test (the first failed before).

--- a/modules/filbert_dispatch/target_tracking.cpp
+++ b/modules/filbert_dispatch/target_tracking.cpp
@@ -15,6 +15,7 @@
 constexpr milliseconds leaseMargin {100};
 // For a stop with a checkpoint before the target leaves.
 constexpr milliseconds checkpointTimeout {700};
+constexpr int allWorkDone = 100; // progress of a run in percent
 constexpr std::int64_t targetsPerMillisecond = 15; // that a tick of all targets handles in a ms
 
 bool needsPoll(const dispatch_state &state, const tracked_target &target,
@@ -102,6 +103,28 @@
     }
 }
 
+/** Whether a run has done its work and waits for other members of its gang, which end together. */
+bool isWaitingForGang(const dispatch_state &state, const task_name &task, const run_view &run)
+{
+    if (run.percentDone < allWorkDone
+        || !stepSpecOf(state.work->jobs.at(task.job), task.step).is_gang()) {
+        return false;
+    }
+    const auto &members = findStep(*state.work, stepNameOf(task))->tasks;
+    auto name = task;
+    for (name.index = 0; name.index < members.size(); ++name.index) {
+        const auto target = state.targets.find(members[name.index].target);
+        if (target == state.targets.end()) {
+            continue;
+        }
+        const auto member = target->second.runs.find(name);
+        if (member != target->second.runs.end() && member->second.percentDone < allWorkDone) {
+            return true;
+        }
+    }
+    return false;
+}
+
 /** Stops runs that polls have listed for long without any progress, since they may hang. A time
     without polls says nothing about a run and does not count. */
 void reviewProgress(dispatch_state &state, tracked_target &target, time_point now)
@@ -111,7 +134,8 @@
         const bool isMonitored = run.phase == run_phase::Started && !spec.lasts()
             && !spec.fills_gaps() && run.workRate == 100;
         const auto stalledFor = run.lastListedAt - std::max(run.lastProgressAt, run.startedAt);
-        if (isMonitored && stalledFor > state.settings.stallTimeout) {
+        if (isMonitored && stalledFor > state.settings.stallTimeout
+            && !isWaitingForGang(state, task, run)) {
             requestStop(state, task, "it makes no progress", now);
             if (now >= target.quarantinedUntil) {
                 quarantineTarget(state, target, "a task there makes no progress", now);
--- a/modules/filbert_dispatch/tests/target_tracking_test.cpp
+++ b/modules/filbert_dispatch/tests/target_tracking_test.cpp
@@ -1,6 +1,7 @@
 #include "dispatch_fixture.h"
 
 #include <catch2/catch.hpp>
+#include <functional>
 
 using namespace filbert;
 
@@ -533,3 +534,61 @@
     cell.runFor({200});
     CHECK(cell.pendingOrders(order_kind::Start).size() == 1);
 }
+
+namespace {
+
+/** Places a gang of two members on two targets. */
+void placeGangOfTwo(dispatch_fixture &cell)
+{
+    cell.registerTarget("t1", 1, 2'000);
+    cell.registerTarget("t2", 1, 2'000);
+    auto gang = cell.step(2, 2'000);
+    gang.set_is_gang(true);
+    cell.accept("j", {gang});
+    cell.startLeading();
+    cell.reportTarget("t1");
+    cell.reportTarget("t2");
+    cell.runFor({20});
+    cell.answerOrders(order_kind::Start, order_result::Done);
+}
+
+/** Lets both targets list their member of the gang for a while.
+    @param percent  the progress that each lists after a number of rounds */
+void listGang(dispatch_fixture &cell, int rounds,
+              const std::function<int(const std::string &, int)> &percent)
+{
+    for (int round = 0; round < rounds; ++round) {
+        cell.runFor({200});
+        for (const std::string target : {"t1", "t2"}) {
+            cell.reportTarget(target);
+            order_answer list;
+            for (const auto &task : cell.state.targets.at(target).runs) {
+                list.runs.push_back({task, 1, {}, percent(target, round), 0});
+            }
+            cell.answerOrders(order_kind::Poll, order_result::Done, target, list);
+        }
+    }
+}
+
+} // namespace
+
+// Pattern: gangs whose members have unequal work. A member that is done waits for the others.
+TEST_CASE("a member of a gang that waits for the others is not stopped", "[dispatch]")
+{
+    dispatch_fixture cell;
+    placeGangOfTwo(cell);
+    listGang(cell, 25, [](const std::string &target, int round) {
+        return target == "t1" ? std::min(100, round * 50) : round * 2;
+    });
+    CHECK(cell.pendingOrders(order_kind::Stop).empty());
+}
+
+TEST_CASE("a member of a gang that makes no progress is stopped, not those that wait for it",
+          "[dispatch]")
+{
+    dispatch_fixture cell;
+    placeGangOfTwo(cell);
+    listGang(cell, 25, [](const std::string &target, int) { return target == "t1" ? 100 : 40; });
+    CHECK(cell.pendingOrders(order_kind::Stop, "t1").empty());
+    CHECK_FALSE(cell.pendingOrders(order_kind::Stop, "t2").empty());
+}
