Name the fields of a target call: responseTimeout had taken the place of needsNewConnection

Cause: filbert-gateway initialised http_call by position. Ruled out: load and disk (fdatasync 0.09 ms; the failure repeats with the old event loop). Change: fields are set by name. The platform's programs set them by name before and are not affected.

--- a/modules/filbert_transport/http_client.h
+++ b/modules/filbert_transport/http_client.h
@@ -21,9 +21,9 @@
     std::vector<http_header> headers;
     std::string body;
     milliseconds timeout {5'000}; // includes the wait for a connection
-    milliseconds responseTimeout; // from the time of sending; 0 = only the timeout applies
     // A server may close an idle connection at the moment at which it is reused.
     bool needsNewConnection = false;
+    milliseconds responseTimeout; // from the time of sending; 0 = only the timeout applies
 };
 
 /** The timeout to set in libwebsockets for a call. It lies past the deadline of the call, which
--- a/programs/filbert_gateway.cpp
+++ b/programs/filbert_gateway.cpp
@@ -62,10 +62,15 @@
             });
             return;
         }
-        client.send({call.id, std::move(call.address), "POST", std::move(call.path),
-                     std::move(call.headers), std::move(call.body), call.timeout,
-                     call.needsNewConnection},
-                    std::move(onResponse));
+        http_call request;
+        request.id = call.id;
+        request.endpoint = std::move(call.address);
+        request.path = std::move(call.path);
+        request.headers = std::move(call.headers);
+        request.body = std::move(call.body);
+        request.timeout = call.timeout;
+        request.needsNewConnection = call.needsNewConnection;
+        client.send(std::move(request), std::move(onResponse));
     }
 
     void cancel(std::uint64_t id) override { client.cancel(id); }
