Measure what a controller's loop spends its time on

Three explanations were open: passes of the leader over all targets, the calls that followers make to targets, or the turns of the event loop itself.

activity_times adds up the time of each activity of the loop.

No behaviour changes.

--- a/modules/filbert_dispatch/dispatch_state.cpp
+++ b/modules/filbert_dispatch/dispatch_state.cpp
@@ -240,11 +240,15 @@
     }
 }
 
-void tickDispatch(dispatch_state &state, time_point now, std::int64_t wallMs)
+void tickTracking(dispatch_state &state, time_point now, std::int64_t wallMs)
 {
     tickTargets(state, now);
     beginDueOccurrences(state, wallMs);
     removeEndedJobs(state, now, wallMs);
+}
+
+void tickPlacement(dispatch_state &state, time_point now)
+{
     const bool isDue = (state.isPassDue && now >= state.earliestPassAt) || now >= state.nextPassAt;
     if (isDue) {
         state.isPassDue = false;
@@ -258,4 +262,10 @@
     tickAdmissions(state, now);
 }
 
+void tickDispatch(dispatch_state &state, time_point now, std::int64_t wallMs)
+{
+    tickTracking(state, now, wallMs);
+    tickPlacement(state, now);
+}
+
 } // namespace filbert
--- a/modules/filbert_dispatch/dispatch_state.h
+++ b/modules/filbert_dispatch/dispatch_state.h
@@ -334,8 +334,14 @@
 void handleCommittedCommand(dispatch_state &state, const messages::work_command &command,
                             bool refused, time_point now);
 
-/** Does what is due: retries, polls, expired leases, occurrences, the removal of ended jobs, a
-    placement pass, admission requests. */
+/** Does what is due for targets and jobs: retries, polls, expired leases, occurrences, the removal
+    of ended jobs. */
+void tickTracking(dispatch_state &state, time_point now, std::int64_t wallMs);
+
+/** Does what is due for waiting tasks: a placement pass, admission requests. */
+void tickPlacement(dispatch_state &state, time_point now);
+
+/** Does all that is due. */
 void tickDispatch(dispatch_state &state, time_point now, std::int64_t wallMs);
 
 } // namespace filbert
--- a/modules/filbert_node/work_controller.cpp
+++ b/modules/filbert_node/work_controller.cpp
@@ -71,9 +71,11 @@
 {
     using body = messages::work_envelope::BodyCase;
     switch (envelope.body_case()) {
-    case body::kReplication:
+    case body::kReplication: {
+        const activity_scope scope {metrics.activities(), activity::Replication};
         log.handleMessage(envelope.replication(), now);
         break;
+    }
     case body::kHello:
         handleHello(peer, envelope.hello(), now);
         break;
@@ -88,9 +90,11 @@
             handleAdmissionAnswer(*dispatch, envelope.admission_answer(), now);
         }
         break;
-    case body::kCarriedAnswers:
+    case body::kCarriedAnswers: {
+        const activity_scope scope {metrics.activities(), activity::Orders};
         router.handleAnswers(peer, envelope.carried_answers());
         break;
+    }
     default:
         log_line {"message_unexpected", log_line::severity::Warning}.with("peer", peer);
     }
@@ -218,6 +222,7 @@
     if (entry.kind() != messages::COMMANDS) {
         return;
     }
+    const activity_scope scope {metrics.activities(), activity::Application};
     messages::work_batch batch;
     FILBERT_INVARIANT(batch.ParseFromString(entry.payload()),
                       "a committed log entry can be parsed");
@@ -431,17 +436,25 @@
 
 std::error_code work_controller::flush(time_point now, std::int64_t wallMs)
 {
+    auto &activities = metrics.activities();
+    const activity_scope scope {activities, activity::Replication};
     flushTime = now;
     log.tick(now); // sends heartbeats on time even when a turn takes long
     updateLeadership(now, wallMs);
     if (dispatch && log.isServing(now)) {
-        tickDispatch(*dispatch, now, wallMs);
+        {
+            const activity_scope tracking {activities, activity::Tracking};
+            tickTracking(*dispatch, now, wallMs);
+        }
+        const activity_scope placement {activities, activity::Placement};
+        tickPlacement(*dispatch, now);
     }
     proposePending(now, wallMs);
     if (const auto error = log.flush(now)) {
         return error;
     }
     updateLeadership(now, wallMs);
+    const activity_scope orders {activities, activity::Orders};
     sendEffects(monotonicNow());
     return {};
 }
--- a/modules/filbert_node/work_metrics.cpp
+++ b/modules/filbert_node/work_metrics.cpp
@@ -9,6 +9,7 @@
 const prometheus::Histogram::BucketBoundaries secondsBuckets {
     0.001, 0.002, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 10};
 constexpr double secondsPerMillisecond = 0.001;
+constexpr double secondsPerMicrosecond = 1e-6;
 
 double secondsOf(milliseconds duration)
 {
@@ -48,6 +49,14 @@
                  .Name("filbert_work_state")
                  .Help("Leading (0 or 1), last index applied, members, jobs that are known")
                  .Register(*registry)}
+    , activitySeconds {prometheus::BuildGauge()
+                           .Name("filbert_work_activity_seconds")
+                           .Help("Time that the loop has spent, by activity")
+                           .Register(*registry)}
+    , activityCounts {prometheus::BuildGauge()
+                          .Name("filbert_work_activity_count")
+                          .Help("How often the loop has begun an activity")
+                          .Register(*registry)}
 {
 }
 
@@ -73,6 +82,14 @@
 
 std::string work_metrics::text() const
 {
+    const auto totals = activityTimes.totals();
+    for (std::size_t i = 0; i < activityCount; ++i) {
+        const prometheus::Labels labels {
+            {"activity", std::string {activityName(static_cast<activity>(i))}}};
+        activitySeconds.Add(labels).Set(static_cast<double>(totals[i].microseconds)
+                                        * secondsPerMicrosecond);
+        activityCounts.Add(labels).Set(static_cast<double>(totals[i].count));
+    }
     return prometheus::TextSerializer {}.Serialize(registry->Collect());
 }
 
--- a/modules/filbert_node/work_metrics.h
+++ b/modules/filbert_node/work_metrics.h
@@ -33,11 +33,16 @@
     /** Sets the gauges. @param applied last log index that was applied */
     void setState(bool isLeading, std::uint64_t applied, int members, std::size_t jobs);
 
+    /** @return the times that the controller's loop spends on each activity; they are among the
+        metrics */
+    activity_times &activities() { return activityTimes; }
+
     /** @return all metrics in Prometheus' text format */
     std::string text() const;
 
 private:
     std::shared_ptr<prometheus::Registry> registry;
+    activity_times activityTimes;
     prometheus::Family<prometheus::Counter> &commands;
     prometheus::Family<prometheus::Counter> &answers;
     prometheus::Family<prometheus::Counter> &orders;
@@ -45,6 +50,8 @@
     prometheus::Counter &termsLed;
     prometheus::Histogram &commitSeconds;
     prometheus::Family<prometheus::Gauge> &state;
+    prometheus::Family<prometheus::Gauge> &activitySeconds;
+    prometheus::Family<prometheus::Gauge> &activityCounts;
 };
 
 /** Prometheus metrics of an entry host of staged jobs. */
