A turn of the event loop costs by what has happened, not by open connections

Cause: the HTTP library's own loop passes every descriptor to poll() in each turn, and the wake actions asked every ZeroMQ socket for its state, a system call each. A controller that relays orders to 220 targets holds some 900 connections and makes over a thousand turns a second, so that the time of a turn went by the size of the cell, and more events made more turns. Under load it ran out of processor time.

Evidence: perf on a follower of a local cell (300 targets, 240 descriptors each, 45 jobs/s): 40 % of all processor time in poll(), 19 % in the handlers of message sockets, 7 % in relaying orders.

Change: the loop is libev with epoll, given to the library as a foreign loop. Sockets between processes are input sources: read when their descriptor was readable, and once more before the loop waits if they were used for sending, which may consume ZeroMQ's signal. Messages were left until the next timer in that case, up to 10 ms. Tick timers restart after a stall instead of catching up.

Ruled out: fewer turns by waiting before each (latency on every hop); libuv, whose handles close asynchronously, after the objects that their callbacks use.

--- a/modules/filbert_transport/event_loop.cpp
+++ b/modules/filbert_transport/event_loop.cpp
@@ -1,5 +1,6 @@
 #include "event_loop.h"
 
+#include <algorithm>
 #include <csignal>
 #include <sys/signalfd.h>
 #include <unistd.h>
@@ -9,31 +10,50 @@
 
 namespace {
 
+constexpr double secondsPerMillisecond = 1e-3;
 constexpr std::int64_t microsecondsPerMillisecond = 1'000;
+// The library sets its next timer only while it handles an event. A timer of this period, of its
+// own, makes it find those that were added elsewhere. Its timeouts are whole seconds.
+constexpr milliseconds libraryTimerPeriod {100};
 
-int ignoreFileEvents(lws *, lws_callback_reasons, void *, void *, std::size_t)
+} // namespace
+
+/** Only notes that there is input: it is read together with that of all other descriptors. */
+int event_loop::onFileEvent(lws *wsi, lws_callback_reasons reason, void *, void *, std::size_t)
 {
-    return 0; // the event only wakes the loop; the wake actions read the descriptor
+    if (reason == LWS_CALLBACK_RAW_RX_FILE) {
+        if (auto *input = static_cast<input_source *>(lws_get_opaque_user_data(wsi))) {
+            input->mark();
+        }
+    }
+    return 0;
 }
 
-const lws_protocols fileProtocols[] = {
-    {"filbert-file", ignoreFileEvents, 0, 0, 0, nullptr, 0},
-    {nullptr, nullptr, 0, 0, 0, nullptr, 0},
-};
-
-} // namespace
-
 event_loop::event_loop()
 {
     lws_set_log_level(LLL_ERR, [](int, const char *text) {
         log_line {"http_library", log_line::severity::Warning}.with("text", text);
     });
+    // The library's own loop passes all its descriptors to poll() in each turn. With epoll, a turn
+    // costs by what has happened, not by how many connections are open.
+    events = ev_loop_new(EVBACKEND_EPOLL | EVFLAG_NOENV);
+    FILBERT_INVARIANT(events != nullptr, "an epoll descriptor can be opened");
+    void *foreignLoops[] = {events};
     lws_context_creation_info info {};
-    info.options = LWS_SERVER_OPTION_EXPLICIT_VHOSTS | LWS_SERVER_OPTION_DO_SSL_GLOBAL_INIT;
+    info.options = LWS_SERVER_OPTION_EXPLICIT_VHOSTS | LWS_SERVER_OPTION_DO_SSL_GLOBAL_INIT
+        | LWS_SERVER_OPTION_LIBEV;
+    info.foreign_loops = foreignLoops;
+    info.pcontext = &lwsContext; // reset once the context is destroyed
     info.pt_serv_buf_size = 16 * 1024;
     info.max_http_header_data = 8 * 1024;
     lwsContext = lws_create_context(&info);
     FILBERT_INVARIANT(lwsContext != nullptr, "libwebsockets creates its context");
+    lws_sul_schedule(lwsContext, 0, &libraryTimer, onLibraryTimer,
+                     libraryTimerPeriod.count * microsecondsPerMillisecond);
+    static const lws_protocols fileProtocols[] = {
+        {"filbert-file", onFileEvent, 0, 0, 0, nullptr, 0},
+        {nullptr, nullptr, 0, 0, 0, nullptr, 0},
+    };
     lws_context_creation_info files {};
     files.port = CONTEXT_PORT_NO_LISTEN;
     files.protocols = fileProtocols;
@@ -44,9 +64,13 @@
 event_loop::~event_loop()
 {
     for (auto &entry : timers) {
-        lws_sul_cancel(&entry->entry);
+        ev_timer_stop(events, &entry->watcher);
+    }
+    lws_sul_cancel(&libraryTimer);
+    while (lwsContext != nullptr) { // in several steps, since the loop is not the library's own
+        lws_context_destroy(lwsContext);
     }
-    lws_context_destroy(lwsContext);
+    ev_loop_destroy(events);
     for (const int descriptor : signalDescriptors) {
         close(descriptor);
     }
@@ -56,19 +80,47 @@
 {
     bool hasMoreWork = runWakeActions();
     while (!isStopping) {
-        lws_service(lwsContext, hasMoreWork ? -1 : 0);
+        ev_run(events, hasMoreWork ? EVRUN_NOWAIT : EVRUN_ONCE);
+        ev_run(events, EVRUN_NOWAIT); // the library serves its timers once it is idle
         hasMoreWork = runWakeActions();
         removeExpiredTimers();
     }
 }
 
+/** @return whether there is more to do without waiting for an event */
 bool event_loop::runWakeActions()
 {
-    bool didWork = runPostedActions();
+    runPostedActions();
+    receiveInputs();
+    bool hasMoreWork = false;
     for (std::size_t i = 0; i < wakeActions.size(); ++i) {
-        didWork = wakeActions[i]() || didWork;
+        hasMoreWork = wakeActions[i]() || hasMoreWork;
+    }
+    // The actions have used sockets, and may have consumed the signals of messages that arrived
+    // meanwhile. What these messages cause is left to the next call.
+    hasMoreWork = receiveInputs() || hasMoreWork;
+    return hasMoreWork || hasMarkedInput() || !postedActions.empty();
+}
+
+/** @return whether any input was read */
+bool event_loop::receiveInputs()
+{
+    bool didReceive = false;
+    for (std::size_t i = 0; i < inputs.size(); ++i) { // a handler may add further inputs
+        const auto input = inputs[i];
+        if (std::exchange(input->isMarked, false)) {
+            const auto outcome = input->receive();
+            input->isMarked = outcome == input_source::outcome::SomeRemains;
+            didReceive = didReceive || outcome != input_source::outcome::Nothing;
+        }
     }
-    return didWork;
+    return didReceive;
+}
+
+bool event_loop::hasMarkedInput() const
+{
+    return std::any_of(inputs.begin(), inputs.end(),
+                       [](const auto &input) { return input->isMarked; });
 }
 
 bool event_loop::runPostedActions()
@@ -83,22 +135,24 @@
     return true;
 }
 
-void event_loop::onTimer(lws_sorted_usec_list_t *entry)
+void event_loop::onTimer(struct ev_loop *events, ev_timer *watcher, int)
 {
-    auto *self = reinterpret_cast<timer *>(entry);
+    auto *self = static_cast<timer *>(watcher->data);
     if (self->isRepeating) {
-        lws_sul_schedule(self->loop->lwsContext, 0, &self->entry, onTimer,
-                         self->period.count * microsecondsPerMillisecond);
-    } else {
-        self->loop->hasExpiredTimers = true;
-    }
-    const auto action = self->isRepeating ? self->action : std::move(self->action);
-    if (!self->isRepeating) {
-        self->action = nullptr;
+        ev_timer_again(events, watcher); // a full period from now, also after a stall
     }
+    self->loop->hasExpiredTimers = self->loop->hasExpiredTimers || !self->isRepeating;
+    const auto action = self->isRepeating ? self->action : std::exchange(self->action, nullptr);
     action();
 }
 
+void event_loop::onLibraryTimer(lws_sorted_usec_list_t *entry)
+{
+    auto *self = lws_container_of(entry, event_loop, libraryTimer);
+    lws_sul_schedule(self->lwsContext, 0, entry, onLibraryTimer,
+                     libraryTimerPeriod.count * microsecondsPerMillisecond);
+}
+
 void event_loop::removeExpiredTimers()
 {
     if (hasExpiredTimers) {
@@ -111,11 +165,13 @@
 {
     auto entry = std::make_unique<timer>();
     entry->loop = this;
-    entry->period = period;
     entry->isRepeating = isRepeating;
     entry->action = std::move(action);
-    lws_sul_schedule(lwsContext, 0, &entry->entry, onTimer,
-                     period.count * microsecondsPerMillisecond);
+    const auto seconds = static_cast<double>(period.count) * secondsPerMillisecond;
+    ev_timer_init(&entry->watcher, onTimer, seconds, isRepeating ? seconds : 0.0);
+    entry->watcher.data = entry.get();
+    ev_now_update(events); // the delay counts from now, not from the start of this turn
+    ev_timer_start(events, &entry->watcher);
     timers.push_back(std::move(entry));
 }
 
@@ -134,12 +190,22 @@
     wakeActions.push_back(std::move(action));
 }
 
-void event_loop::watchDescriptor(int descriptor)
+void event_loop::watch(int descriptor, input_source *input)
 {
     lws_sock_file_fd_type watched {};
     watched.filefd = dup(descriptor); // the library closes the descriptor that it watches
-    lws_adopt_descriptor_vhost(fileVhost, LWS_ADOPT_RAW_FILE_DESC, watched, "filbert-file",
-                               nullptr);
+    auto *wsi = lws_adopt_descriptor_vhost(fileVhost, LWS_ADOPT_RAW_FILE_DESC, watched,
+                                           "filbert-file", nullptr);
+    FILBERT_INVARIANT(wsi != nullptr, "a descriptor can be watched");
+    lws_set_opaque_user_data(wsi, input);
+}
+
+std::shared_ptr<input_source> event_loop::addInput(int descriptor,
+                                                   std::function<input_source::outcome()> receive)
+{
+    inputs.push_back(std::make_shared<input_source>(std::move(receive)));
+    watch(descriptor, inputs.back().get());
+    return inputs.back();
 }
 
 void event_loop::onSignals(const std::vector<int> &numbers, std::function<void()> action)
@@ -152,14 +218,13 @@
     sigprocmask(SIG_BLOCK, &signals, nullptr);
     const int descriptor = signalfd(-1, &signals, SFD_NONBLOCK | SFD_CLOEXEC);
     signalDescriptors.push_back(descriptor);
-    watchDescriptor(descriptor);
-    onWake([descriptor, action = std::move(action)] {
+    addInput(descriptor, [descriptor, action = std::move(action)] {
         signalfd_siginfo info {};
         if (read(descriptor, &info, sizeof info) != sizeof info) {
-            return false;
+            return input_source::outcome::Nothing;
         }
         action();
-        return true;
+        return input_source::outcome::SomeRemains; // the next call finds out
     });
 }
 
--- a/modules/filbert_transport/event_loop.h
+++ b/modules/filbert_transport/event_loop.h
@@ -2,6 +2,7 @@
 
 #include "filbert_core/filbert_core.h"
 
+#include <ev.h>
 #include <functional>
 #include <libwebsockets.h>
 #include <memory>
@@ -10,6 +11,34 @@
 
 namespace filbert {
 
+/** Input that arrives behind a descriptor, for example the messages of a socket.
+
+    The descriptor may signal a change only once, as those of ZeroMQ do, and any use of its socket
+    may consume that signal. So input is read when the descriptor becomes readable, and again
+    whenever its owner has called mark().
+*/
+class input_source
+{
+public:
+    /** What a call of the receive function has done. */
+    enum class outcome { Nothing, ReadAll, SomeRemains };
+
+    /** @param receive  reads the available input */
+    explicit input_source(std::function<outcome()> receive)
+        : receive {std::move(receive)}
+    {
+    }
+
+    /** Requests that the loop reads the input before it waits again. */
+    void mark() { isMarked = true; }
+
+private:
+    friend class event_loop;
+
+    std::function<outcome()> receive;
+    bool isMarked = true; // input may have arrived before the descriptor was watched
+};
+
 /** The event loop of a program. It runs on the thread that calls run().
 
     It dispatches all events of the program: HTTP, ZeroMQ sockets, timers and signals.
@@ -57,9 +86,18 @@
 
     /** Wakes the loop when a descriptor becomes readable. The caller keeps ownership of it.
 
-        @param descriptor  a socket or signal descriptor; the loop watches a duplicate of it
+        @param descriptor  a socket or event descriptor; the loop watches a duplicate of it
+    */
+    void watchDescriptor(int descriptor) { watch(descriptor, nullptr); }
+
+    /** Reads input whenever a descriptor becomes readable, before the wake actions run.
+
+        @param descriptor  as in watchDescriptor()
+        @param receive     reads the available input
+        @return the source, to be marked after each use of the socket
     */
-    void watchDescriptor(int descriptor);
+    std::shared_ptr<input_source> addInput(int descriptor,
+                                           std::function<input_source::outcome()> receive);
 
     /** Handles SIGTERM and SIGINT on the loop.
 
@@ -75,24 +113,31 @@
 private:
     struct timer
     {
-        // Must be the first member: the library passes its address back.
-        lws_sorted_usec_list_t entry {};
+        ev_timer watcher {};
         event_loop *loop = nullptr;
-        milliseconds period;
         bool isRepeating = false;
         std::function<void()> action;
     };
 
-    static void onTimer(lws_sorted_usec_list_t *entry);
+    static void onTimer(struct ev_loop *events, ev_timer *watcher, int flags);
+    static void onLibraryTimer(lws_sorted_usec_list_t *entry);
     void onSignals(const std::vector<int> &numbers, std::function<void()> action);
     void addTimer(milliseconds period, bool isRepeating, std::function<void()> action);
+    static int onFileEvent(lws *wsi, lws_callback_reasons reason, void *user, void *in,
+                           std::size_t length);
     bool runWakeActions();
     bool runPostedActions();
+    void watch(int descriptor, input_source *input);
+    bool receiveInputs();
+    bool hasMarkedInput() const;
     void removeExpiredTimers();
 
+    struct ev_loop *events = nullptr;
     lws_context *lwsContext = nullptr;
+    lws_sorted_usec_list_t libraryTimer {};
     lws_vhost *fileVhost = nullptr;
     std::vector<std::unique_ptr<timer>> timers;
+    std::vector<std::shared_ptr<input_source>> inputs;
     std::vector<std::function<bool()>> wakeActions;
     std::vector<std::function<void()>> postedActions;
     bool isStopping = false;
--- a/modules/filbert_transport/message_socket.cpp
+++ b/modules/filbert_transport/message_socket.cpp
@@ -28,9 +28,17 @@
     socket.set(zmq::sockopt::handshake_ivl, handshakeTimeoutMs);
 }
 
-bool hasInput(zmq::socket_t &socket)
+/** Calls a function that receives one message until it finds none.
+    @param receiveOne  returns whether there was a message */
+template <typename ReceiveOne>
+input_source::outcome receiveAll(ReceiveOne &&receiveOne)
 {
-    return (socket.get(zmq::sockopt::events) & ZMQ_POLLIN) != 0;
+    for (int count = 0; count < maxMessagesPerWake; ++count) {
+        if (!receiveOne()) {
+            return count == 0 ? input_source::outcome::Nothing : input_source::outcome::ReadAll;
+        }
+    }
+    return input_source::outcome::SomeRemains;
 }
 
 std::string toString(zmq::message_t &message)
@@ -56,30 +64,27 @@
         socket.set(zmq::sockopt::zap_domain, "filbert");
     }
     socket.bind(endpoint);
-    loop.watchDescriptor(socket.get(zmq::sockopt::fd));
-    loop.onWake([this] { return receiveMessages(); });
+    input = loop.addInput(socket.get(zmq::sockopt::fd), [this] { return receiveMessages(); });
 }
 
-bool message_server::receiveMessages()
+input_source::outcome message_server::receiveMessages()
 {
-    int receivedCount = 0;
-    while (receivedCount < maxMessagesPerWake && hasInput(socket)) {
+    return receiveAll([this] {
         zmq::message_t peer;
         zmq::message_t body;
         if (!socket.recv(peer, zmq::recv_flags::dontwait)) {
-            break;
+            return false;
         }
-        if (!peer.more() || !socket.recv(body, zmq::recv_flags::dontwait)) {
-            continue;
+        if (peer.more() && socket.recv(body, zmq::recv_flags::dontwait)) {
+            onMessage(toString(peer), toString(body));
         }
-        ++receivedCount;
-        onMessage(toString(peer), toString(body));
-    }
-    return receivedCount > 0;
+        return true;
+    });
 }
 
 bool message_server::send(const std::string &peer, const std::string &message)
 {
+    input->mark(); // sending may consume the signal of a message that has arrived
     try {
         const auto name =
             socket.send(zmq::buffer(peer), zmq::send_flags::sndmore | zmq::send_flags::dontwait);
@@ -89,20 +94,21 @@
     }
 }
 
-/** Owned by the client. The wake action of the loop may outlive the client, so that it has only a
-    weak reference. */
+/** Owned by the client. The input of the loop may outlive the client, so that it has only a weak
+    reference. */
 struct message_client::socket_state
 {
     zmq::socket_t socket;
     std::string endpoint;
     message_handler onMessage;
+    std::shared_ptr<input_source> input;
 };
 
 message_client::message_client(event_loop &loop, zmq::context_t &context, const std::string &name,
                                const std::string &endpoint, const curve_keys &keys,
                                message_handler onMessage)
     : state {std::make_shared<socket_state>(socket_state {
-        zmq::socket_t {context, zmq::socket_type::dealer}, endpoint, std::move(onMessage)})}
+        zmq::socket_t {context, zmq::socket_type::dealer}, endpoint, std::move(onMessage), {}})}
 {
     auto &socket = state->socket;
     setCommonOptions(socket);
@@ -116,23 +122,21 @@
         socket.set(zmq::sockopt::curve_serverkey, keys.serverKey);
     }
     socket.connect(endpoint);
-    loop.watchDescriptor(socket.get(zmq::sockopt::fd));
-    loop.onWake([weak = std::weak_ptr {state}] {
+    const auto receive = [weak = std::weak_ptr {state}] {
         const auto owner = weak.lock();
         if (!owner) {
-            return false;
+            return input_source::outcome::Nothing;
         }
-        int receivedCount = 0;
-        while (receivedCount < maxMessagesPerWake && hasInput(owner->socket)) {
+        return receiveAll([&owner] {
             zmq::message_t body;
             if (!owner->socket.recv(body, zmq::recv_flags::dontwait)) {
-                break;
+                return false;
             }
-            ++receivedCount;
             owner->onMessage(toString(body));
-        }
-        return receivedCount > 0;
-    });
+            return true;
+        });
+    };
+    state->input = loop.addInput(socket.get(zmq::sockopt::fd), receive);
 }
 
 message_client::~message_client() = default;
@@ -141,10 +145,12 @@
 {
     state->socket.disconnect(state->endpoint);
     state->socket.connect(state->endpoint);
+    state->input->mark();
 }
 
 bool message_client::send(const std::string &message)
 {
+    state->input->mark(); // sending may consume the signal of a message that has arrived
     return state->socket.send(zmq::buffer(message), zmq::send_flags::dontwait).has_value();
 }
 
--- a/modules/filbert_transport/message_socket.h
+++ b/modules/filbert_transport/message_socket.h
@@ -48,10 +48,11 @@
     bool send(const std::string &peer, const std::string &message);
 
 private:
-    bool receiveMessages();
+    input_source::outcome receiveMessages();
 
     zmq::socket_t socket;
     message_handler onMessage;
+    std::shared_ptr<input_source> input;
 };
 
 /** The connecting side of a message connection, to one server (DEALER). A broken or unresponsive
