HTTP responses: headers and a short body leave in one write

Each response took two writes in two turns of the loop: the headers, then, once the socket was writable again, the body. Heartbeats of targets and callers' requests get such small responses by the hundred a second. In HTTP/2 both remain separate frames.

--- a/modules/filbert_transport/http_server.cpp
+++ b/modules/filbert_transport/http_server.cpp
@@ -115,6 +115,7 @@
     bool isAnswered = false;
     bool areHeadersWritten = false;
     bool endsConnection = false;
+    bool isFramed = false; // HTTP/2, in which headers and body are separate frames
 };
 
 /** The per-connection data that the library stores for the server. */
@@ -220,6 +221,7 @@
     auto &request = current.request;
     request.id = user->id;
     request.method = requestMethod(wsi);
+    current.isFramed = lws_hdr_total_length(wsi, WSI_TOKEN_HTTP_COLON_METHOD) > 0;
     request.path.assign(uri, length);
     request.host = headerField(wsi, WSI_TOKEN_HOST);
     request.query = headerField(wsi, WSI_TOKEN_HTTP_URI_ARGS);
@@ -314,21 +316,24 @@
     }
     auto &current = *found->second;
     if (!current.areHeadersWritten) {
-        return writeHeaders(wsi, current);
+        return writeHeaders(wsi, user, current);
     }
     return writeBody(wsi, user, current);
 }
 
-int http_server::writeHeaders(lws *wsi, exchange &current)
+int http_server::writeHeaders(lws *wsi, connection *user, exchange &current)
 {
     current.endsConnection = current.endsConnection || isClosing;
     if (current.endsConnection) {
         current.response.headers.push_back({"connection", "close"});
     }
-    std::vector<unsigned char> buffer(LWS_PRE + headerBytes);
+    // A short body leaves together with the headers, in one write and one turn of the loop.
+    const auto &body = current.response.body;
+    const bool isShort = body.size() <= writeChunkBytes && !current.isFramed;
+    std::vector<unsigned char> buffer(LWS_PRE + headerBytes + (isShort ? body.size() : 0));
     unsigned char *position = buffer.data() + LWS_PRE;
     unsigned char *const start = position;
-    unsigned char *const end = buffer.data() + buffer.size() - 1;
+    unsigned char *const end = buffer.data() + LWS_PRE + headerBytes - 1;
     const auto &response = current.response;
     if (lws_add_http_common_headers(wsi, static_cast<unsigned>(response.status),
                                     response.contentType.c_str(), response.body.size(), &position,
@@ -346,12 +351,23 @@
             return -1;
         }
     }
-    if (lws_finalize_write_http_header(wsi, start, &position, end) != 0) {
+    if (!isShort) {
+        if (lws_finalize_write_http_header(wsi, start, &position, end) != 0) {
+            return -1;
+        }
+        current.areHeadersWritten = true;
+        lws_callback_on_writable(wsi);
+        return 0;
+    }
+    if (lws_finalize_http_header(wsi, &position, end) != 0) {
         return -1;
     }
-    current.areHeadersWritten = true;
-    lws_callback_on_writable(wsi);
-    return 0;
+    std::memcpy(position, body.data(), body.size());
+    const auto length = static_cast<std::size_t>(position - start) + body.size();
+    if (lws_write(wsi, start, length, LWS_WRITE_HTTP_FINAL) < 0) {
+        return -1;
+    }
+    return completeExchange(wsi, user, current);
 }
 
 int http_server::writeBody(lws *wsi, connection *user, exchange &current)
@@ -372,6 +388,11 @@
         lws_callback_on_writable(wsi);
         return 0;
     }
+    return completeExchange(wsi, user, current);
+}
+
+int http_server::completeExchange(lws *wsi, connection *user, const exchange &current)
+{
     const bool ends = current.endsConnection;
     exchanges.erase(user->id);
     user->id = 0;
--- a/modules/filbert_transport/http_server.h
+++ b/modules/filbert_transport/http_server.h
@@ -68,8 +68,9 @@
     int onBody(connection *user, const char *data, std::size_t length);
     int onRequestComplete(lws *wsi, connection *user);
     int onWritable(lws *wsi, connection *user);
-    int writeHeaders(lws *wsi, exchange &current);
+    int writeHeaders(lws *wsi, connection *user, exchange &current);
     int writeBody(lws *wsi, connection *user, exchange &current);
+    int completeExchange(lws *wsi, connection *user, const exchange &current);
     void reject(lws *wsi, exchange &current, error_kind kind);
     void removeExchange(connection *user);
 
