The leader visits only targets and jobs that have changed or are due

The cost of a turn went by the size of the cell and its backlog; in a burst tracking alone took 0.2 s of each second.

Change: occurrences are looked for in jobs that repeat only. A target is ticked when it has changed and when something is due (its next poll, retry, expiry of a lease), which a queue by time tells; the end of a job and the switch to shorter timeouts mark the targets that they concern. Passes keep the list of targets of a service until a registration changes, and reserve among admitted targets without visiting the others.

--- a/modules/filbert_dispatch/dispatch_state.cpp
+++ b/modules/filbert_dispatch/dispatch_state.cpp
@@ -81,6 +81,7 @@
 void handleCommittedTarget(dispatch_state &state, const messages::target_life &registration,
                            time_point now)
 {
+    state.targetsByService.clear(); // its service and labels may be others
     syncTargetAndJobs(state, registration.id(), now);
     // A new registration may have ended another target at the same address.
     std::vector<std::string> ended;
@@ -97,7 +98,7 @@
 
 void beginDueOccurrences(dispatch_state &state, std::int64_t wallMs)
 {
-    for (const auto &[id, view] : state.jobs) {
+    for (const auto &id : state.repeatingJobs) {
         const auto &job = state.work->jobs.at(id);
         const auto count = static_cast<std::uint32_t>(std::max(job.job.repeat_count(), 0));
         for (std::uint32_t k = static_cast<std::uint32_t>(job.occurrences.size()); k < count; ++k) {
--- a/modules/filbert_dispatch/dispatch_state.h
+++ b/modules/filbert_dispatch/dispatch_state.h
@@ -10,6 +10,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 #include <unordered_map>
 #include <unordered_set>
 #include <vector>
@@ -63,8 +64,8 @@
     milliseconds maxQuarantine {12'000};
     int failuresBeforeQuarantine = 3; // in a row, from different jobs
     milliseconds ticketMargin {250}; // a start must reach its target before its ticket expires
-    // Between ticks of all targets, for timeouts; each call also ticks those that have changed.
-    milliseconds targetTickPeriod {20};
+    // At the latest after this time a target is ticked again, even if nothing was due earlier.
+    milliseconds maxTargetPause {1'000};
     milliseconds passPeriod {100}; // between passes while tasks wait and nothing changes
     milliseconds jobRetention {130'000}; // of ended jobs: the platform's minimum and a margin
     double urgentHeadroom = 0.08; // fraction of a service's cores kept for its most urgent queue
@@ -129,6 +130,7 @@
     time_point drainDeadline; // when a draining target ends; 0 = not draining
     bool isRemovalProposed = false;
     bool isInventoryStale = true; // its runs and ended runs are not fully known
+    time_point dueAt; // when it is ticked next, unless it changes before; see dueTargets
 };
 
 /** What is known about the admission of a step: the targets on which the policy service lets it
@@ -266,6 +268,20 @@
     std::vector<admission_call> admissions;
 };
 
+/** The targets of one service, with what stays the same until a target is registered anew. */
+struct service_targets
+{
+    struct entry
+    {
+        tracked_target *target = nullptr;
+        const registered_target *registered = nullptr;
+        std::string_view rack; // points into the labels of the registration
+    };
+
+    std::vector<entry> entries;
+    std::unordered_map<std::string_view, std::size_t> indexById;
+};
+
 /** What only a serving leader knows. It is rebuilt from the replicated state in each term. */
 struct dispatch_state
 {
@@ -274,7 +290,10 @@
     std::uint64_t term = 0;
     time_point leadingSince;
     std::map<std::string, tracked_target> targets; // by id
+    // By service; derived from `targets` when a pass needs it, empty while they change.
+    std::map<std::string, service_targets> targetsByService;
     std::map<std::string, job_view> jobs; // by id; without ended ones
+    std::set<std::string> repeatingJobs; // ids of those that begin occurrences at set times
     std::map<task_name, std::string> reservedStarts; // proposed starts: target by task
     std::map<task_name, admission_view> admissions; // by step (index 0)
     std::map<std::uint64_t, pending_admission> pendingAdmissions;
@@ -289,7 +308,8 @@
     std::uint64_t lastStartNumber = 0;
     time_point nextCleanupAt;
     std::set<std::string> changedTargets; // ids of those with new events since the last tick
-    time_point nextTargetTickAt; // the next tick of all targets, not only of the changed ones
+    std::set<std::pair<time_point, std::string>> dueTargets; // ids, by tracked_target::dueAt
+    std::uint64_t targetTicks = 0; // how often a target was ticked; shows the cost of tracking
     bool isPassDue = true; // the next pass may find something to place
     // When the next pass runs even if nothing changes: tickets and quarantines expire.
     time_point nextPassAt;
--- a/modules/filbert_dispatch/order_answers.cpp
+++ b/modules/filbert_dispatch/order_answers.cpp
@@ -22,6 +22,9 @@
         log_line {"answers_get_lost", log_line::severity::Warning}
             .with("targets", state.lostAnswers.size())
             .with("last", target);
+        for (const auto &[id, each] : state.targets) {
+            state.changedTargets.insert(id); // the shorter timeouts apply to pending polls too
+        }
     }
 }
 
--- a/modules/filbert_dispatch/placement_pass.cpp
+++ b/modules/filbert_dispatch/placement_pass.cpp
@@ -24,24 +24,51 @@
     return label.empty() || std::find(labels.begin(), labels.end(), label) != labels.end();
 }
 
-void addCandidate(service_view &view, tracked_target &target, const registered_target &registered)
+placement_candidate makeCandidate(const placement_pass &pass, const service_targets::entry &entry)
 {
+    const auto &[target, registered, rack] = entry;
     placement_candidate candidate;
-    candidate.target = &target;
-    candidate.registered = &registered;
-    candidate.capacity = amountsOf(registered.registration.capacity());
-    candidate.free = candidate.capacity - registered.used - target.reservedResources;
+    candidate.target = target;
+    candidate.registered = registered;
+    candidate.rack = rack;
+    candidate.isAvailable = acceptsWork(pass.state, *target, *registered, pass.now);
+    candidate.capacity = amountsOf(registered->registration.capacity());
+    candidate.free = candidate.capacity - registered->used - target->reservedResources;
     candidate.unusedCores =
-        candidate.free.milliCores - registered.bestEffortCores - target.reservedBestEffortCores;
-    const auto &labels = registered.registration.labels();
-    candidate.rack =
-        labels.size() > 1 ? std::string_view {labels.Get(labels.size() - 1)} : std::string_view {};
+        candidate.free.milliCores - registered->bestEffortCores - target->reservedBestEffortCores;
+    return candidate;
+}
+
+void addCandidate(service_view &view, const placement_candidate &candidate)
+{
+    view.candidates.push_back(candidate);
+    if (!candidate.isAvailable) {
+        return;
+    }
+    ++view.availableCandidates;
     view.totalCores += candidate.capacity.milliCores;
     view.freeCores += std::max<std::int64_t>(candidate.unusedCores, 0);
     view.maxFreeCores = std::max(view.maxFreeCores, candidate.free.milliCores);
     view.maxFreeAccelerators = std::max(view.maxFreeAccelerators, candidate.free.accelerators);
-    view.candidateById.emplace(target.id, view.candidates.size());
-    view.candidates.push_back(candidate);
+}
+
+/** Collects the targets of all services, which takes long with many targets. */
+void collectTargets(dispatch_state &state)
+{
+    for (auto &[id, target] : state.targets) {
+        const auto registered = state.work->targets.find(id);
+        if (registered == state.work->targets.end()) {
+            continue;
+        }
+        const auto &registration = registered->second.registration;
+        const auto &labels = registration.labels();
+        auto &service = state.targetsByService[registration.service()];
+        service.indexById.emplace(id, service.entries.size());
+        service.entries.push_back({&target, &registered->second,
+                                   labels.size() > 1
+                                       ? std::string_view {labels.Get(labels.size() - 1)}
+                                       : std::string_view {}});
+    }
 }
 
 int countTasksOnTarget(const pending_step &step, const std::string &target)
@@ -64,14 +91,15 @@
     if (found != pass.services.end()) {
         return found->second;
     }
+    if (pass.state.targetsByService.empty()) {
+        collectTargets(pass.state);
+    }
     auto &view = pass.services[service];
-    for (auto &[id, target] : pass.state.targets) {
-        const auto registered = pass.state.work->targets.find(id);
-        if (registered != pass.state.work->targets.end()
-            && registered->second.registration.service() == service
-            && acceptsWork(pass.state, target, registered->second, pass.now)) {
-            addCandidate(view, target, registered->second);
-        }
+    const auto &targets = pass.state.targetsByService[service];
+    view.targets = &targets;
+    view.candidates.reserve(targets.entries.size());
+    for (const auto &entry : targets.entries) {
+        addCandidate(view, makeCandidate(pass, entry));
     }
     for (const auto &queue : pass.state.work->configuration.queues()) {
         if (queue.service() == service) {
@@ -81,6 +109,12 @@
     return view;
 }
 
+std::optional<std::size_t> candidateIndexOf(const service_view &service, const std::string &target)
+{
+    const auto found = service.targets->indexById.find(target);
+    return found == service.targets->indexById.end() ? std::nullopt : std::optional {found->second};
+}
+
 std::unordered_map<std::string_view, int> countTasksByTarget(const placement_pass &pass,
                                                              const task_name &step)
 {
@@ -109,8 +143,8 @@
 
 bool isEligible(const pending_step &step, const placement_candidate &candidate)
 {
-    return candidate.reservedRank >= step.rank && fits(step.need, candidate.capacity)
-        && hasLabel(candidate, step.spec->required_label());
+    return candidate.isAvailable && candidate.reservedRank >= step.rank
+        && fits(step.need, candidate.capacity) && hasLabel(candidate, step.spec->required_label());
 }
 
 bool hasCapacityFor(const placement_pass &pass, const pending_step &step,
--- a/modules/filbert_dispatch/placement_pass.h
+++ b/modules/filbert_dispatch/placement_pass.h
@@ -3,6 +3,7 @@
 #include "dispatch_state.h"
 
 #include <limits>
+#include <optional>
 #include <string_view>
 #include <unordered_map>
 
@@ -36,14 +37,16 @@
     resource_amounts free; // neither used by runs nor reserved for starts
     std::int64_t unusedCores = 0; // those of the free cores that best-effort runs do not use either
     std::string_view rack; // points into the labels of the registration, which outlive the pass
+    bool isAvailable = false; // whether it accepts work; if not, nothing is placed there
     int reservedRank = noReservation; // work with a higher rank is not placed here
 };
 
 /** The targets of one service, as a placement pass sees them. */
 struct service_view
 {
-    std::vector<placement_candidate> candidates;
-    std::unordered_map<std::string, std::size_t> candidateById;
+    std::vector<placement_candidate> candidates; // in the order of service_targets::entries
+    const service_targets *targets = nullptr;
+    std::size_t availableCandidates = 0;
     // Upper bounds of what is free on any one target: free resources only shrink during a pass.
     std::int64_t maxFreeCores = 0;
     std::int64_t maxFreeAccelerators = 0;
@@ -67,6 +70,9 @@
 /** @return the targets of a service, collected when the pass first needs them */
 service_view &serviceOf(placement_pass &pass, const std::string &service);
 
+/** @return the index of the candidate for a target, or nothing if the service has no such target */
+std::optional<std::size_t> candidateIndexOf(const service_view &service, const std::string &target);
+
 /** @return by target: how many tasks of the step run there or have a reservation */
 std::unordered_map<std::string_view, int> countTasksByTarget(const placement_pass &pass,
                                                              const task_name &step);
--- a/modules/filbert_dispatch/scheduling.cpp
+++ b/modules/filbert_dispatch/scheduling.cpp
@@ -46,10 +46,9 @@
     }
     for (const auto &[id, ticket] : view->tickets) {
         const bool isUsable = isTicketUsable(pass.state, ticket, step.queue->admission(), pass.now);
-        const auto candidate =
-            isUsable ? service.candidateById.find(id) : service.candidateById.end();
-        if (candidate != service.candidateById.end()) {
-            consider(candidate->second);
+        const auto index = isUsable ? candidateIndexOf(service, id) : std::nullopt;
+        if (index) {
+            consider(*index);
         }
     }
     return indices;
@@ -111,25 +110,35 @@
 void reserveCandidates(const placement_pass &pass, const pending_step &step, service_view &service,
                        std::size_t tasks)
 {
-    const auto maxReserved = service.candidates.size() / targetsPerReservation + 1;
+    const auto maxReserved = service.availableCandidates / targetsPerReservation + 1;
     if (step.spec->fills_gaps() || step.spec->lasts() || step.rank >= lateRankOffset
         || service.reservedCandidates >= maxReserved) {
         return;
     }
-    const auto *view = admissionOf(pass, step);
     std::vector<std::pair<double, std::size_t>> ranked;
-    for (std::size_t i = 0; i < service.candidates.size(); ++i) {
-        const auto &candidate = service.candidates[i];
-        if (isAdmitted(step, view, candidate) && candidate.reservedRank == noReservation
-            && isEligible(step, candidate)) {
+    const auto consider = [&](std::size_t index) {
+        const auto &candidate = service.candidates[index];
+        if (candidate.reservedRank == noReservation && isEligible(step, candidate)) {
             ranked.emplace_back(-static_cast<double>(candidate.free.accelerators)
                                         * acceleratorWeight
                                     - static_cast<double>(candidate.free.milliCores),
-                                i);
+                                index);
+        }
+    };
+    if (!step.queue->has_admission()) {
+        for (std::size_t i = 0; i < service.candidates.size(); ++i) {
+            consider(i);
+        }
+    } else if (const auto *view = admissionOf(pass, step)) {
+        for (const auto &[id, ticket] : view->tickets) {
+            if (const auto index = candidateIndexOf(service, id)) {
+                consider(*index);
+            }
         }
     }
-    std::sort(ranked.begin(), ranked.end());
     const auto count = std::min({tasks, ranked.size(), maxReserved - service.reservedCandidates});
+    std::partial_sort(ranked.begin(), ranked.begin() + static_cast<std::ptrdiff_t>(count),
+                      ranked.end());
     for (std::size_t i = 0; i < count; ++i) {
         service.candidates[ranked[i].second].reservedRank = step.rank;
     }
--- a/modules/filbert_dispatch/step_order.cpp
+++ b/modules/filbert_dispatch/step_order.cpp
@@ -33,6 +33,20 @@
            });
 }
 
+/** Has the targets that run tasks of a job ticked, since these are to be stopped. */
+void markTargetsOfRuns(dispatch_state &state, const work_job &job)
+{
+    for (const auto &[number, occurrence] : job.occurrences) {
+        for (const auto &step : occurrence.steps) {
+            for (const auto &task : step.tasks) {
+                if (task.status == task_status::Running) {
+                    state.changedTargets.insert(task.target);
+                }
+            }
+        }
+    }
+}
+
 } // namespace
 
 pending_step pendingStepOf(const dispatch_state &state, const queue_index &queues,
@@ -100,7 +114,11 @@
 {
     const auto job = state.work->jobs.find(id);
     if (job == state.work->jobs.end() || job->second.hasEnded()) {
+        if (job != state.work->jobs.end()) {
+            markTargetsOfRuns(state, job->second);
+        }
         state.jobs.erase(id);
+        state.repeatingJobs.erase(id);
         for (auto view = state.admissions.lower_bound({id, 0, 0, 0});
              view != state.admissions.end() && view->first.job == id;) {
             view =
@@ -109,6 +127,9 @@
         return;
     }
     auto &view = state.jobs[id];
+    if (job->second.job.repeat_count() > 0) {
+        state.repeatingJobs.insert(id);
+    }
     if (view.criticalPathFrom.empty()) {
         view.criticalPathFrom = criticalPathsOf(job->second.job);
         view.criticalPath =
--- a/modules/filbert_dispatch/target_tracking.cpp
+++ b/modules/filbert_dispatch/target_tracking.cpp
@@ -16,7 +16,8 @@
 // For a stop with a checkpoint before the target leaves.
 constexpr milliseconds checkpointTimeout {700};
 constexpr int allWorkDone = 100; // progress of a run in percent
-constexpr std::int64_t targetsPerMillisecond = 15; // that a tick of all targets handles in a ms
+// Between ticks of a draining target: a small fraction of the time that is left for a stop.
+constexpr milliseconds drainingTickPeriod {50};
 
 bool needsPoll(const dispatch_state &state, const tracked_target &target,
                const registered_target &registered, time_point now)
@@ -186,12 +187,19 @@
         return;
     }
     if (registered->hasEnded) {
-        state.targets.erase(id);
+        state.targetsByService.clear();
+        if (const auto removed = state.targets.extract(id)) {
+            state.dueTargets.erase({removed.mapped().dueAt, id});
+        }
         return;
     }
     state.changedTargets.insert(id);
+    if (!state.targets.contains(id)) {
+        state.targetsByService.clear();
+    }
     auto &target = state.targets[id];
     if (target.incarnation != registered->registration.born()) {
+        state.dueTargets.erase({target.dueAt, id});
         const auto previous = std::move(target);
         target = {};
         target.runs = previous.runs; // stopped in the new incarnation too, see tickRuns()
@@ -251,6 +259,9 @@
             return false; // a later report has overtaken it
         }
         target.reportSequence = sequence;
+        if (now - target.lastContactAt >= state.settings.contactTimeout) {
+            state.changedTargets.insert(report.id()); // a poll may be due again
+        }
         target.lastContactAt = now;
         updateClock(target, report.clock_ms(), now);
         if (report.is_draining() && target.drainDeadline.ms == 0) {
@@ -372,6 +383,51 @@
     }
 }
 
+/** @return when the lease of a target may have expired, if it has not yet */
+time_point leaseReviewTime(const tracked_target &target, time_point now)
+{
+    constexpr milliseconds step {1};
+    if (!target.clockMs) {
+        return target.previousLeasesExpireBy + step;
+    }
+    const auto remaining =
+        std::max<std::int64_t>(target.leaseExpiresAt - clockLowerBound(target, now), 0);
+    return std::max(target.previousLeasesExpireBy, now + milliseconds {remaining}) + step;
+}
+
+/** @return when a target must be ticked next, if nothing about it changes before */
+time_point nextTickTime(const dispatch_state &state, const tracked_target &target, time_point now)
+{
+    const auto latest = now + state.settings.maxTargetPause;
+    const auto *registered = findRegisteredTarget(state, target.id);
+    if (registered == nullptr) {
+        return latest;
+    }
+    auto due = latest;
+    const auto consider = [&](time_point at) { due = at > now ? std::min(due, at) : due; };
+    if (registered->registration.is_draining()) {
+        consider(now + drainingTickPeriod);
+    }
+    if (!target.runs.empty()) {
+        consider(leaseReviewTime(target, now));
+    }
+    if (!target.isPollPending) {
+        consider(target.nextPollAt);
+    } else if (isLosingAnswers(state)) {
+        consider(target.pollSentAt + lossyPollTimeout(state) + milliseconds {1});
+    }
+    if (!target.orphanRuns.empty()) {
+        consider(target.pollSentAt + state.settings.retryDelay);
+    }
+    for (const auto &[task, run] : target.runs) {
+        if (!run.isOrderPending) {
+            consider(run.retryAt);
+        }
+        consider(run.mayStartLateUntil);
+    }
+    return due;
+}
+
 } // namespace
 
 void tickTargets(dispatch_state &state, time_point now)
@@ -379,21 +435,22 @@
     std::erase_if(state.lostAnswers, [&](const auto &each) {
         return now - each.second >= state.settings.answerLossWindow;
     });
-    const auto changed = std::exchange(state.changedTargets, {});
-    if (now >= state.nextTargetTickAt) {
-        const auto count = static_cast<std::int64_t>(state.targets.size());
-        state.nextTargetTickAt =
-            now + state.settings.targetTickPeriod + milliseconds {count / targetsPerMillisecond};
-        for (auto &[id, target] : state.targets) {
-            tickTarget(state, target, now);
-        }
-        return;
+    auto ids = std::exchange(state.changedTargets, {});
+    for (auto due = state.dueTargets.begin(); due != state.dueTargets.end() && due->first <= now;
+         ++due) {
+        ids.insert(due->second);
     }
-    for (const auto &id : changed) {
+    for (const auto &id : ids) {
         const auto found = state.targets.find(id);
-        if (found != state.targets.end()) {
-            tickTarget(state, found->second, now);
+        if (found == state.targets.end()) {
+            continue;
         }
+        auto &target = found->second;
+        ++state.targetTicks;
+        tickTarget(state, target, now);
+        state.dueTargets.erase({target.dueAt, id});
+        target.dueAt = nextTickTime(state, target, now);
+        state.dueTargets.emplace(target.dueAt, id);
     }
 }
 
--- a/modules/filbert_dispatch/tests/scheduling_test.cpp
+++ b/modules/filbert_dispatch/tests/scheduling_test.cpp
@@ -456,3 +456,85 @@
     CHECK(paths[1].count == 200);
     CHECK(paths[2].count == 300);
 }
+
+// Guards against placement by an outdated list of targets, which a leader keeps between passes.
+TEST_CASE("changes of the targets count in the next pass", "[dispatch]")
+{
+    dispatch_fixture cell;
+    cell.registerTarget("t1", 1, 4'000);
+    cell.startLeading();
+    cell.reportTarget("t1");
+    cell.accept("first", {cell.step(1, 4'000)});
+    refreshJob(*cell.leader, "first", cell.now);
+    cell.runFor({100});
+    REQUIRE(runningTasksOf(cell, "first") == 1);
+
+    const auto commit = [&](const messages::target_life &registration) {
+        messages::work_command command;
+        *command.mutable_target() = registration;
+        cell.apply(command);
+        handleCommittedCommand(*cell.leader, command, false, cell.now);
+        auto report = registration;
+        report.set_clock_ms(cell.now.ms);
+        report.set_sequence(cell.now.ms);
+        handleTargetReport(*cell.leader, report, cell.now);
+    };
+    SECTION("a new target takes work")
+    {
+        commit(cell.targetRegistration("t2", 1, 4'000));
+        cell.accept("second", {cell.step(1, 4'000)});
+        refreshJob(*cell.leader, "second", cell.now);
+        cell.runFor({100});
+        CHECK(cell.targetOf({"second", 0, 0, 0}) == "t2");
+    }
+    SECTION("a capacity that has grown is used, one that has shrunk is not exceeded")
+    {
+        commit(cell.targetRegistration("t1", 1, 6'000));
+        cell.accept("second", {cell.step(2, 2'000)});
+        refreshJob(*cell.leader, "second", cell.now);
+        cell.runFor({100});
+        CHECK(runningTasksOf(cell, "second") == 1);
+        commit(cell.targetRegistration("t1", 1, 5'000));
+        cell.accept("third", {cell.step(1, 500)});
+        refreshJob(*cell.leader, "third", cell.now);
+        cell.runFor({100});
+        CHECK(runningTasksOf(cell, "third") == 0);
+    }
+    SECTION("a target of another service takes no work of this one")
+    {
+        auto other = cell.targetRegistration("t2", 1, 4'000);
+        other.set_service("studio");
+        commit(other);
+        cell.accept("second", {cell.step(1, 4'000)});
+        refreshJob(*cell.leader, "second", cell.now);
+        cell.runFor({100});
+        CHECK(runningTasksOf(cell, "second") == 0);
+    }
+}
+
+TEST_CASE("an occurrence begins when it is due, and not once its job was cancelled", "[dispatch]")
+{
+    dispatch_fixture cell;
+    cell.registerTarget("t1", 1, 8'000);
+    cell.startLeading();
+    cell.reportTarget("t1");
+    messages::work_command command;
+    auto *job = command.mutable_accept();
+    job->set_id("j");
+    job->set_queue("quotes");
+    job->set_team("desk");
+    *job->add_steps() = cell.step(1);
+    job->set_repeat_count(3);
+    job->set_first_due_wall_ms(cell.wallMs + 100);
+    job->set_interval_ms(200);
+    cell.apply(command);
+    handleCommittedCommand(*cell.leader, command, false, cell.now);
+    cell.runFor({350});
+    CHECK(cell.state.jobs.at("j").occurrences.size() == 2);
+    messages::work_command cancel;
+    cancel.set_cancel("j");
+    cell.apply(cancel);
+    handleCommittedCommand(*cell.leader, cancel, false, cell.now);
+    cell.runFor({300});
+    CHECK(cell.leader->repeatingJobs.empty());
+}
--- a/modules/filbert_dispatch/tests/target_tracking_test.cpp
+++ b/modules/filbert_dispatch/tests/target_tracking_test.cpp
@@ -594,3 +594,66 @@
     CHECK(cell.pendingOrders(order_kind::Stop, "t1").empty());
     CHECK_FALSE(cell.pendingOrders(order_kind::Stop, "t2").empty());
 }
+
+// Guards against a leader whose turns cost by the number of targets: in a cell of hundreds of
+// targets, visits to those with nothing due took the time that waiting tasks needed.
+TEST_CASE("a tick visits only targets that have changed or for which something is due",
+          "[dispatch]")
+{
+    constexpr std::uint64_t targets = 200;
+    dispatch_fixture cell;
+    for (std::uint64_t i = 0; i < targets; ++i) {
+        cell.registerTarget("t" + std::to_string(i));
+    }
+    cell.startLeading();
+    for (std::uint64_t i = 0; i < targets; ++i) {
+        cell.reportTarget("t" + std::to_string(i));
+        cell.executeOrders("t" + std::to_string(i));
+    }
+    cell.runFor({100});
+    for (std::uint64_t i = 0; i < targets; ++i) {
+        cell.executeOrders("t" + std::to_string(i)); // the first polls, which list the runs
+    }
+    cell.runFor({100});
+    const auto before = cell.leader->targetTicks;
+    const milliseconds duration = cell.leader->settings.maxTargetPause;
+    cell.runFor(duration);
+    CHECK(cell.leader->targetTicks - before <= targets);
+}
+
+TEST_CASE("the runs of a cancelled job are stopped at once, although nothing else was due",
+          "[dispatch]")
+{
+    dispatch_fixture cell;
+    cell.placeOneTask();
+    cell.executeOrders("t1");
+    cell.runFor({200});
+    messages::work_command command;
+    command.set_cancel("j");
+    cell.apply(command);
+    handleCommittedCommand(*cell.leader, command, false, cell.now);
+    cell.runFor({20});
+    CHECK(cell.pendingOrders(order_kind::Stop, "t1").size() == 1);
+}
+
+TEST_CASE("a poll that is lost is repeated soon once answers get lost, although it was sent before",
+          "[dispatch]")
+{
+    dispatch_fixture cell;
+    cell.placeOneTask();
+    cell.executeOrders("t1");
+    cell.runFor({50});
+    REQUIRE(cell.pendingOrders(order_kind::Poll, "t1").size() == 1);
+    cell.runFor({500});
+    cell.leader->lostAnswers["t2"] = cell.now;
+    const auto poll = cell.pendingOrders(order_kind::Poll, "t1").front();
+    auto start = poll;
+    start.kind = order_kind::Stop;
+    start.sentAt = cell.now;
+    cell.runFor({10});
+    handleOrderAnswer(*cell.leader, start, {order_result::Done, cell.now.ms}, cell.now);
+    handleOrderAnswer(*cell.leader, start, {order_result::Unanswered}, cell.now);
+    REQUIRE(isLosingAnswers(*cell.leader));
+    cell.runFor({100});
+    CHECK(cell.pendingOrders(order_kind::Poll, "t1").size() == 2);
+}
--- a/modules/filbert_dispatch/ticket_requests.cpp
+++ b/modules/filbert_dispatch/ticket_requests.cpp
@@ -95,11 +95,11 @@
     const std::int64_t requiredTasks = step.spec->is_gang() ? step.spec->count() : 1;
     std::int64_t fittingTasks = 0;
     for (const auto &[id, ticket] : view.tickets) {
-        const auto index = service.candidateById.find(id);
-        if (index == service.candidateById.end()) {
+        const auto index = candidateIndexOf(service, id);
+        if (!index) {
             continue;
         }
-        const auto &candidate = service.candidates[index->second];
+        const auto &candidate = service.candidates[*index];
         if (isEligible(step, candidate) && hasCapacityFor(pass, step, service, candidate)) {
             fittingTasks += countFitting(step.need, candidate.free, requiredTasks);
         }
