Review waiting admission requests when something about them has changed

Change: they are reviewed when a request was made or answered, when a caller appears, and each 20 ms for what goes by time. The new test fails without it (1,000 turns, at most one review allowed).

--- a/modules/filbert_dispatch/admission_requests.cpp
+++ b/modules/filbert_dispatch/admission_requests.cpp
@@ -147,6 +147,7 @@
         pending.targets.assign(first, first + static_cast<std::ptrdiff_t>(count));
         pending.priority = queue.priority();
         pending.requestedAt = now;
+        state.areAdmissionsDue = true;
     }
 }
 
@@ -154,6 +155,9 @@
                     time_point now)
 {
     auto &caller = state.callers[name];
+    if (now - caller.lastContactAt >= callerTimeout || caller.process != process) {
+        state.areAdmissionsDue = true; // it can be called again
+    }
     if (std::exchange(caller.process, process) != process) {
         for (auto &[id, pending] : state.pendingAdmissions) {
             if (pending.caller == name) {
@@ -178,6 +182,7 @@
         return;
     }
     auto &pending = found->second;
+    state.areAdmissionsDue = true;
     releaseCaller(state, pending.caller, answer.id());
     if (!answer.is_answered()) {
         pending.caller.clear(); // tickAdmissions() sends it to another
@@ -204,29 +209,32 @@
 
 void tickAdmissions(dispatch_state &state, time_point now)
 {
+    if (!std::exchange(state.areAdmissionsDue, false) && now < state.nextAdmissionReviewAt) {
+        return;
+    }
+    state.nextAdmissionReviewAt = now + state.settings.admissionReviewPeriod;
+    ++state.admissionReviews;
     reviewPending(state, now);
-    std::vector<std::uint64_t> waiting;
+    std::vector<std::pair<time_point, std::uint64_t>> waiting; // by the time that decides the order
     for (const auto &[id, pending] : state.pendingAdmissions) {
         if (pending.caller.empty()) {
-            waiting.push_back(id);
+            const milliseconds handicap {agePerPriorityLevel.count * pending.priority};
+            waiting.emplace_back(pending.requestedAt + handicap, id);
         }
     }
     if (waiting.empty()) {
         return;
     }
-    const auto effectiveRequestTime = [&](std::uint64_t id) {
-        const auto &pending = state.pendingAdmissions[id];
-        return pending.requestedAt + milliseconds {agePerPriorityLevel.count * pending.priority};
-    };
-    std::stable_sort(waiting.begin(), waiting.end(), [&](auto a, auto b) {
-        return effectiveRequestTime(a) < effectiveRequestTime(b);
-    });
+    std::sort(waiting.begin(), waiting.end());
     auto free = freeCallers(state, now);
     const auto keptFree = state.callers.size() / callersPerQuickCaller;
-    for (const auto id : waiting) {
+    for (const auto &[time, id] : waiting) {
         auto &pending = state.pendingAdmissions[id];
         const bool isQuick = pending.expectedDuration <= maxQuickAdmissionTime;
-        if (free.size() <= (isQuick ? 0 : keptFree)) {
+        if (free.empty()) {
+            break;
+        }
+        if (!isQuick && free.size() <= keptFree) {
             continue;
         }
         sendToCaller(state, free.back(), id, pending, now);
--- a/modules/filbert_dispatch/dispatch_state.h
+++ b/modules/filbert_dispatch/dispatch_state.h
@@ -66,6 +66,9 @@
     milliseconds ticketMargin {250}; // a start must reach its target before its ticket expires
     // At the latest after this time a target is ticked again, even if nothing was due earlier.
     milliseconds maxTargetPause {1'000};
+    // Between reviews of the requests to the policy service, unless one was made, was answered or
+    // can be sent.
+    milliseconds admissionReviewPeriod {20};
     milliseconds passPeriod {100}; // between passes while tasks wait and nothing changes
     milliseconds jobRetention {130'000}; // of ended jobs: the platform's minimum and a margin
     double urgentHeadroom = 0.08; // fraction of a service's cores kept for its most urgent queue
@@ -302,6 +305,9 @@
     std::map<task_name, std::string> reservedTickets;
     std::set<std::pair<std::string, std::uint32_t>> proposedOccurrences; // (job, occurrence)
     std::uint64_t lastAdmissionId = 0;
+    bool areAdmissionsDue = true; // a request may have become possible, or superfluous
+    time_point nextAdmissionReviewAt; // the next review even if nothing has happened
+    std::uint64_t admissionReviews = 0;
     std::map<std::string, time_point> lostAnswers; // by target: when its last answer got lost
     round_trip_estimate startAnswerTime; // from sending a start to its answer, of all targets
     double retryTokens = 0; // early retries of starts that are permitted at present
--- a/modules/filbert_dispatch/tests/scheduling_test.cpp
+++ b/modules/filbert_dispatch/tests/scheduling_test.cpp
@@ -538,3 +538,29 @@
     cell.runFor({300});
     CHECK(cell.leader->repeatingJobs.empty());
 }
+
+// Guards against turns that cost by the number of requests that wait for the policy service.
+TEST_CASE("waiting admission requests are not reviewed again in each turn", "[dispatch]")
+{
+    dispatch_fixture cell;
+    auto *admission = firstQueue(cell)->mutable_admission();
+    admission->set_decide_ms(20);
+    admission->set_ticket_ms(2'000);
+    cell.registerTarget("t1", 1, 8'000);
+    for (int i = 0; i < 30; ++i) {
+        cell.accept("j" + std::to_string(i), {cell.step(1)});
+    }
+    cell.startLeading();
+    cell.reportTarget("t1");
+    cell.runFor({100});
+    REQUIRE(cell.leader->pendingAdmissions.size() == 30); // nobody can call the service
+    const auto reviewsBefore = cell.leader->admissionReviews;
+    constexpr int turns = 1'000;
+    for (int i = 0; i < turns; ++i) {
+        tickPlacement(*cell.leader, cell.now);
+    }
+    CHECK(cell.leader->admissionReviews - reviewsBefore <= 1);
+    registerCaller(*cell.leader, "gateway-1", 1, cell.now);
+    cell.tickOnce();
+    CHECK(cell.admissions.size() == 1); // at once, when a caller is known
+}
