--- a/modules/filbert_dispatch/dispatch_state.cpp
+++ b/modules/filbert_dispatch/dispatch_state.cpp
@@ -81,6 +81,7 @@
 void handleCommittedTarget(dispatch_state &state, const messages::target_life &registration,
                            time_point now)
 {
+    state.targetsByService.clear(); // its service and labels may be others
     syncTargetAndJobs(state, registration.id(), now);
     // A new registration may have ended another target at the same address.
     std::vector<std::string> ended;
@@ -97,7 +98,7 @@
 
 void beginDueOccurrences(dispatch_state &state, std::int64_t wallMs)
 {
-    for (const auto &[id, view] : state.jobs) {
+    for (const auto &id : state.repeatingJobs) {
         const auto &job = state.work->jobs.at(id);
         const auto count = static_cast<std::uint32_t>(std::max(job.job.repeat_count(), 0));
         for (std::uint32_t k = static_cast<std::uint32_t>(job.occurrences.size()); k < count; ++k) {
@@ -240,11 +241,15 @@
     }
 }
 
-void tickDispatch(dispatch_state &state, time_point now, std::int64_t wallMs)
+void tickTracking(dispatch_state &state, time_point now, std::int64_t wallMs)
 {
     tickTargets(state, now);
     beginDueOccurrences(state, wallMs);
     removeEndedJobs(state, now, wallMs);
+}
+
+void tickPlacement(dispatch_state &state, time_point now)
+{
     const bool isDue = (state.isPassDue && now >= state.earliestPassAt) || now >= state.nextPassAt;
     if (isDue) {
         state.isPassDue = false;
@@ -258,4 +263,10 @@
     tickAdmissions(state, now);
 }
 
+void tickDispatch(dispatch_state &state, time_point now, std::int64_t wallMs)
+{
+    tickTracking(state, now, wallMs);
+    tickPlacement(state, now);
+}
+
 } // namespace filbert
