Give up tasks that crash their targets, and find them by trial

Cause: a crash ended runs without any count. A task that came back from a crash waited like any other and was placed again, next to others, by any leader.

Change: a new incarnation of a target, or another target at its address, proves a crash; silence, a planned end and the same incarnation after a pause prove nothing. The leader then records it with the runs that may have caused it (target_crashed_command): those that had just been started, or all if there is none. A suspected task is tried as the only new one on its target, away from gangs and lasting tasks, on a quarter of the targets at most; the next crash convicts or clears it. A convicted task fails its job (log: job_given_up, metric: filbert_work_suspicions_total).

Weighed: counting each crash against all tasks there and giving up after two takes innocent neighbours along; an empty target for each suspect is not to be had while crashes make many.

--- /dev/null
+++ b/modules/filbert_dispatch/crash_suspects.cpp
@@ -0,0 +1,147 @@
+#include "crash_suspects.h"
+
+#include <algorithm>
+
+namespace filbert {
+
+namespace {
+
+// At most one target in so many tries a suspected task at a time; the others go on working.
+constexpr std::size_t targetsPerTrial = 4;
+
+// Terms of trialCost(), in the unit of fitCost().
+constexpr double neighbourCost = 1.0; // its work is lost with a crash
+constexpr double newIncarnationCost = 10.0; // a crash there would prove little
+constexpr double lastingNeighbourCost = 20.0; // it serves users, or a whole gang ends with it
+
+messages::suspected_run suspectedRun(const task_name &task, const run_view &run,
+                                     messages::suspicion_kind kind)
+{
+    messages::suspected_run suspected;
+    *suspected.mutable_task() = toTaskReference(task);
+    suspected.set_run(run.run);
+    suspected.set_kind(kind);
+    return suspected;
+}
+
+bool mayHaveStarted(const run_view &run)
+{
+    return run.phase != run_phase::Ordered || run.mayHaveReachedTarget || run.startAttempts > 0;
+}
+
+bool hasNewRuns(const dispatch_state &state, const tracked_target &target)
+{
+    const bool hasReservations = target.reservedResources.milliCores > 0
+        || target.reservedResources.memoryMb > 0 || target.reservedBestEffortCores > 0;
+    return hasReservations
+        || std::any_of(target.runs.begin(), target.runs.end(), [&](const auto &each) {
+               return !hasProvenItself(state, target, each.second);
+           });
+}
+
+/** Whether a suspected task that was started on a target is still on trial there. */
+bool isOnTrial(const dispatch_state &state, const task_name &task, const std::string &target)
+{
+    if (state.reservedStarts.contains(task)) {
+        return true;
+    }
+    const auto tracked = state.targets.find(target);
+    if (tracked == state.targets.end()) {
+        return false;
+    }
+    const auto run = tracked->second.runs.find(task);
+    return run != tracked->second.runs.end()
+        && !hasProvenItself(state, tracked->second, run->second);
+}
+
+} // namespace
+
+bool hasProvenItself(const dispatch_state &state, const tracked_target &target, const run_view &run)
+{
+    return run.phase != run_phase::Ordered
+        && target.lastContactAt - run.startedAt >= state.settings.crashWindow;
+}
+
+messages::work_command crashCommand(const dispatch_state &state, const tracked_target &target,
+                                    milliseconds lifetime)
+{
+    messages::work_command command;
+    auto *crash = command.mutable_crashed();
+    crash->set_target(target.id);
+    crash->set_born(target.incarnation);
+    std::vector<messages::suspected_run> weak;
+    for (const auto &[task, run] : target.lostRuns) {
+        auto *list = run.kind() == messages::SUSPICION_WEAK ? nullptr : crash->add_runs();
+        (list != nullptr ? *list : weak.emplace_back()) = run;
+    }
+    for (const auto &[task, run] : target.runs) {
+        const auto *record = findTask(*state.work, task);
+        const bool isOfThisIncarnation =
+            record != nullptr && record->incarnation == target.incarnation;
+        if (!isOfThisIncarnation || !mayHaveStarted(run) || target.lostRuns.contains(task)) {
+            continue;
+        }
+        if (hasProvenItself(state, target, run)) {
+            weak.push_back(suspectedRun(task, run, messages::SUSPICION_WEAK));
+        } else {
+            *crash->add_runs() = suspectedRun(task, run, messages::SUSPICION_SHARED);
+        }
+    }
+    if (crash->runs_size() == 0) {
+        crash->mutable_runs()->Add(weak.begin(), weak.end());
+    } else if (crash->runs_size() == 1) {
+        crash->mutable_runs(0)->set_kind(messages::SUSPICION_SOLE);
+    }
+    if (lifetime < state.settings.minSoundLifetime) {
+        for (auto &run : *crash->mutable_runs()) {
+            run.set_kind(messages::SUSPICION_WEAK);
+        }
+    }
+    return command;
+}
+
+void noteLostRun(const dispatch_state &state, tracked_target &target, const task_name &task,
+                 const run_view &run)
+{
+    if (mayHaveStarted(run)) {
+        target.lostRuns[task] =
+            suspectedRun(task, run,
+                         hasProvenItself(state, target, run) ? messages::SUSPICION_WEAK
+                                                             : messages::SUSPICION_SHARED);
+    }
+}
+
+void reserveTrialTargets(placement_pass &pass, service_view &service)
+{
+    std::erase_if(pass.state.suspectStarts, [&](const auto &each) {
+        return !isOnTrial(pass.state, each.first, each.second);
+    });
+    for (const auto &[task, target] : pass.state.suspectStarts) {
+        if (const auto index = candidateIndexOf(service, target)) {
+            service.candidates[*index].isAvailable = false;
+            ++service.trials;
+        }
+    }
+}
+
+bool isTrialTarget(const placement_pass &pass, const service_view &service,
+                   const placement_candidate &candidate)
+{
+    return service.trials <= service.availableCandidates / targetsPerTrial
+        && !hasNewRuns(pass.state, *candidate.target);
+}
+
+double trialCost(const placement_pass &pass, const placement_candidate &candidate)
+{
+    const auto &target = *candidate.target;
+    const bool isNew = target.registeredAt > pass.state.leadingSince
+        && pass.now - target.registeredAt < pass.state.settings.minSoundLifetime;
+    double cost = isNew ? newIncarnationCost : 0.0;
+    for (const auto &[task, run] : candidate.target->runs) {
+        const auto &spec = stepSpecOf(pass.state.work->jobs.at(task.job), task.step);
+        cost += spec.lasts() || spec.is_gang() ? lastingNeighbourCost : neighbourCost;
+    }
+    return cost;
+}
+
+} // namespace filbert
--- /dev/null
+++ b/modules/filbert_dispatch/crash_suspects.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include "placement_pass.h"
+
+namespace filbert {
+
+/** @file
+    Finds the task that crashes its targets, among all that ran on a target when it crashed.
+
+    Suspects are the runs that had just been started: a run is cleared once its target has been
+   heard for a while after the start. If there is none, all runs are weakly suspected. A suspected
+   task is then tried as the only new one on its target, so that the next crash convicts or clears
+   it, and takes as little other work along as possible. The replicated state adds up the suspicion,
+   see work_task.
+*/
+
+/** Whether a run has been at work for a while on a target that was heard since. */
+bool hasProvenItself(const dispatch_state &state, const tracked_target &target,
+                     const run_view &run);
+
+/** @return a command that records the crash of the target's present incarnation
+    @param lifetime  how long that incarnation has run */
+messages::work_command crashCommand(const dispatch_state &state, const tracked_target &target,
+                                    milliseconds lifetime);
+
+/** Notes that a run is abandoned because its target is silent. */
+void noteLostRun(const dispatch_state &state, tracked_target &target, const task_name &task,
+                 const run_view &run);
+
+/** Removes the targets on which a suspected task is being tried from those that take other work. */
+void reserveTrialTargets(placement_pass &pass, service_view &service);
+
+/** Whether a suspected task may be tried on a target now. */
+bool isTrialTarget(const placement_pass &pass, const service_view &service,
+                   const placement_candidate &candidate);
+
+/** @return a cost that leads a trial to sound targets with little other work */
+double trialCost(const placement_pass &pass, const placement_candidate &candidate);
+
+} // namespace filbert
--- a/modules/filbert_dispatch/dispatch_state.cpp
+++ b/modules/filbert_dispatch/dispatch_state.cpp
@@ -193,6 +193,13 @@
             }
         }
     }
+    for (const auto &[id, target] : state.targets) {
+        for (const auto &[task, run] : target.runs) {
+            if (findTask(work, task)->suspicion > 0) {
+                state.suspectStarts[task] = id;
+            }
+        }
+    }
     return state;
 }
 
@@ -234,6 +241,11 @@
     case body::kBegin:
         refreshJob(state, command.begin().job(), now);
         break;
+    case body::kCrashed:
+        for (const auto &run : command.crashed().runs()) {
+            refreshJob(state, run.task().job(), now); // it may have failed
+        }
+        break;
     case body::kConfigure:
     case body::kForget:
     case body::BODY_NOT_SET:
--- a/modules/filbert_dispatch/dispatch_state.h
+++ b/modules/filbert_dispatch/dispatch_state.h
@@ -70,6 +70,10 @@
     // can be sent.
     milliseconds admissionReviewPeriod {20};
     milliseconds passPeriod {100}; // between passes while tasks wait and nothing changes
+    // A run under which its target was heard after this time does not crash targets by starting.
+    milliseconds crashWindow {500};
+    // A target that ran for less before it crashed may be at fault itself.
+    milliseconds minSoundLifetime {10'000};
     milliseconds jobRetention {130'000}; // of ended jobs: the platform's minimum and a margin
     double urgentHeadroom = 0.08; // fraction of a service's cores kept for its most urgent queue
 };
@@ -109,6 +113,7 @@
     std::int64_t incarnation = 0;
     std::optional<std::int64_t> clockMs; // last known reading of the target's clock
     time_point clockReadAt; // when that reading arrived
+    time_point registeredAt; // when this incarnation was registered, or the term began
     std::int64_t leaseExpiresAt = 0; // the latest expiry that was sent, on the target's clock
     time_point previousLeasesExpireBy; // by then all leases of earlier terms have expired
     time_point lastContactAt; // time of the last report or answer
@@ -126,6 +131,8 @@
     std::int64_t reservedBestEffortCores = 0;
     std::map<task_name, run_view> runs;
     std::map<task_name, std::uint32_t> orphanRuns; // reported, but not in the log: to be stopped
+    // Runs that were abandoned because this incarnation is silent. If it has crashed, they count.
+    std::map<task_name, messages::suspected_run> lostRuns;
     std::set<std::string> failedJobs; // since the last run that ended well
     time_point quarantinedUntil;
     milliseconds quarantinePeriod;
@@ -303,6 +310,7 @@
     std::map<std::string, admission_caller> callers;
     std::map<std::string, resource_amounts> teamReserved;
     std::map<task_name, std::string> reservedTickets;
+    std::map<task_name, std::string> suspectStarts; // target by task, see crash_suspects.h
     std::set<std::pair<std::string, std::uint32_t>> proposedOccurrences; // (job, occurrence)
     std::uint64_t lastAdmissionId = 0;
     bool areAdmissionsDue = true; // a request may have become possible, or superfluous
--- a/modules/filbert_dispatch/order_answers.cpp
+++ b/modules/filbert_dispatch/order_answers.cpp
@@ -255,6 +255,7 @@
         return;
     }
     target.isInventoryStale = false;
+    target.lostRuns.clear(); // it is the same incarnation: it was only silent
     target.lastAcknowledgedEnd = std::max(target.lastAcknowledgedEnd, order.lastAppliedEnd);
     std::set<task_name> listed;
     handleReportedRuns(state, target, answer, &listed, now);
--- a/modules/filbert_dispatch/placement_pass.cpp
+++ b/modules/filbert_dispatch/placement_pass.cpp
@@ -1,5 +1,6 @@
 #include "placement_pass.h"
 
+#include "crash_suspects.h"
 #include "target_tracking.h"
 
 #include <algorithm>
@@ -106,6 +107,7 @@
             view.urgentPriority = std::min(view.urgentPriority, queue.priority());
         }
     }
+    reserveTrialTargets(pass, view);
     return view;
 }
 
@@ -150,7 +152,8 @@
 bool hasCapacityFor(const placement_pass &pass, const pending_step &step,
                     const service_view &service, const placement_candidate &candidate)
 {
-    if (!fits(step.need, candidate.free)) {
+    if (!candidate.isAvailable || !fits(step.need, candidate.free)
+        || (step.isSuspect && !isTrialTarget(pass, service, candidate))) {
         return false;
     }
     const auto &spec = *step.spec;
@@ -177,7 +180,8 @@
     return static_cast<double>(service.freeCores - spec.need().milli_cores()) >= headroom;
 }
 
-double fitCost(const pending_step &step, const placement_candidate &candidate)
+double fitCost(const placement_pass &pass, const pending_step &step,
+               const placement_candidate &candidate)
 {
     const auto &spec = *step.spec;
     const auto cores = std::max<double>(static_cast<double>(candidate.capacity.milliCores), 1.0);
@@ -194,6 +198,9 @@
     if (spec.lasts()) {
         cost += sameTargetCost * countTasksOnTarget(step, candidate.target->id);
     }
+    if (step.isSuspect) {
+        cost += trialCost(pass, candidate);
+    }
     return cost;
 }
 
@@ -245,6 +252,10 @@
     }
     candidate.unusedCores -= sign * cores;
     service.freeCores -= sign * cores;
+    if (step.isSuspect) {
+        candidate.isAvailable = sign < 0;
+        service.trials = sign > 0 ? service.trials + 1 : service.trials - 1;
+    }
 }
 
 } // namespace filbert
--- a/modules/filbert_dispatch/placement_pass.h
+++ b/modules/filbert_dispatch/placement_pass.h
@@ -26,6 +26,7 @@
     int rank = 0; // the lowest is placed first; see lateRankOffset
     std::int64_t slackMs = 0;
     std::unordered_map<std::string_view, int> tasksByTarget; // only if dependsOnTaskCounts()
+    bool isSuspect = false; // whether the task to be placed next may have crashed a target
 };
 
 /** A target that takes work, as a placement pass sees it. */
@@ -54,6 +55,7 @@
     std::int64_t freeCores = 0;
     std::size_t unplacedSteps = 0; // steps for which there was no capacity
     std::size_t reservedCandidates = 0;
+    std::size_t trials = 0; // targets on which a suspected task is being tried
     int urgentPriority = std::numeric_limits<int>::max(); // of its most urgent queue; 0 is highest
 };
 
@@ -90,7 +92,8 @@
                     const service_view &service, const placement_candidate &candidate);
 
 /** @return the cost of placing a task of the step on a target; the lowest is the best fit */
-double fitCost(const pending_step &step, const placement_candidate &candidate);
+double fitCost(const placement_pass &pass, const pending_step &step,
+               const placement_candidate &candidate);
 
 /** Whether the job's team stays within its cap if a number of tasks of the step start. */
 bool isWithinTeamCap(const placement_pass &pass, const pending_step &step, std::size_t tasks);
@@ -103,7 +106,8 @@
 bool isAdmitted(const pending_step &step, const admission_view *view,
                 const placement_candidate &candidate);
 
-/** Reserves a start on a target, in this pass and in the state, or releases it.
+/** Reserves a start on a target, in this pass and in the state, or releases it. A suspected task
+    gets the target for itself, as far as new work is concerned.
     @param sign  1 to reserve, -1 to release */
 void updateReservation(placement_pass &pass, pending_step &step, service_view &service,
                        placement_candidate &candidate, const task_name &task, int sign);
--- a/modules/filbert_dispatch/scheduling.cpp
+++ b/modules/filbert_dispatch/scheduling.cpp
@@ -67,7 +67,7 @@
             || !hasCapacityFor(pass, step, service, candidate)) {
             continue;
         }
-        const auto cost = fitCost(step, candidate);
+        const auto cost = fitCost(pass, step, candidate);
         if (best == nullptr || cost < bestCost) {
             best = &candidate;
             bestCost = cost;
@@ -95,6 +95,9 @@
         .with("slack_ms", step.slackMs)
         .with("room_milli_cores", candidate.free.milliCores)
         .with("heard_ms_ago", (pass.now - candidate.target->lastContactAt).count);
+    if (findTask(*pass.state.work, task)->suspicion > 0) {
+        pass.state.suspectStarts[task] = candidate.target->id;
+    }
     messages::work_command command;
     auto *start = command.mutable_start();
     *start->mutable_task() = toTaskReference(task);
@@ -149,6 +152,7 @@
 {
     const auto &record = *findStep(*pass.state.work, step.name);
     std::size_t unplaced = 0;
+    std::size_t unplacedSuspects = 0; // they wait for a target of their own, others do not
     std::optional<std::vector<std::size_t>> candidateIndices;
     for (std::uint32_t i = 0; i < record.tasks.size(); ++i) {
         const auto &task = record.tasks[i];
@@ -166,19 +170,24 @@
         if (!candidateIndices) {
             candidateIndices = admittedCandidates(pass, step, service);
         }
-        auto *candidate = unplaced == 0
+        step.isSuspect = task.suspicion > 0;
+        auto &alreadyUnplaced = step.isSuspect ? unplacedSuspects : unplaced;
+        auto *candidate = alreadyUnplaced == 0
             ? bestCandidate(pass, step, service, *candidateIndices, nullptr)
             : nullptr;
         if (candidate == nullptr) {
-            ++unplaced;
+            ++alreadyUnplaced;
             continue;
         }
         proposeStart(pass, step, *candidate, name, task.run + 1, task.checkpoint);
         updateReservation(pass, step, service, *candidate, name, 1);
     }
+    step.isSuspect = unplaced == 0 && unplacedSuspects > 0;
     if (unplaced > 0) {
         ++service.unplacedSteps;
         reserveCandidates(pass, step, service, unplaced);
+    }
+    if (unplaced + unplacedSuspects > 0) {
         requestTickets(pass, step, service);
     }
 }
@@ -191,20 +200,25 @@
                            const std::vector<std::size_t> &candidateIndices, std::size_t members,
                            const std::string_view *rack)
 {
+    const auto &tasks = findStep(*pass.state.work, step.name)->tasks;
     gang_placement plan;
     for (std::uint32_t i = 0; i < members; ++i) {
         auto name = step.name;
         name.index = i;
+        step.isSuspect = tasks[i].suspicion > 0;
         auto *candidate = bestCandidate(pass, step, service, candidateIndices, rack);
         if (candidate == nullptr) {
             for (const auto &[task, member] : plan) {
+                step.isSuspect = tasks[task.index].suspicion > 0;
                 updateReservation(pass, step, service, *member, task, -1);
             }
+            step.isSuspect = false;
             return {};
         }
         updateReservation(pass, step, service, *candidate, name, 1);
         plan.emplace_back(name, candidate);
     }
+    step.isSuspect = false;
     return plan;
 }
 
--- a/modules/filbert_dispatch/target_tracking.cpp
+++ b/modules/filbert_dispatch/target_tracking.cpp
@@ -1,5 +1,6 @@
 #include "target_tracking.h"
 
+#include "crash_suspects.h"
 #include "target_orders.h"
 
 #include <algorithm>
@@ -99,6 +100,9 @@
     target.isInventoryStale = true;
     for (auto &[task, run] : target.runs) {
         if (now >= run.mayStartLateUntil) {
+            if (!run.isAbandonmentProposed) {
+                noteLostRun(state, target, task, run);
+            }
             proposeAbandonment(state, task, run, target.id, "the lease of its target has expired");
         }
     }
@@ -217,6 +221,7 @@
         target.id = id;
         target.incarnation = registered->registration.born();
         target.lastContactAt = now;
+        target.registeredAt = now;
         target.previousLeasesExpireBy = state.leadingSince
             + withClockRateMargin(std::min(state.settings.targetLease,
                                            state.settings.maxTargetLease))
@@ -239,6 +244,31 @@
     }
 }
 
+namespace {
+
+/** Proposes to record the crashes that a report proves: of an earlier incarnation of the same
+   target, or of another target at its address. One that was about to end has not crashed. */
+void proposeCrashes(dispatch_state &state, const messages::target_life &report)
+{
+    for (const auto &[id, registered] : state.work->targets) {
+        const auto &earlier = registered.registration;
+        const bool isReplaced = !registered.hasEnded && earlier.born() < report.born()
+            && (id == report.id() || earlier.address() == report.address());
+        const auto target = isReplaced ? state.targets.find(id) : state.targets.end();
+        if (target == state.targets.end() || target->second.incarnation != earlier.born()
+            || target->second.leavingSince || earlier.is_draining()) {
+            continue;
+        }
+        auto command =
+            crashCommand(state, target->second, milliseconds {report.born() - earlier.born()});
+        if (command.crashed().runs_size() > 0) {
+            propose(state, std::move(command));
+        }
+    }
+}
+
+} // namespace
+
 bool handleTargetReport(dispatch_state &state, const messages::target_life &report, time_point now)
 {
     const auto *registered = findRegisteredTarget(state, report.id());
@@ -278,6 +308,9 @@
     if (isUnchanged) {
         return false;
     }
+    if (!isSameIncarnation) {
+        proposeCrashes(state, report);
+    }
     messages::work_command command;
     *command.mutable_target() = comparable;
     propose(state, std::move(command));
--- a/modules/filbert_dispatch/target_tracking.h
+++ b/modules/filbert_dispatch/target_tracking.h
@@ -8,7 +8,7 @@
 
     @param report  the registration that it reported
     @return whether the report holds something new that must be in the log before it is
-            acknowledged; the command for that is then among the effects
+            acknowledged; the last command among the effects is then the one for that
 */
 bool handleTargetReport(dispatch_state &state, const messages::target_life &report, time_point now);
 
--- a/modules/filbert_dispatch/ticket_requests.cpp
+++ b/modules/filbert_dispatch/ticket_requests.cpp
@@ -58,7 +58,8 @@
         if (isEligible(step, candidate)
             && (isRefresh ? view.tickets.contains(id) : !view.requestedTargets.contains(id))) {
             const bool hasCapacity = hasCapacityFor(pass, step, service, candidate);
-            ranked.emplace_back(fitCost(step, candidate) + (hasCapacity ? 0.0 : noCapacityCost), i);
+            ranked.emplace_back(
+                fitCost(pass, step, candidate) + (hasCapacity ? 0.0 : noCapacityCost), i);
         }
     }
     const auto tasks = static_cast<std::size_t>(step.spec->count());
--- a/modules/filbert_node/work_controller.cpp
+++ b/modules/filbert_node/work_controller.cpp
@@ -232,6 +232,9 @@
     }
     for (int i = 0; i < batch.commands_size(); ++i) {
         const auto &command = batch.commands(i);
+        if (dispatch && command.has_crashed()) {
+            logCrash(command.crashed());
+        }
         const auto outcome = applyCommand(state, command, batch.wall_ms());
         metrics.countCommand(commandName(command));
         const bool isOwnEntry = !proposed.empty() && entry.term() == log.state().term;
@@ -241,6 +244,35 @@
     }
 }
 
+/** Logs a crash before it is applied, with what it changes. */
+void work_controller::logCrash(const messages::target_crashed_command &crash)
+{
+    const auto registered = state.targets.find(crash.target());
+    if (registered == state.targets.end() || registered->second.hasEnded
+        || registered->second.registration.born() != crash.born()) {
+        return; // it is recorded already
+    }
+    for (const auto &run : crash.runs()) {
+        const auto name = toTaskName(run.task());
+        const auto *task = findTask(state, name);
+        if (task == nullptr || task->status == task_status::Done
+            || state.jobs.at(name.job).hasEnded()) {
+            continue;
+        }
+        const auto suspicion = task->suspicion + suspicionWeight(run.kind());
+        const bool isConvicted = suspicion >= convictingSuspicion;
+        log_line {isConvicted ? "job_given_up" : "task_suspected", log_line::severity::Warning}
+            .with("task", toString(name))
+            .with("run", run.run())
+            .with("target", crash.target())
+            .with("born", crash.born())
+            .with("kind", messages::suspicion_kind_Name(run.kind()))
+            .with("crashes", task->crashes + 1)
+            .with("suspicion", suspicion);
+        metrics.countSuspicion(isConvicted);
+    }
+}
+
 void work_controller::handleAppliedCommand(const messages::work_command &command,
                                            const command_outcome &outcome, const answer_address &to)
 {
--- a/modules/filbert_node/work_controller.h
+++ b/modules/filbert_node/work_controller.h
@@ -110,6 +110,7 @@
     void propose(messages::work_command &&command, const answer_address &to);
     void proposePending(time_point now, std::int64_t wallMs);
     void applyEntry(const messages::log_entry &entry);
+    void logCrash(const messages::target_crashed_command &crash);
     void handleAppliedCommand(const messages::work_command &command, const command_outcome &outcome,
                               const answer_address &to);
     void updateLeadership(time_point now, std::int64_t wallMs);
--- a/modules/filbert_node/work_metrics.cpp
+++ b/modules/filbert_node/work_metrics.cpp
@@ -38,6 +38,8 @@
                              "Answers to requests, by kind")}
     , orders {counterFamily(*registry, "filbert_work_orders_total",
                             "Orders to targets, by kind and result")}
+    , suspicions {counterFamily(*registry, "filbert_work_suspicions_total",
+                                "Crashes of targets counted against tasks, by outcome")}
     , orderSeconds {histogramFamily(*registry, "filbert_work_order_seconds",
                                     "Time from an order to its answer, by kind")}
     , termsLed {counterFamily(*registry, "filbert_work_terms_led_total", "Terms that it has led")
--- a/modules/filbert_node/work_metrics.h
+++ b/modules/filbert_node/work_metrics.h
@@ -20,6 +20,11 @@
 
     void countCommand(const std::string &kind) { commands.Add({{"kind", kind}}).Increment(); }
     void countAnswer(const std::string &kind) { answers.Add({{"kind", kind}}).Increment(); }
+    /** Counts a crash of a target against a task. @param isGivenUp  whether its job fails for it */
+    void countSuspicion(bool isGivenUp)
+    {
+        suspicions.Add({{"outcome", isGivenUp ? "given_up" : "suspected"}}).Increment();
+    }
     void countTermLed() { termsLed.Increment(); }
 
     /** Records that a batch of commands was applied. @param duration  time since it was proposed */
@@ -46,6 +51,7 @@
     prometheus::Family<prometheus::Counter> &commands;
     prometheus::Family<prometheus::Counter> &answers;
     prometheus::Family<prometheus::Counter> &orders;
+    prometheus::Family<prometheus::Counter> &suspicions;
     prometheus::Family<prometheus::Histogram> &orderSeconds;
     prometheus::Counter &termsLed;
     prometheus::Histogram &commitSeconds;
--- a/modules/filbert_node/work_requests.cpp
+++ b/modules/filbert_node/work_requests.cpp
@@ -38,9 +38,13 @@
             answerKind(from, messages::ANSWER_OK);
             break;
         }
-        auto command = std::move(dispatch->effects.commands[commandCount]);
-        dispatch->effects.commands.resize(commandCount);
-        propose(std::move(command), from);
+        auto &commands = dispatch->effects.commands;
+        for (auto i = commandCount; i + 1 < commands.size(); ++i) {
+            propose(std::move(commands[i]), {}); // crashes that the report proves
+        }
+        auto registration = std::move(commands.back());
+        commands.resize(commandCount);
+        propose(std::move(registration), from);
         break;
     }
     case body::kTargetLeaves:
--- a/modules/filbert_work/tests/work_commands_test.cpp
+++ b/modules/filbert_work/tests/work_commands_test.cpp
@@ -286,6 +286,37 @@
     }
 }
 
+TEST_CASE("crashes count once an incarnation, and are part of a snapshot", "[work]")
+{
+    work_fixture cell;
+    cell.registerTarget("t1");
+    cell.accept("j", {cell.step(2)});
+    const task_name task {"j", 0, 0, 0};
+    cell.start(task, 1, "t1");
+    messages::work_command command;
+    auto *crash = command.mutable_crashed();
+    crash->set_target("t1");
+    crash->set_born(1);
+    auto *run = crash->add_runs();
+    *run->mutable_task() = toTaskReference(task);
+    run->set_run(1);
+    run->set_kind(messages::SUSPICION_SOLE);
+    CHECK(cell.apply(command).error == none);
+    cell.registerTarget("t1", 2);
+    CHECK(cell.apply(command).error == conflict); // another report of the same incarnation
+    CHECK(findTask(cell.state, task)->crashes == 1);
+    CHECK(cell.state.jobs.at("j").status == job_status::Active);
+
+    work_state restored;
+    REQUIRE(!readWorkState(writeWorkState(cell.state), &restored));
+    CHECK(findTask(restored, task)->crashes == 1);
+    CHECK(findTask(restored, task)->suspicion == suspicionWeight(messages::SUSPICION_SOLE));
+
+    crash->set_born(2);
+    CHECK(cell.apply(command).error == none);
+    CHECK(cell.state.jobs.at("j").status == job_status::Failed);
+}
+
 TEST_CASE("no sequence of commands exceeds a target's capacity, and a snapshot restores the state",
           "[work][property]")
 {
--- a/modules/filbert_work/work_commands.cpp
+++ b/modules/filbert_work/work_commands.cpp
@@ -291,6 +291,33 @@
     return {};
 }
 
+/** Counts the crash of an incarnation against the tasks that ran on it. Jobs with a task that
+    surely crashes its targets fail. */
+command_outcome recordCrash(work_state &state, const messages::target_crashed_command &command,
+                            std::int64_t wallMs)
+{
+    const auto registered = state.targets.find(command.target());
+    if (registered == state.targets.end() || registered->second.hasEnded
+        || registered->second.registration.born() != command.born()) {
+        return {error_kind::Conflict, "this crash is recorded, or the target ended otherwise"};
+    }
+    for (const auto &run : command.runs()) {
+        const auto name = toTaskName(run.task());
+        auto *task = findTask(state, name);
+        if (task == nullptr || task->status == task_status::Done || run.run() > task->run) {
+            continue; // also a run that was abandoned before the crash was noticed counts
+        }
+        ++task->crashes;
+        task->suspicion += suspicionWeight(run.kind());
+        auto &job = state.jobs.at(name.job);
+        if (task->suspicion >= convictingSuspicion && !job.hasEnded()) {
+            endJob(state, job, job_status::Failed, wallMs);
+            discardDetailsOfEndedJob(job);
+        }
+    }
+    return {};
+}
+
 command_outcome startOccurrence(work_state &state,
                                 const messages::begin_occurrence_command &command)
 {
@@ -352,6 +379,8 @@
         return startOccurrence(state, command.begin());
     case body::kForget:
         return removeJobs(state, command.forget());
+    case body::kCrashed:
+        return recordCrash(state, command.crashed(), wallMs);
     case body::BODY_NOT_SET:
         break;
     }
--- a/modules/filbert_work/work_snapshot.cpp
+++ b/modules/filbert_work/work_snapshot.cpp
@@ -17,6 +17,8 @@
         out->set_checkpoint(task.checkpoint);
         out->set_target(task.target);
         out->set_born(task.incarnation);
+        out->set_crashes(task.crashes);
+        out->set_suspicion(task.suspicion);
     }
 }
 
@@ -28,7 +30,8 @@
     step.failedRun = image.failed_run();
     for (const auto &task : image.tasks()) {
         step.tasks.push_back({static_cast<task_status>(task.status()), task.run(), task.failures(),
-                              task.checkpoint(), task.target(), task.born()});
+                              task.checkpoint(), task.target(), task.born(), task.crashes(),
+                              task.suspicion()});
     }
     return step;
 }
--- a/modules/filbert_work/work_state.cpp
+++ b/modules/filbert_work/work_state.cpp
@@ -11,6 +11,20 @@
     return names[static_cast<std::size_t>(status)];
 }
 
+std::uint32_t suspicionWeight(messages::suspicion_kind kind)
+{
+    switch (kind) {
+    case messages::SUSPICION_WEAK:
+        return 3;
+    case messages::SUSPICION_SHARED:
+        return 4;
+    case messages::SUSPICION_SOLE:
+        return 6;
+    default:
+        return 0;
+    }
+}
+
 const messages::step_spec &stepSpecOf(const work_job &job, std::uint32_t step)
 {
     return job.job.steps(static_cast<int>(step));
--- a/modules/filbert_work/work_state.h
+++ b/modules/filbert_work/work_state.h
@@ -29,8 +29,20 @@
     std::string checkpoint; // the newest known one; if empty, the next run starts from scratch
     std::string target; // id of the current run's target, while Running
     std::int64_t incarnation = 0; // of the target when the run was ordered
+    std::uint32_t crashes = 0; // incarnations of targets that crashed under it
+    std::uint32_t suspicion = 0; // of having caused them; see suspicionWeight()
 };
 
+/** Suspicion at which a task is held to crash its targets: its job fails.
+
+    Two crashes with nothing else that had just been started are enough, and so is one of them after
+    one that it shared with others. Where the others could have caused each crash as well, it takes
+    three or four. */
+constexpr std::uint32_t convictingSuspicion = 10;
+
+/** @return by how much a crash raises the suspicion against a task that ran on the target */
+std::uint32_t suspicionWeight(messages::suspicion_kind kind);
+
 /** The progress of one step in one occurrence of a job. */
 struct step_record
 {
