Crash suspects: hold only runs that may have started against a task, and try all members of a gang

The second target had crashed before the start reached it (the emptiest targets are those that are down), and the attempt to send it counted. Now a crash counts fully if the target has confirmed the start, and a job fails for two of these, or for four that are possible, since a new leader does not know which starts arrived. Trials prefer targets that were heard recently. The limit counts jobs now, and tasks of one job share a target, since the job fails whichever of them is at fault. New runs on a target cost a trial there, but do not exclude it.

--- a/modules/filbert_dispatch/crash_suspects.cpp
+++ b/modules/filbert_dispatch/crash_suspects.cpp
@@ -6,12 +6,15 @@
 
 namespace {
 
-// At most one target in so many tries a suspected task at a time; the others go on working.
-constexpr std::size_t targetsPerTrial = 4;
+// Suspected tasks of at most one job for so many targets are tried at a time; the other targets go
+// on working.
+constexpr std::size_t targetsPerTrialJob = 4;
 
 // Terms of trialCost(), in the unit of fitCost().
 constexpr double neighbourCost = 1.0; // its work is lost with a crash
 constexpr double newIncarnationCost = 10.0; // a crash there would prove little
+constexpr double silentSecondCost = 20.0; // it may have crashed, and then looks empty
+constexpr double newRunsCost = 30.0; // these would be suspected as well
 constexpr double lastingNeighbourCost = 20.0; // it serves users, or a whole gang ends with it
 
 messages::suspected_run suspectedRun(const task_name &task, const run_view &run,
@@ -21,12 +24,22 @@
     *suspected.mutable_task() = toTaskReference(task);
     suspected.set_run(run.run);
     suspected.set_kind(kind);
+    suspected.set_was_running(run.phase == run_phase::Started
+                              && (run.confirmedAt.ms > 0 || run.lastListedAt.ms > 0));
     return suspected;
 }
 
+/** Whether all runs belong to one job, which fails whichever of its tasks is at fault. */
+bool haveSameJob(const google::protobuf::RepeatedPtrField<messages::suspected_run> &runs)
+{
+    return std::all_of(runs.begin(), runs.end(), [&](const auto &run) {
+        return run.task().job() == runs.Get(0).task().job();
+    });
+}
+
 bool mayHaveStarted(const run_view &run)
 {
-    return run.phase != run_phase::Ordered || run.mayHaveReachedTarget || run.startAttempts > 0;
+    return run.phase != run_phase::Ordered || run.mayHaveReachedTarget || run.isOrderPending;
 }
 
 bool hasNewRuns(const dispatch_state &state, const tracked_target &target)
@@ -89,8 +102,10 @@
     }
     if (crash->runs_size() == 0) {
         crash->mutable_runs()->Add(weak.begin(), weak.end());
-    } else if (crash->runs_size() == 1) {
-        crash->mutable_runs(0)->set_kind(messages::SUSPICION_SOLE);
+    } else if (haveSameJob(crash->runs())) {
+        for (auto &run : *crash->mutable_runs()) {
+            run.set_kind(messages::SUSPICION_SOLE);
+        }
     }
     if (lifetime < state.settings.minSoundLifetime) {
         for (auto &run : *crash->mutable_runs()) {
@@ -111,24 +126,34 @@
     }
 }
 
-void reserveTrialTargets(placement_pass &pass, service_view &service)
+void startTrial(service_view &service, placement_candidate &candidate, const std::string &job)
+{
+    candidate.trialJob = job;
+    service.trialJobs.insert(job);
+}
+
+void findTrials(placement_pass &pass, service_view &service)
 {
     std::erase_if(pass.state.suspectStarts, [&](const auto &each) {
         return !isOnTrial(pass.state, each.first, each.second);
     });
     for (const auto &[task, target] : pass.state.suspectStarts) {
         if (const auto index = candidateIndexOf(service, target)) {
-            service.candidates[*index].isAvailable = false;
-            ++service.trials;
+            startTrial(service, service.candidates[*index], task.job);
         }
     }
 }
 
-bool isTrialTarget(const placement_pass &pass, const service_view &service,
-                   const placement_candidate &candidate)
+bool mayBeTried(const pending_step &step, const service_view &service,
+                const placement_candidate &candidate)
 {
-    return service.trials <= service.availableCandidates / targetsPerTrial
-        && !hasNewRuns(pass.state, *candidate.target);
+    if (!step.isSuspect) {
+        return candidate.trialJob.empty();
+    }
+    const auto maxTrialJobs = service.availableCandidates / targetsPerTrialJob + 1;
+    const bool isWithinLimit =
+        service.trialJobs.size() < maxTrialJobs || service.trialJobs.contains(step.name.job);
+    return isWithinLimit && (candidate.trialJob.empty() || candidate.trialJob == step.name.job);
 }
 
 double trialCost(const placement_pass &pass, const placement_candidate &candidate)
@@ -136,8 +161,12 @@
     const auto &target = *candidate.target;
     const bool isNew = target.registeredAt > pass.state.leadingSince
         && pass.now - target.registeredAt < pass.state.settings.minSoundLifetime;
-    double cost = isNew ? newIncarnationCost : 0.0;
-    for (const auto &[task, run] : candidate.target->runs) {
+    double cost = (isNew ? newIncarnationCost : 0.0)
+        + (hasNewRuns(pass.state, target) && candidate.trialJob.empty() ? newRunsCost : 0.0);
+    constexpr double secondsPerMillisecond = 1e-3;
+    cost += silentSecondCost * secondsPerMillisecond
+        * static_cast<double>((pass.now - target.lastContactAt).count);
+    for (const auto &[task, run] : target.runs) {
         const auto &spec = stepSpecOf(pass.state.work->jobs.at(task.job), task.step);
         cost += spec.lasts() || spec.is_gang() ? lastingNeighbourCost : neighbourCost;
     }
--- a/modules/filbert_dispatch/crash_suspects.h
+++ b/modules/filbert_dispatch/crash_suspects.h
@@ -27,14 +27,19 @@
 void noteLostRun(const dispatch_state &state, tracked_target &target, const task_name &task,
                  const run_view &run);
 
-/** Removes the targets on which a suspected task is being tried from those that take other work. */
-void reserveTrialTargets(placement_pass &pass, service_view &service);
+/** Notes that a suspected task of a job is tried on a target, which takes no other work then. */
+void startTrial(service_view &service, placement_candidate &candidate, const std::string &job);
 
-/** Whether a suspected task may be tried on a target now. */
-bool isTrialTarget(const placement_pass &pass, const service_view &service,
-                   const placement_candidate &candidate);
+/** Notes the trials that are in progress on targets of a service. */
+void findTrials(placement_pass &pass, service_view &service);
 
-/** @return a cost that leads a trial to sound targets with little other work */
+/** Whether a task may start on a target in view of the trials there. Tasks of one job share a
+    target, since the job fails whichever of them is at fault. */
+bool mayBeTried(const pending_step &step, const service_view &service,
+                const placement_candidate &candidate);
+
+/** @return a cost that leads a trial to sound targets with little other work, and none that has
+   just been started */
 double trialCost(const placement_pass &pass, const placement_candidate &candidate);
 
 } // namespace filbert
--- a/modules/filbert_dispatch/placement_pass.cpp
+++ b/modules/filbert_dispatch/placement_pass.cpp
@@ -107,7 +107,7 @@
             view.urgentPriority = std::min(view.urgentPriority, queue.priority());
         }
     }
-    reserveTrialTargets(pass, view);
+    findTrials(pass, view);
     return view;
 }
 
@@ -152,8 +152,7 @@
 bool hasCapacityFor(const placement_pass &pass, const pending_step &step,
                     const service_view &service, const placement_candidate &candidate)
 {
-    if (!candidate.isAvailable || !fits(step.need, candidate.free)
-        || (step.isSuspect && !isTrialTarget(pass, service, candidate))) {
+    if (!fits(step.need, candidate.free) || !mayBeTried(step, service, candidate)) {
         return false;
     }
     const auto &spec = *step.spec;
@@ -252,9 +251,8 @@
     }
     candidate.unusedCores -= sign * cores;
     service.freeCores -= sign * cores;
-    if (step.isSuspect) {
-        candidate.isAvailable = sign < 0;
-        service.trials = sign > 0 ? service.trials + 1 : service.trials - 1;
+    if (step.isSuspect && sign > 0) {
+        startTrial(service, candidate, task.job);
     }
 }
 
--- a/modules/filbert_dispatch/placement_pass.h
+++ b/modules/filbert_dispatch/placement_pass.h
@@ -39,6 +39,8 @@
     std::int64_t unusedCores = 0; // those of the free cores that best-effort runs do not use either
     std::string_view rack; // points into the labels of the registration, which outlive the pass
     bool isAvailable = false; // whether it accepts work; if not, nothing is placed there
+    // The job of the suspected tasks that are being tried there; it takes no other work then.
+    std::string trialJob;
     int reservedRank = noReservation; // work with a higher rank is not placed here
 };
 
@@ -55,7 +57,7 @@
     std::int64_t freeCores = 0;
     std::size_t unplacedSteps = 0; // steps for which there was no capacity
     std::size_t reservedCandidates = 0;
-    std::size_t trials = 0; // targets on which a suspected task is being tried
+    std::set<std::string> trialJobs; // jobs with a suspected task that is being tried
     int urgentPriority = std::numeric_limits<int>::max(); // of its most urgent queue; 0 is highest
 };
 
--- a/modules/filbert_node/work_controller.cpp
+++ b/modules/filbert_node/work_controller.cpp
@@ -259,16 +259,17 @@
             || state.jobs.at(name.job).hasEnded()) {
             continue;
         }
-        const auto suspicion = task->suspicion + suspicionWeight(run.kind());
-        const bool isConvicted = suspicion >= convictingSuspicion;
+        auto accused = *task;
+        const bool isConvicted = addSuspicion(accused, run);
         log_line {isConvicted ? "job_given_up" : "task_suspected", log_line::severity::Warning}
             .with("task", toString(name))
             .with("run", run.run())
             .with("target", crash.target())
             .with("born", crash.born())
             .with("kind", messages::suspicion_kind_Name(run.kind()))
-            .with("crashes", task->crashes + 1)
-            .with("suspicion", suspicion);
+            .with("confirmed", run.was_running())
+            .with("crashes", accused.crashes)
+            .with("suspicion", accused.suspicion);
         metrics.countSuspicion(isConvicted);
     }
 }
--- a/modules/filbert_work/tests/work_commands_test.cpp
+++ b/modules/filbert_work/tests/work_commands_test.cpp
@@ -301,6 +301,7 @@
     *run->mutable_task() = toTaskReference(task);
     run->set_run(1);
     run->set_kind(messages::SUSPICION_SOLE);
+    run->set_was_running(true);
     CHECK(cell.apply(command).error == none);
     cell.registerTarget("t1", 2);
     CHECK(cell.apply(command).error == conflict); // another report of the same incarnation
@@ -313,8 +314,17 @@
     CHECK(findTask(restored, task)->suspicion == suspicionWeight(messages::SUSPICION_SOLE));
 
     crash->set_born(2);
-    CHECK(cell.apply(command).error == none);
-    CHECK(cell.state.jobs.at("j").status == job_status::Failed);
+    SECTION("a crash before the start arrived gives up no job")
+    {
+        run->set_was_running(false);
+        CHECK(cell.apply(command).error == none);
+        CHECK(cell.state.jobs.at("j").status == job_status::Active);
+    }
+    SECTION("two crashes under it do")
+    {
+        CHECK(cell.apply(command).error == none);
+        CHECK(cell.state.jobs.at("j").status == job_status::Failed);
+    }
 }
 
 TEST_CASE("no sequence of commands exceeds a target's capacity, and a snapshot restores the state",
--- a/modules/filbert_work/work_commands.cpp
+++ b/modules/filbert_work/work_commands.cpp
@@ -307,10 +307,8 @@
         if (task == nullptr || task->status == task_status::Done || run.run() > task->run) {
             continue; // also a run that was abandoned before the crash was noticed counts
         }
-        ++task->crashes;
-        task->suspicion += suspicionWeight(run.kind());
         auto &job = state.jobs.at(name.job);
-        if (task->suspicion >= convictingSuspicion && !job.hasEnded()) {
+        if (addSuspicion(*task, run) && !job.hasEnded()) {
             endJob(state, job, job_status::Failed, wallMs);
             discardDetailsOfEndedJob(job);
         }
--- a/modules/filbert_work/work_snapshot.cpp
+++ b/modules/filbert_work/work_snapshot.cpp
@@ -18,6 +18,7 @@
         out->set_target(task.target);
         out->set_born(task.incarnation);
         out->set_crashes(task.crashes);
+        out->set_possible_crashes(task.possibleCrashes);
         out->set_suspicion(task.suspicion);
     }
 }
@@ -31,7 +32,7 @@
     for (const auto &task : image.tasks()) {
         step.tasks.push_back({static_cast<task_status>(task.status()), task.run(), task.failures(),
                               task.checkpoint(), task.target(), task.born(), task.crashes(),
-                              task.suspicion()});
+                              task.possible_crashes(), task.suspicion()});
     }
     return step;
 }
--- a/modules/filbert_work/work_state.cpp
+++ b/modules/filbert_work/work_state.cpp
@@ -25,6 +25,16 @@
     }
 }
 
+bool addSuspicion(work_task &task, const messages::suspected_run &run)
+{
+    task.crashes += run.was_running() ? 1 : 0;
+    ++task.possibleCrashes;
+    task.suspicion += suspicionWeight(run.kind());
+    return task.suspicion >= convictingSuspicion
+        && (task.crashes >= minConvictingCrashes
+            || task.possibleCrashes >= minConvictingPossibleCrashes);
+}
+
 const messages::step_spec &stepSpecOf(const work_job &job, std::uint32_t step)
 {
     return job.job.steps(static_cast<int>(step));
--- a/modules/filbert_work/work_state.h
+++ b/modules/filbert_work/work_state.h
@@ -29,17 +29,26 @@
     std::string checkpoint; // the newest known one; if empty, the next run starts from scratch
     std::string target; // id of the current run's target, while Running
     std::int64_t incarnation = 0; // of the target when the run was ordered
-    std::uint32_t crashes = 0; // incarnations of targets that crashed under it
+    std::uint32_t crashes = 0; // incarnations of targets that surely crashed while it ran there
+    std::uint32_t possibleCrashes = 0; // those, and others that crashed while it may have run there
     std::uint32_t suspicion = 0; // of having caused them; see suspicionWeight()
 };
 
 /** Suspicion at which a task is held to crash its targets: its job fails.
 
-    Two crashes with nothing else that had just been started are enough, and so is one of them after
-    one that it shared with others. Where the others could have caused each crash as well, it takes
-    three or four. */
+    Two crashes are enough if no other job could have caused the second. Where others could have
+    caused each of them as well, it takes three or four. */
 constexpr std::uint32_t convictingSuspicion = 10;
 
+/** A job fails for no fewer crashes, however strong the suspicion: a target may have crashed before
+    the start arrived. A new leader does not know whether it did. */
+constexpr std::uint32_t minConvictingCrashes = 2;
+constexpr std::uint32_t minConvictingPossibleCrashes = 4;
+
+/** Adds a crash to what is held against a task.
+    @return whether the task is convicted of crashing its targets */
+bool addSuspicion(work_task &task, const messages::suspected_run &run);
+
 /** @return by how much a crash raises the suspicion against a task that ran on the target */
 std::uint32_t suspicionWeight(messages::suspicion_kind kind);
 
