Trials only for tasks under strong suspicion, and none left behind by a gang without capacity

An ordinary crash of a target weakly suspects all that it ran, if nothing was new there. These tasks were tried as the only new ones on their targets as well, so that the recovery from a lost rack would have waited for trials. Now it takes one strong suspicion or two weak ones. A gang that found no capacity kept its targets from other work for the rest of the pass; its trials are taken back. Both found by reading; a test for the first.

--- a/modules/filbert_dispatch/crash_suspects.cpp
+++ b/modules/filbert_dispatch/crash_suspects.cpp
@@ -84,8 +84,11 @@
     crash->set_born(target.incarnation);
     std::vector<messages::suspected_run> weak;
     for (const auto &[task, run] : target.lostRuns) {
-        auto *list = run.kind() == messages::SUSPICION_WEAK ? nullptr : crash->add_runs();
-        (list != nullptr ? *list : weak.emplace_back()) = run;
+        if (run.kind() == messages::SUSPICION_WEAK) {
+            weak.push_back(run);
+        } else {
+            *crash->add_runs() = run;
+        }
     }
     for (const auto &[task, run] : target.runs) {
         const auto *record = findTask(*state.work, task);
@@ -144,6 +147,19 @@
     }
 }
 
+void cancelTrials(placement_pass &pass, service_view &service, const std::string &job)
+{
+    if (service.trialJobs.erase(job) == 0) {
+        return;
+    }
+    for (auto &candidate : service.candidates) {
+        if (candidate.trialJob == job) {
+            candidate.trialJob.clear();
+        }
+    }
+    findTrials(pass, service); // those of earlier passes go on
+}
+
 bool mayBeTried(const pending_step &step, const service_view &service,
                 const placement_candidate &candidate)
 {
--- a/modules/filbert_dispatch/dispatch_state.cpp
+++ b/modules/filbert_dispatch/dispatch_state.cpp
@@ -195,7 +195,7 @@
     }
     for (const auto &[id, target] : state.targets) {
         for (const auto &[task, run] : target.runs) {
-            if (findTask(work, task)->suspicion > 0) {
+            if (needsTrial(*findTask(work, task))) {
                 state.suspectStarts[task] = id;
             }
         }
--- a/modules/filbert_dispatch/scheduling.cpp
+++ b/modules/filbert_dispatch/scheduling.cpp
@@ -1,6 +1,7 @@
 #include "scheduling.h"
 
 #include "admission_requests.h"
+#include "crash_suspects.h"
 #include "placement_pass.h"
 #include "preemption.h"
 #include "step_order.h"
@@ -95,7 +96,7 @@
         .with("slack_ms", step.slackMs)
         .with("room_milli_cores", candidate.free.milliCores)
         .with("heard_ms_ago", (pass.now - candidate.target->lastContactAt).count);
-    if (findTask(*pass.state.work, task)->suspicion > 0) {
+    if (needsTrial(*findTask(*pass.state.work, task))) {
         pass.state.suspectStarts[task] = candidate.target->id;
     }
     messages::work_command command;
@@ -170,7 +171,7 @@
         if (!candidateIndices) {
             candidateIndices = admittedCandidates(pass, step, service);
         }
-        step.isSuspect = task.suspicion > 0;
+        step.isSuspect = needsTrial(task);
         auto &alreadyUnplaced = step.isSuspect ? unplacedSuspects : unplaced;
         auto *candidate = alreadyUnplaced == 0
             ? bestCandidate(pass, step, service, *candidateIndices, nullptr)
@@ -205,13 +206,14 @@
     for (std::uint32_t i = 0; i < members; ++i) {
         auto name = step.name;
         name.index = i;
-        step.isSuspect = tasks[i].suspicion > 0;
+        step.isSuspect = needsTrial(tasks[i]);
         auto *candidate = bestCandidate(pass, step, service, candidateIndices, rack);
         if (candidate == nullptr) {
             for (const auto &[task, member] : plan) {
-                step.isSuspect = tasks[task.index].suspicion > 0;
+                step.isSuspect = needsTrial(tasks[task.index]);
                 updateReservation(pass, step, service, *member, task, -1);
             }
+            cancelTrials(pass, service, step.name.job);
             step.isSuspect = false;
             return {};
         }
--- a/modules/filbert_dispatch/tests/crash_suspects_test.cpp
+++ b/modules/filbert_dispatch/tests/crash_suspects_test.cpp
@@ -270,3 +270,23 @@
     CHECK(cell.statusOf("deadly") == job_status::Failed);
     CHECK(cell.statusOf("other") == job_status::Completed);
 }
+
+// Guards against a recovery that waits for trials: the work of a rack that fails is not suspected.
+TEST_CASE("tasks that had been at work when their target crashed start again without a trial",
+          "[dispatch]")
+{
+    crashing_fixture cell {2};
+    for (int i = 0; i < 8; ++i) {
+        cell.accept("j" + std::to_string(i), {cell.step(1, 1'000)});
+    }
+    cell.startLeading();
+    cell.play({650}); // they end after 700 ms
+    const auto crashed = cell.targetOf({"j0", 0, 0, 0});
+    cell.crash(crashed);
+    cell.play(restartTime + milliseconds {300});
+    CHECK(cell.leader->suspectStarts.empty());
+    cell.play({3'000});
+    for (int i = 0; i < 8; ++i) {
+        CHECK(cell.statusOf("j" + std::to_string(i)) == job_status::Completed);
+    }
+}
--- a/modules/filbert_work/work_state.cpp
+++ b/modules/filbert_work/work_state.cpp
@@ -25,6 +25,11 @@
     }
 }
 
+bool needsTrial(const work_task &task)
+{
+    return task.suspicion > suspicionWeight(messages::SUSPICION_WEAK);
+}
+
 bool addSuspicion(work_task &task, const messages::suspected_run &run)
 {
     task.crashes += run.was_running() ? 1 : 0;
--- a/modules/filbert_work/work_state.h
+++ b/modules/filbert_work/work_state.h
@@ -45,6 +45,10 @@
 constexpr std::uint32_t minConvictingCrashes = 2;
 constexpr std::uint32_t minConvictingPossibleCrashes = 4;
 
+/** @return whether the next start of a task is a trial: it was suspected more than weakly, or more
+    than once. The end of a target alone makes no trial of all that it ran. */
+bool needsTrial(const work_task &task);
+
 /** Adds a crash to what is held against a task.
     @return whether the task is convicted of crashing its targets */
 bool addSuspicion(work_task &task, const messages::suspected_run &run);
