HTTP server: connections that outlive it no longer look for their exchanges

Seen by the address sanitizer in the new test of the event loop: the server was destroyed with requests that had no answer yet, the library closed their connections later, with the loop, and the close event used the destroyed server. Both platform programs destroy servers just before their loop, so that a stop with open requests could end in a crash.

Also two log lines of crashes with names that the check of docs/LOGGING.md can read.

--- a/modules/filbert_node/work_controller.cpp
+++ b/modules/filbert_node/work_controller.cpp
@@ -261,15 +261,23 @@
         }
         auto accused = *task;
         const bool isConvicted = addSuspicion(accused, run);
-        log_line {isConvicted ? "job_given_up" : "task_suspected", log_line::severity::Warning}
-            .with("task", toString(name))
-            .with("run", run.run())
-            .with("target", crash.target())
-            .with("born", crash.born())
-            .with("kind", messages::suspicion_kind_Name(run.kind()))
-            .with("confirmed", run.was_running())
-            .with("crashes", accused.crashes)
-            .with("suspicion", accused.suspicion);
+        const auto describe = [&](log_line &line) {
+            line.with("task", toString(name))
+                .with("run", run.run())
+                .with("target", crash.target())
+                .with("born", crash.born())
+                .with("kind", messages::suspicion_kind_Name(run.kind()))
+                .with("confirmed", run.was_running())
+                .with("crashes", accused.crashes)
+                .with("suspicion", accused.suspicion);
+        };
+        if (isConvicted) {
+            log_line line {"job_given_up", log_line::severity::Warning};
+            describe(line);
+        } else {
+            log_line line {"task_suspected", log_line::severity::Warning};
+            describe(line);
+        }
         metrics.countSuspicion(isConvicted);
     }
 }
--- a/modules/filbert_transport/http_server.cpp
+++ b/modules/filbert_transport/http_server.cpp
@@ -160,6 +160,10 @@
 http_server::~http_server()
 {
     if (vhost != nullptr) {
+        // The library closes the connections later: they must not look for their exchanges then.
+        for (const auto &[id, current] : exchanges) {
+            static_cast<connection *>(lws_wsi_user(current->wsi))->id = 0;
+        }
         exchanges.clear();
         lws_vhost_destroy(vhost);
     }
@@ -202,7 +206,7 @@
         return self->onWritable(wsi, state);
     case LWS_CALLBACK_HTTP_DROP_PROTOCOL:
     case LWS_CALLBACK_CLOSED_HTTP:
-        if (self != nullptr && state != nullptr) {
+        if (state != nullptr && state->id != 0) {
             self->removeExchange(state);
         }
         return 0;
