--- a/modules/filbert_transport/event_loop.cpp
+++ b/modules/filbert_transport/event_loop.cpp
@@ -36,7 +36,9 @@
     });
     // The library's own loop passes all its descriptors to poll() in each turn. With epoll, a turn
     // costs by what has happened, not by how many connections are open.
-    events = ev_loop_new(EVBACKEND_EPOLL | EVFLAG_NOENV);
+    constexpr unsigned backend = EVBACKEND_EPOLL;
+    constexpr unsigned flags = EVFLAG_NOENV; // no variable may choose another backend
+    events = ev_loop_new(backend | flags);
     FILBERT_INVARIANT(events != nullptr, "an epoll descriptor can be opened");
     void *foreignLoops[] = {events};
     lws_context_creation_info info {};
