Steps that wait for capacity no longer search all targets for tickets

Cause: every 100 ms each waiting step ranked all targets of its service to find some to request further tickets for, also when none had free capacity.

Change: once a step has tickets of three targets a task, further requests consider only targets whose free cores suffice, the freest first, and stop at the first one that is too full. Renewals go through the step's own tickets.

--- a/modules/filbert_dispatch/dispatch_state.h
+++ b/modules/filbert_dispatch/dispatch_state.h
@@ -332,6 +332,9 @@
     time_point earliestPassAt;
     std::size_t pendingStepCount = 0; // as of the last pass
     std::uint64_t passCount = 0;
+    // How often a target was considered for a request to the policy service; shows the cost of
+    // requests.
+    std::uint64_t consideredCandidates = 0;
     dispatch_effects effects;
 };
 
--- a/modules/filbert_dispatch/placement_pass.cpp
+++ b/modules/filbert_dispatch/placement_pass.cpp
@@ -46,6 +46,7 @@
     if (!candidate.isAvailable) {
         return;
     }
+    view.byFreeCores.emplace_back(candidate.free.milliCores, view.candidates.size() - 1);
     ++view.availableCandidates;
     view.totalCores += candidate.capacity.milliCores;
     view.freeCores += std::max<std::int64_t>(candidate.unusedCores, 0);
@@ -102,6 +103,7 @@
     for (const auto &entry : targets.entries) {
         addCandidate(view, makeCandidate(pass, entry));
     }
+    std::sort(view.byFreeCores.rbegin(), view.byFreeCores.rend());
     for (const auto &queue : pass.state.work->configuration.queues()) {
         if (queue.service() == service) {
             view.urgentPriority = std::min(view.urgentPriority, queue.priority());
--- a/modules/filbert_dispatch/placement_pass.h
+++ b/modules/filbert_dispatch/placement_pass.h
@@ -49,6 +49,9 @@
 {
     std::vector<placement_candidate> candidates; // in the order of service_targets::entries
     const service_targets *targets = nullptr;
+    // Free cores and index of the available candidates, the most free cores first, as they were at
+    // the beginning of the pass: upper bounds, as below.
+    std::vector<std::pair<std::int64_t, std::size_t>> byFreeCores;
     std::size_t availableCandidates = 0;
     // Upper bounds of what is free on any one target: free resources only shrink during a pass.
     std::int64_t maxFreeCores = 0;
--- a/modules/filbert_dispatch/tests/scheduling_test.cpp
+++ b/modules/filbert_dispatch/tests/scheduling_test.cpp
@@ -564,3 +564,46 @@
     cell.tickOnce();
     CHECK(cell.admissions.size() == 1); // at once, when a caller is known
 }
+
+// Guards against a leader that has no time left for a burst, because each step that waits for
+// capacity goes through all targets again and again to find some to request tickets for.
+TEST_CASE("a step that waits for capacity does not consider full targets for further tickets",
+          "[dispatch]")
+{
+    constexpr int targetCount = 100;
+    dispatch_fixture cell;
+    auto *admission = firstQueue(cell)->mutable_admission();
+    admission->set_decide_ms(20);
+    admission->set_ticket_ms(2'000);
+    for (int i = 0; i < targetCount; ++i) {
+        cell.registerTarget("t" + std::to_string(i), 1, 8'000);
+    }
+    cell.accept("j", {cell.step(2 * targetCount, 8'000)}); // twice as many tasks as fit
+    cell.startLeading();
+    const auto runFor = [&](milliseconds duration) {
+        for (const auto end = cell.now + duration; cell.now < end;) {
+            registerCaller(*cell.leader, "gateway-1", 1, cell.now);
+            for (int i = 0; i < targetCount; ++i) {
+                cell.reportTarget("t" + std::to_string(i));
+            }
+            cell.runFor({100});
+            for (const auto &call : std::exchange(cell.admissions, {})) {
+                messages::admission_answer answer;
+                answer.set_id(call.request.id());
+                answer.set_is_answered(true);
+                for (const auto &target : call.request.targets()) {
+                    answer.add_admitted()->set_target(target);
+                }
+                handleAdmissionAnswer(*cell.leader, answer, cell.now);
+            }
+            for (int i = 0; i < targetCount; ++i) {
+                cell.executeOrders("t" + std::to_string(i));
+            }
+        }
+    };
+    runFor({3'000});
+    REQUIRE(runningTasksOf(cell, "j") == targetCount);
+    const auto before = cell.leader->consideredCandidates;
+    runFor({5'000});
+    CHECK(cell.leader->consideredCandidates - before <= targetCount);
+}
--- a/modules/filbert_dispatch/ticket_requests.cpp
+++ b/modules/filbert_dispatch/ticket_requests.cpp
@@ -44,31 +44,73 @@
                      isCostly(*step.queue) ? targetsPerCostlyCall : targetsPerRequest, pass.now);
 }
 
-/** @return targets to name in a request, the best fits with free capacity first
-    @param isRefresh  whether to renew tickets, instead of requesting those of further targets */
+/** Which targets a request for tickets names. */
+enum class ticket_request {
+    First, // the best fits, those without free capacity last
+    Further, // those that were not named before
+    Renewal, // those whose earlier tickets expire
+};
+
+/** @return the maximum number of targets to name in a request */
+std::size_t maxTargetsOf(const placement_pass &pass, const pending_step &step, ticket_request kind)
+{
+    const auto tasks = static_cast<std::size_t>(step.spec->count());
+    if (kind == ticket_request::Renewal) {
+        return targetsPerRefresh + (step.spec->is_gang() ? tasks : 0);
+    }
+    return isCostly(*step.queue)
+        ? targetsPerCostlyCall * costlyCallLimit(pass)
+        : std::min(targetsPerRequest, tasks * targetsPerTask + extraTargets);
+}
+
+/** Whether the step has a choice among admitted targets, as soon as these have capacity. */
+bool knowsEnoughTargets(const pending_step &step, const admission_view &view)
+{
+    return view.tickets.size() >= std::min(
+               targetsPerRequest, static_cast<std::size_t>(step.spec->count()) * targetsPerTask);
+}
+
+/** @return targets to name in a request, the best fits with free capacity first */
 std::vector<std::string> targetsToRequest(const placement_pass &pass, const pending_step &step,
                                           const service_view &service, const admission_view &view,
-                                          bool isRefresh)
+                                          ticket_request kind)
 {
     constexpr double noCapacityCost = 1'000.0; // puts targets without capacity after all others
     std::vector<std::pair<double, std::size_t>> ranked;
-    for (std::size_t i = 0; i < service.candidates.size(); ++i) {
-        const auto &candidate = service.candidates[i];
-        const auto &id = candidate.target->id;
-        if (isEligible(step, candidate)
-            && (isRefresh ? view.tickets.contains(id) : !view.requestedTargets.contains(id))) {
+    const auto consider = [&](std::size_t index) {
+        const auto &candidate = service.candidates[index];
+        ++pass.state.consideredCandidates;
+        const bool isWanted = isEligible(step, candidate)
+            && (kind == ticket_request::Renewal
+                || !view.requestedTargets.contains(candidate.target->id));
+        if (isWanted) {
             const bool hasCapacity = hasCapacityFor(pass, step, service, candidate);
             ranked.emplace_back(
-                fitCost(pass, step, candidate) + (hasCapacity ? 0.0 : noCapacityCost), i);
+                fitCost(pass, step, candidate) + (hasCapacity ? 0.0 : noCapacityCost), index);
+        }
+    };
+    if (kind == ticket_request::Renewal) {
+        for (const auto &[id, ticket] : view.tickets) {
+            if (const auto index = candidateIndexOf(service, id)) {
+                consider(*index);
+            }
+        }
+    } else if (kind == ticket_request::Further && knowsEnoughTargets(step, view)) {
+        // More tickets for targets without capacity would only expire.
+        for (const auto &[freeCores, index] : service.byFreeCores) {
+            if (freeCores < step.need.milliCores) {
+                break;
+            }
+            if (fits(step.need, service.candidates[index].free)) {
+                consider(index);
+            }
+        }
+    } else {
+        for (std::size_t i = 0; i < service.candidates.size(); ++i) {
+            consider(i);
         }
     }
-    const auto tasks = static_cast<std::size_t>(step.spec->count());
-    const auto maxNewTargets = std::min(targetsPerRequest, tasks * targetsPerTask + extraTargets);
-    const auto maxRenewals = targetsPerRefresh + (step.spec->is_gang() ? tasks : 0);
-    const auto maxTargets = isRefresh ? maxRenewals
-        : isCostly(*step.queue)       ? targetsPerCostlyCall * costlyCallLimit(pass)
-                                      : maxNewTargets;
-    const auto count = std::min(maxTargets, ranked.size());
+    const auto count = std::min(maxTargetsOf(pass, step, kind), ranked.size());
     std::partial_sort(ranked.begin(), ranked.begin() + static_cast<std::ptrdiff_t>(count),
                       ranked.end());
     std::vector<std::string> ids;
@@ -120,15 +162,18 @@
         return;
     }
     if (view.requestedTargets.empty()) {
-        requestAdmissionFor(pass, step, targetsToRequest(pass, step, service, view, false));
+        requestAdmissionFor(pass, step,
+                            targetsToRequest(pass, step, service, view, ticket_request::First));
         return;
     }
     const auto &policy = step.queue->admission();
     if (hasAdmittedCapacity(pass, step, service, view)) {
-        requestAdmissionFor(pass, step, targetsToRequest(pass, step, service, view, true));
+        requestAdmissionFor(pass, step,
+                            targetsToRequest(pass, step, service, view, ticket_request::Renewal));
         return;
     }
-    const auto furtherTargets = targetsToRequest(pass, step, service, view, false);
+    const auto furtherTargets =
+        targetsToRequest(pass, step, service, view, ticket_request::Further);
     const bool hasUsableTicket =
         std::any_of(view.tickets.begin(), view.tickets.end(), [&](auto &each) {
             return isTicketUsable(pass.state, each.second, policy, pass.now);
@@ -136,7 +181,8 @@
     if (!furtherTargets.empty()) {
         requestAdmissionFor(pass, step, furtherTargets);
     } else if (expectedAdmissionDuration(policy, 1) >= slowAdmissionTime && !hasUsableTicket) {
-        requestAdmissionFor(pass, step, targetsToRequest(pass, step, service, view, true));
+        requestAdmissionFor(pass, step,
+                            targetsToRequest(pass, step, service, view, ticket_request::Renewal));
     }
     view.nextRequestAt = pass.now + requestDelay;
 }
@@ -154,7 +200,8 @@
         return;
     }
     const auto &service = serviceOf(pass, step.queue->service());
-    requestAdmissionFor(pass, step, targetsToRequest(pass, step, service, admission, false));
+    requestAdmissionFor(pass, step,
+                        targetsToRequest(pass, step, service, admission, ticket_request::First));
 }
 
 } // namespace filbert
