Leader: effects of a committed command cost by its own runs and targets

Cause: cost by size. An abandoned run was looked for on every target; a registration looked up the record of every target; each start and each end went through all runs of its target.

Change: the leader keeps the target of a proposed abandonment, compares addresses of ended targets only, and touches only the runs that a command names. filbert-dispatch-bench can let runs end and jobs arrive.

--- a/extras/dispatch_bench.cpp
+++ b/extras/dispatch_bench.cpp
@@ -15,6 +15,8 @@
 DEFINE_int32(jobs, 600, "number of jobs that are accepted before the first tick");
 DEFINE_int32(tasks, 10, "number of tasks in each job");
 DEFINE_int32(turns, 200, "number of ticks of 20 ms");
+DEFINE_int32(run_ms, 0, "duration of a run, in ms; 0 = runs do not end");
+DEFINE_int32(jobs_per_turn, 0, "number of jobs that are accepted in each tick");
 
 namespace filbert {
 
@@ -33,6 +35,8 @@
     dispatch_state leader;
     time_point now {100'000};
     std::int64_t wallMs = 1'700'000'000'000;
+    std::map<task_name, time_point> startedAt; // of the runs whose start was answered
+    std::uint64_t endedRuns = 0;
 
     void apply(const messages::work_command &command)
     {
@@ -108,6 +112,26 @@
         }
     }
 
+    /** Lists the runs of a target in the answer to a poll, with those that have ended. */
+    void listRuns(const target_order &poll, order_answer *answer)
+    {
+        const auto &registered = state.targets.at(poll.target);
+        auto number = registered.lastAppliedEnd;
+        for (const auto &task : registered.runs) {
+            const auto run = findTask(state, task)->run;
+            const auto started = startedAt.find(task);
+            const bool hasEnded = FLAGS_run_ms > 0 && started != startedAt.end()
+                && now - started->second >= milliseconds {FLAGS_run_ms};
+            if (!hasEnded) {
+                answer->runs.push_back({task, run, {}, 1 + int(now.ms / 100 % 99), 0});
+                continue;
+            }
+            answer->ends.push_back({++number, task, run, messages::END_DONE, {}});
+            startedAt.erase(started);
+            ++endedRuns;
+        }
+    }
+
     /** Answers all orders immediately, and admits half of the targets of each admission request. */
     void answerAll()
     {
@@ -115,11 +139,10 @@
             order_answer answer;
             answer.result = order_result::Done;
             answer.clockMs = now.ms;
-            if (order.kind == order_kind::Poll) {
-                for (const auto &task : state.targets.at(order.target).runs) {
-                    answer.runs.push_back(
-                        {task, findTask(state, task)->run, {}, 1 + int(now.ms / 100 % 99), 0});
-                }
+            if (order.kind == order_kind::Start) {
+                startedAt[order.task] = now;
+            } else if (order.kind == order_kind::Poll) {
+                listRuns(order, &answer);
             }
             handleOrderAnswer(leader, order, answer, now);
         }
@@ -153,6 +176,7 @@
     for (int i = 0; i < FLAGS_jobs; ++i) {
         cell.submit(i);
     }
+    int submitted = FLAGS_jobs;
     double tickMs = 0;
     double longestTickMs = 0;
     double answerMs = 0;
@@ -165,6 +189,9 @@
         for (int g = 0; g < 30; ++g) {
             registerCaller(cell.leader, "gateway-" + std::to_string(g), 1, cell.now);
         }
+        for (int i = 0; i < FLAGS_jobs_per_turn; ++i) {
+            cell.submit(submitted++);
+        }
         cell.leader.isPassDue = true;
         const auto start = steady::now();
         tickDispatch(cell.leader, cell.now, cell.wallMs);
@@ -181,9 +208,10 @@
         running += job.runningTasks;
     }
     std::cout << std::fixed << std::setprecision(3) << "targets=" << FLAGS_targets
-              << " jobs=" << FLAGS_jobs << " running_tasks=" << running
-              << " turn_ms=" << tickMs / FLAGS_turns << " longest_turn_ms=" << longestTickMs
-              << " answers_ms=" << answerMs / FLAGS_turns << "\n";
+              << " jobs=" << submitted << " running_tasks=" << running
+              << " ended_runs=" << cell.endedRuns << " turn_ms=" << tickMs / FLAGS_turns
+              << " longest_turn_ms=" << longestTickMs << " answers_ms=" << answerMs / FLAGS_turns
+              << "\n";
 }
 
 } // namespace
--- a/modules/filbert_dispatch/dispatch_state.cpp
+++ b/modules/filbert_dispatch/dispatch_state.cpp
@@ -29,7 +29,11 @@
     }
     refreshJob(state, task.job, now);
     if (!refused) {
-        syncTarget(state, start.target(), now);
+        const auto target = state.targets.find(start.target());
+        if (target == state.targets.end() || target->second.incarnation != start.born()) {
+            syncTarget(state, start.target(), now);
+        }
+        state.changedTargets.insert(start.target());
         orderStart(state, start, ticket, now);
         return;
     }
@@ -39,10 +43,29 @@
         .with("target", start.target());
 }
 
+/** Removes the ended runs from the view of their target, except those that another run replaced. */
+void removeEndedRuns(dispatch_state &state, const messages::end_runs_command &ends)
+{
+    const auto registered = state.work->targets.find(ends.target());
+    const auto target = state.targets.find(ends.target());
+    if (registered == state.work->targets.end() || target == state.targets.end()) {
+        return;
+    }
+    state.changedTargets.insert(ends.target());
+    target->second.lastProposedEnd =
+        std::max(target->second.lastProposedEnd, registered->second.lastAppliedEnd);
+    for (const auto &end : ends.ends()) {
+        const auto task = toTaskName(end.task());
+        if (!registered->second.runs.contains(task)) {
+            target->second.runs.erase(task);
+        }
+    }
+}
+
 void handleCommittedEnds(dispatch_state &state, const messages::end_runs_command &ends,
                          time_point now)
 {
-    syncTarget(state, ends.target(), now);
+    removeEndedRuns(state, ends);
     const auto target = state.targets.find(ends.target());
     if (target != state.targets.end()) {
         target->second.nextPollAt = now;
@@ -84,16 +107,22 @@
     state.targetsByService.clear(); // its service and labels may be others
     syncTargetAndJobs(state, registration.id(), now);
     // A new registration may have ended another target at the same address.
-    std::vector<std::string> ended;
-    for (const auto &[id, target] : state.targets) {
-        const auto registered = state.work->targets.find(id);
-        if (registered != state.work->targets.end() && registered->second.hasEnded) {
-            ended.push_back(id);
+    for (const auto &[id, other] : state.work->targets) {
+        if (other.hasEnded && other.registration.address() == registration.address()) {
+            syncTargetAndJobs(state, id, now);
         }
     }
-    for (const auto &id : ended) {
-        syncTargetAndJobs(state, id, now);
+}
+
+/** Updates the view of the target that had an abandoned run, and the run's job. */
+void handleCommittedAbandonment(dispatch_state &state, const messages::drop_run_command &drop,
+                                time_point now)
+{
+    const auto task = toTaskName(drop.task());
+    if (const auto target = state.abandonments.extract(task)) {
+        syncTarget(state, target.mapped(), now);
     }
+    refreshJob(state, task.job, now);
 }
 
 void beginDueOccurrences(dispatch_state &state, std::int64_t wallMs)
@@ -221,17 +250,9 @@
     case body::kEnd:
         handleCommittedEnds(state, command.end(), now);
         break;
-    case body::kDrop: {
-        const auto task = toTaskName(command.drop().task());
-        for (const auto &[id, target] : state.targets) {
-            if (target.runs.contains(task)) {
-                syncTarget(state, id, now);
-                break;
-            }
-        }
-        refreshJob(state, task.job, now);
+    case body::kDrop:
+        handleCommittedAbandonment(state, command.drop(), now);
         break;
-    }
     case body::kTarget:
         handleCommittedTarget(state, command.target(), now);
         break;
--- a/modules/filbert_dispatch/dispatch_state.h
+++ b/modules/filbert_dispatch/dispatch_state.h
@@ -310,6 +310,7 @@
     std::map<std::string, admission_caller> callers;
     std::map<std::string, resource_amounts> teamReserved;
     std::map<task_name, std::string> reservedTickets;
+    std::map<task_name, std::string> abandonments; // proposed ones: target by task
     std::map<task_name, std::string> suspectStarts; // target by task, see crash_suspects.h
     std::set<std::pair<std::string, std::uint32_t>> proposedOccurrences; // (job, occurrence)
     std::uint64_t lastAdmissionId = 0;
--- a/modules/filbert_dispatch/target_orders.cpp
+++ b/modules/filbert_dispatch/target_orders.cpp
@@ -72,6 +72,7 @@
         .with("run", run.run)
         .with("target", target)
         .with("reason", reason);
+    state.abandonments[task] = target;
     messages::work_command command;
     auto *drop = command.mutable_drop();
     *drop->mutable_task() = toTaskReference(task);
