Log: lines beyond the limit are not formatted, and none passes through glog

Cause: each decision is a line, thousands a second in a burst. Each was formatted with a stream and glog's prefix, whose time zone look-up costs a system call where TZ is not set, and only then discarded beyond the limit of lines per second.

Change: a line asks the output first; beyond the limit nothing is formatted. Lines for standard output go there directly.

The new test covers the count of discarded lines; the two tests before it pass unchanged.

--- a/modules/filbert_core/log_line.cpp
+++ b/modules/filbert_core/log_line.cpp
@@ -4,6 +4,8 @@
 #include "output_log.h"
 
 #include <algorithm>
+#include <array>
+#include <cstdio>
 #include <glog/logging.h>
 #include <memory>
 #include <unistd.h>
@@ -17,22 +19,22 @@
     return c > ' ' && c != '"' && c != '=' && c != '\\' && c != 0x7f;
 }
 
-void writeQuoted(std::ostream &out, std::string_view value)
+void appendQuoted(std::string *out, std::string_view value)
 {
-    out << '"';
+    *out += '"';
     for (const char c : value) {
         if (c == '\n') {
-            out << "\\n";
+            *out += "\\n";
         } else if (static_cast<unsigned char>(c) < ' ' || c == 0x7f) {
-            out << '?';
+            *out += '?';
         } else {
             if (c == '"' || c == '\\') {
-                out << '\\';
+                *out += '\\';
             }
-            out << c;
+            *out += c;
         }
     }
-    out << '"';
+    *out += '"';
 }
 
 // Holds the lines of one second at the highest rate that is allowed.
@@ -49,12 +51,20 @@
 
     void send(google::LogSeverity severity, const char *, const char *, int,
               const google::LogMessageTime &, const char *message, std::size_t length) override
+    {
+        if (output.acceptsLine(monotonicNow())) {
+            write(severity, {message, length});
+        }
+    }
+
+    /** Writes a line that the output has accepted. */
+    void write(google::LogSeverity severity, std::string_view message)
     {
         std::string line = "ts_ms=" + std::to_string(wallClockMs()) + " level=";
         line += google::GetLogSeverityName(severity);
         line += ' ';
-        line.append(message, length);
-        output.add(line, monotonicNow());
+        line += message;
+        output.addAccepted(line);
     }
 
     output_log output;
@@ -62,40 +72,71 @@
 
 std::unique_ptr<output_sink> outputSink;
 
+google::LogSeverity toGlogSeverity(log_line::severity level)
+{
+    constexpr google::LogSeverity severities[] = {google::GLOG_INFO, google::GLOG_WARNING,
+                                                  google::GLOG_ERROR};
+    return severities[static_cast<std::size_t>(level)];
+}
+
 } // namespace
 
 log_line::log_line(std::string_view event, severity level)
     : level {level}
+    , isWritten {FLAGS_minloglevel <= toGlogSeverity(level)
+                 && (!outputSink || outputSink->output.acceptsLine(monotonicNow()))}
 {
-    text << "event=" << event;
+    if (isWritten) {
+        text += "event=";
+        text += event;
+    }
 }
 
 log_line::~log_line()
 {
+    if (!isWritten) {
+        return;
+    }
+    if (outputSink) {
+        outputSink->write(toGlogSeverity(level), text); // glog would format a prefix for nobody
+        return;
+    }
     switch (level) {
     case severity::Info:
-        LOG(INFO) << text.str();
+        LOG(INFO) << text;
         break;
     case severity::Warning:
-        LOG(WARNING) << text.str();
+        LOG(WARNING) << text;
         break;
     case severity::Error:
-        LOG(ERROR) << text.str();
+        LOG(ERROR) << text;
         break;
     }
 }
 
 log_line &log_line::with(std::string_view key, std::string_view value)
 {
-    text << ' ' << key << '=';
+    if (!isWritten) {
+        return *this;
+    }
+    text += ' ';
+    text += key;
+    text += '=';
     if (!value.empty() && std::all_of(value.begin(), value.end(), needsNoQuotes)) {
-        text << value;
+        text += value;
     } else {
-        writeQuoted(text, value);
+        appendQuoted(&text, value);
     }
     return *this;
 }
 
+void log_line::appendNumber(double value)
+{
+    std::array<char, 32> digits {};
+    const auto length = std::snprintf(digits.data(), digits.size(), "%g", value);
+    text.append(digits.data(), static_cast<std::size_t>(length));
+}
+
 void startLog(const char *program)
 {
     FLAGS_logtostderr = true;
--- a/modules/filbert_core/log_line.h
+++ b/modules/filbert_core/log_line.h
@@ -1,7 +1,6 @@
 #pragma once
 
 #include <concepts>
-#include <sstream>
 #include <string>
 #include <string_view>
 
@@ -41,13 +40,23 @@
     requires std::integral<Number> || std::floating_point<Number> log_line &
     with(std::string_view key, Number value)
     {
-        text << ' ' << key << '=' << value;
+        if (!isWritten) {
+            return *this;
+        }
+        text += ' ';
+        text += key;
+        text += '=';
+        appendNumber(value);
         return *this;
     }
 
 private:
-    std::ostringstream text;
+    void appendNumber(std::integral auto value) { text += std::to_string(value); }
+    void appendNumber(double value);
+
+    std::string text;
     severity level;
+    bool isWritten; // false beyond the limit of lines: nothing is formatted then
 };
 
 /** Starts logging to standard error. @param program name of the program */
--- a/modules/filbert_core/output_log.cpp
+++ b/modules/filbert_core/output_log.cpp
@@ -20,14 +20,22 @@
     fcntl(descriptor, F_SETFL, fcntl(descriptor, F_GETFL) | O_NONBLOCK);
 }
 
-void output_log::add(std::string_view line, time_point now)
+bool output_log::acceptsLine(time_point now)
 {
     if (now - secondStart >= second) {
         secondStart = now;
         linesInSecond = 0;
     }
-    const bool hasRoom = buffer.size() + line.size() < maxBytes;
-    if (!hasRoom || ++linesInSecond > linesPerSecond) {
+    if (++linesInSecond > linesPerSecond) {
+        ++discardedCount;
+        return false;
+    }
+    return true;
+}
+
+void output_log::addAccepted(std::string_view line)
+{
+    if (buffer.size() + line.size() >= maxBytes) {
         ++discardedCount;
         return;
     }
@@ -40,6 +48,13 @@
     buffer += '\n';
 }
 
+void output_log::add(std::string_view line, time_point now)
+{
+    if (acceptsLine(now)) {
+        addAccepted(line);
+    }
+}
+
 void output_log::flush()
 {
     while (!buffer.empty()) {
--- a/modules/filbert_core/output_log.h
+++ b/modules/filbert_core/output_log.h
@@ -19,7 +19,20 @@
     */
     output_log(int descriptor, int linesPerSecond, std::size_t maxBytes);
 
-    /** Adds a line.
+    /** Counts a line against the limit per second, before it is formatted.
+
+        @param now  time on any monotonic clock
+        @return whether the line may be added; otherwise it is counted as discarded
+    */
+    bool acceptsLine(time_point now);
+
+    /** Adds a line that acceptsLine() has accepted.
+
+        @param line  the text without a newline
+    */
+    void addAccepted(std::string_view line);
+
+    /** Adds a line if it is accepted.
 
         @param line  the text without a newline
         @param now   time on any monotonic clock
--- a/modules/filbert_core/tests/output_log_test.cpp
+++ b/modules/filbert_core/tests/output_log_test.cpp
@@ -73,3 +73,19 @@
     log.flush();
     CHECK(ends.readAll().find("count=15") != std::string::npos);
 }
+
+// Guards against a burst of work whose log lines cost processor time although nobody gets them.
+TEST_CASE("a line beyond the limit is known to be discarded before it is formatted", "[log]")
+{
+    pipe_ends ends;
+    output_log log {ends.write, 2, 65'536};
+    CHECK(log.acceptsLine({100}));
+    log.addAccepted("first");
+    CHECK(log.acceptsLine({100}));
+    CHECK_FALSE(log.acceptsLine({100}));
+    CHECK(log.discardedLines() == 1);
+    CHECK(log.acceptsLine({1'200}));
+    log.addAccepted("next");
+    log.flush();
+    CHECK(ends.readAll() == "first\nevent=log_lines_left_out count=1\nnext\n");
+}
