Transport: an address that is none ends its call, not the process

Cause: http_client took an endpoint apart without checking it. A port above 65,535 was cut to 16 bits, so that another port was called; a name was looked up, which blocks the loop; a line end in a header's value began another header. An invalid address of a peer made the message library throw out of the event loop.

Change: a call whose endpoint is not an IP address with a port, or whose path or headers are not plain text, ends with ConnectionFailed; nothing is sent. An invalid address of a peer is logged, and nothing can be sent to it. Log values are cut after 1,000 bytes, and bytes that are not UTF-8 are replaced, on arm64 as on x86-64.

Failed before: "a call to an address that is not one ends at once, without a connection", with the first endpoint only: 'CHECK( requests == 0 ) with expansion: 1 == 0'; "a call with a line end in a header is not sent": 'CHECK( requests == 0 ) with expansion: 1 == 0'; "a message to an invalid address is not sent, and ends no process": 'unexpected exception with message: Invalid argument'. The names were not tried on the old code, since it would have looked them up.

--- a/modules/filbert_core/log_line.cpp
+++ b/modules/filbert_core/log_line.cpp
@@ -2,6 +2,7 @@
 
 #include "clock.h"
 #include "output_log.h"
+#include "text.h"
 
 #include <algorithm>
 #include <glog/logging.h>
@@ -12,9 +13,11 @@
 
 namespace {
 
+constexpr std::size_t maxValueBytes = 1'000; // values may come from other processes
+
 bool needsNoQuotes(char c)
 {
-    return c > ' ' && c != '"' && c != '=' && c != '\\' && c != 0x7f;
+    return c > ' ' && c < 0x7f && c != '"' && c != '=' && c != '\\';
 }
 
 void writeQuoted(std::ostream &out, std::string_view value)
@@ -88,10 +91,11 @@
 log_line &log_line::with(std::string_view key, std::string_view value)
 {
     text << ' ' << key << '=';
-    if (!value.empty() && std::all_of(value.begin(), value.end(), needsNoQuotes)) {
+    if (!value.empty() && value.size() <= maxValueBytes
+        && std::all_of(value.begin(), value.end(), needsNoQuotes)) {
         text << value;
     } else {
-        writeQuoted(text, value);
+        writeQuoted(text, toUtf8(value, maxValueBytes));
     }
     return *this;
 }
--- a/modules/filbert_core/log_line.h
+++ b/modules/filbert_core/log_line.h
@@ -10,8 +10,9 @@
 /** A structured log entry: an event with key=value pairs on a single line. It is written to the log
     when the object goes out of scope.
 
-    Values with blanks, quotes, backslashes, equals signs or control characters are quoted, so that
-    an entry never spans several lines. Never pass secrets.
+    Values with blanks, quotes, backslashes, equals signs, control or other characters outside of
+    ASCII are quoted, so that an entry never spans several lines. Values are cut after 1,000 bytes,
+    and bytes that are not UTF-8 are replaced. Never pass secrets.
 
     @code log_line {"target_quarantined"}.with ("target", name).with ("failures", 5); @endcode
 */
--- a/modules/filbert_core/settings.cpp
+++ b/modules/filbert_core/settings.cpp
@@ -15,6 +15,8 @@
 
 namespace {
 
+constexpr unsigned maxPort = 65'535;
+
 std::string variableName(const std::string &flag)
 {
     std::string name = "FILBERT_" + flag;
@@ -71,7 +73,10 @@
     const auto colon = endpoint.rfind(':');
     endpoint_parts parts {endpoint.substr(0, colon)};
     if (colon != std::string::npos) {
-        std::from_chars(endpoint.data() + colon + 1, endpoint.data() + endpoint.size(), parts.port);
+        unsigned port = 0;
+        std::from_chars(endpoint.data() + colon + 1, endpoint.data() + endpoint.size(), port);
+        // A socket would use the lower 16 bits of a larger number.
+        parts.port = port <= maxPort ? static_cast<int>(port) : 0;
     }
     return parts;
 }
@@ -89,7 +94,7 @@
     unsigned port = 0;
     const char *end = value.data() + value.size();
     const auto parsed = std::from_chars(value.data() + colon + 1, end, port);
-    return parsed.ec == std::errc {} && parsed.ptr == end && port > 0 && port <= 65'535;
+    return parsed.ec == std::errc {} && parsed.ptr == end && port > 0 && port <= maxPort;
 }
 
 std::vector<std::string> splitList(const std::string &value)
--- a/modules/filbert_transport/http_client.cpp
+++ b/modules/filbert_transport/http_client.cpp
@@ -17,6 +17,15 @@
 constexpr std::size_t maxResponseBytes = 8 << 20;
 constexpr std::uint16_t keepAliveSeconds = 15;
 
+/** Whether a call can be sent as it is: the library would look up the name in an endpoint without
+   an IP address, use the lower 16 bits of a port, and write a line end in a header as it stands. */
+bool canBeSent(const http_call &call)
+{
+    return isEndpoint(call.endpoint) && isPlainText(call.path)
+        && std::all_of(call.headers.begin(), call.headers.end(),
+                       [](const auto &header) { return isPlainText(header.value); });
+}
+
 } // namespace
 
 int libraryTimeoutSeconds(time_point deadline, time_point now)
@@ -89,6 +98,17 @@
 
 void http_client::send(http_call &&call, response_handler onResponse)
 {
+    if (!canBeSent(call)) {
+        if (const auto leftOut = refusalLimit.admit(monotonicNow())) {
+            log_line {"call_not_sent", log_line::severity::Warning}
+                .with("endpoint", call.endpoint)
+                .with("path", call.path)
+                .with("left_out", *leftOut);
+        }
+        loop.post(
+            [onResponse = std::move(onResponse)] { onResponse(error_kind::ConnectionFailed, {}); });
+        return;
+    }
     auto pending = std::make_shared<pending_call>();
     pending->client = this;
     pending->request = std::move(call);
--- a/modules/filbert_transport/http_client.h
+++ b/modules/filbert_transport/http_client.h
@@ -61,7 +61,8 @@
     http_client(const http_client &) = delete;
     http_client &operator=(const http_client &) = delete;
 
-    /** Sends a request.
+    /** Sends a request. It ends with ConnectionFailed if its endpoint is not an IP address with a
+        port, or if its path or a header has bytes that are not UTF-8, or control characters.
 
         @param call        the request
         @param onResponse  called exactly once, never from within send()
@@ -112,6 +113,7 @@
     bool usesTls;
     std::string trustedFile;
     milliseconds suspectPeriod {15'000}; // idle connections are kept for this long
+    event_limit refusalLimit; // of log lines
     time_point lastDeadlineCheck;
     bool wasCheckSkipped = false;
     std::unordered_map<std::string, std::unique_ptr<endpoint_state>> endpoints;
--- a/modules/filbert_transport/message_socket.cpp
+++ b/modules/filbert_transport/message_socket.cpp
@@ -41,6 +41,19 @@
     return input_source::outcome::SomeRemains;
 }
 
+/** Connects a socket, or logs that the address, which may come from another process, is invalid.
+    Nothing can be sent then. */
+void connectTo(zmq::socket_t &socket, const std::string &endpoint)
+{
+    try {
+        socket.connect(endpoint);
+    } catch (const zmq::error_t &error) {
+        log_line {"peer_address_invalid", log_line::severity::Warning}
+            .with("address", endpoint)
+            .with("error", error.what());
+    }
+}
+
 std::string toString(zmq::message_t &message)
 {
     return {static_cast<const char *>(message.data()), message.size()};
@@ -121,7 +134,7 @@
         socket.set(zmq::sockopt::curve_secretkey, keys.secretKey);
         socket.set(zmq::sockopt::curve_serverkey, keys.serverKey);
     }
-    socket.connect(endpoint);
+    connectTo(socket, endpoint);
     const auto receive = [weak = std::weak_ptr {state}] {
         const auto owner = weak.lock();
         if (!owner) {
@@ -143,8 +156,12 @@
 
 void message_client::reconnect()
 {
-    state->socket.disconnect(state->endpoint);
-    state->socket.connect(state->endpoint);
+    try {
+        state->socket.disconnect(state->endpoint);
+    } catch (const zmq::error_t &) {
+        return; // the address was invalid from the beginning
+    }
+    connectTo(state->socket, state->endpoint);
     state->input->mark();
 }
 
--- a/modules/filbert_transport/message_socket.h
+++ b/modules/filbert_transport/message_socket.h
@@ -62,7 +62,9 @@
 public:
     using message_handler = std::function<void(std::string &&message)>;
 
-    /** @param name  the name by which the server knows this process; unique among its peers
+    /** Begins to connect. If the endpoint is invalid, that is logged, and nothing can be sent.
+
+        @param name  the name by which the server knows this process; unique among its peers
         @see message_server
     */
     message_client(event_loop &loop, zmq::context_t &context, const std::string &name,
--- a/modules/filbert_transport/tests/http_test.cpp
+++ b/modules/filbert_transport/tests/http_test.cpp
@@ -245,3 +245,90 @@
     std::filesystem::remove_all(folder);
     CHECK(answered == calls);
 }
+
+// Guards against an odd address that is looked up, reached at another port, or ends the process.
+TEST_CASE("a call to an address that is not one ends at once, without a connection", "[transport]")
+{
+    event_loop loop;
+    int requests = 0;
+    std::unique_ptr<http_server> server;
+    server = std::make_unique<http_server>(loop, "127.0.0.1", 0, http_limits {}, tls_files {},
+                                           [&](http_request &&request) {
+                                               ++requests;
+                                               server->respond(request.id, http_response {});
+                                           });
+    constexpr int portCount = 65'536;
+    http_client client {loop, 2};
+    const std::vector<std::string> endpoints {"127.0.0.1:"
+                                                  + std::to_string(server->port() + portCount),
+                                              "127.0.0.1:-1",
+                                              "127.0.0.1:0",
+                                              "127.0.0.1:99999999999999999999",
+                                              "127.0.0.1",
+                                              "127.0.0.1:",
+                                              ":80",
+                                              "",
+                                              "nowhere",
+                                              "a:b",
+                                              "127.0.0.1:80 x",
+                                              "\xff\xfe:80",
+                                              "[::1]:80",
+                                              std::string(1'000'000, '1') + ":80"};
+    std::size_t ended = 0;
+    for (const auto &endpoint : endpoints) {
+        http_call call;
+        call.endpoint = endpoint;
+        client.send(std::move(call), [&](std::error_code error, http_response &&) {
+            CHECK(error == error_kind::ConnectionFailed);
+            if (++ended == endpoints.size()) {
+                loop.stop();
+            }
+        });
+    }
+    loop.callAfter({10'000}, [&] { loop.stop(); });
+    loop.run();
+    CHECK(ended == endpoints.size());
+    CHECK(requests == 0);
+    CHECK(client.pendingCalls() == 0);
+    CHECK(splitEndpoint("127.0.0.1:99999").port == 0);
+}
+
+// Guards against a name with a line end that becomes a header of its own.
+TEST_CASE("a call with a line end in a header is not sent", "[transport]")
+{
+    event_loop loop;
+    int requests = 0;
+    std::unique_ptr<http_server> server;
+    server = std::make_unique<http_server>(loop, "127.0.0.1", 0, http_limits {}, tls_files {},
+                                           [&](http_request &&request) {
+                                               ++requests;
+                                               server->respond(request.id, http_response {});
+                                           });
+    http_client client {loop, 1};
+    http_call call;
+    call.endpoint = "127.0.0.1:" + std::to_string(server->port());
+    call.headers = {{"filbert-target", "t1\r\nfilbert-epoch: 7"}};
+    std::error_code result;
+    client.send(std::move(call), [&](std::error_code error, http_response &&) {
+        result = error;
+        loop.stop();
+    });
+    loop.run();
+    CHECK(result == error_kind::ConnectionFailed);
+    CHECK(requests == 0);
+}
+
+// Guards against a member's odd address, which the message library refuses by an exception.
+TEST_CASE("a message to an invalid address is not sent, and ends no process", "[transport]")
+{
+    event_loop loop;
+    zmq::context_t context {1};
+    dealer_pool pool {loop, context, "p1", curve_site {},
+                      [](const std::string &, std::string &&) {}};
+    for (const auto *address :
+         {"nowhere", "tcp://127.0.0.1:99999", "tcp://", "", "tcp://127.0.0.1"}) {
+        CHECK_FALSE(pool.send(address, "text"));
+        pool.reconnect(address);
+        CHECK_FALSE(pool.send(address, "text"));
+    }
+}
