Controllers: a command that cannot be read back is refused alone

Cause: Protocol Buffers write a string field with bytes that are not UTF-8 and refuse to read it. The batch with it was committed; applying it found that it cannot be parsed and aborted, on each controller.

Change: before a batch is proposed it is parsed from its own bytes, whatever the source of its commands. If that fails, each command is checked; those that cannot be read back are refused as malformed, logged (command_refused, at most once a second) and counted, and the others go through. Both controllers. This is one more parse of each batch on the leader, as each follower does it to apply the batch; its cost was not measured.

--- a/modules/filbert_controller/commit_effects.cpp
+++ b/modules/filbert_controller/commit_effects.cpp
@@ -284,6 +284,32 @@
 
 } // namespace
 
+void refuseCommand(controller_state &state, const messages::command &command,
+                   const reply_address &to, time_point now)
+{
+    ++state.unreadable.commands;
+    if (const auto leftOut = state.unreadable.commandLimit.admit(now)) {
+        log_line {"command_refused", log_line::severity::Warning}
+            .with("from", to.gateway)
+            .with("left_out", *leftOut);
+    }
+    apply_outcome outcome;
+    outcome.error = error_kind::Malformed;
+    outcome.detail = "a text of the request is not valid UTF-8";
+    if (command.has_place()) {
+        afterPlacement(state, command.place(), outcome, now); // releases what it has reserved
+        return;
+    }
+    if (command.has_place_gang()) {
+        afterGang(state, command.place_gang(), outcome, now);
+        return;
+    }
+    if (command.has_end()) {
+        state.proposedEnds.erase(command.end().placement_id());
+    }
+    refuse(state, to, outcome.error, outcome.detail);
+}
+
 void applyEntry(controller_state &state, const messages::log_entry &entry, time_point now)
 {
     if (entry.kind() != messages::COMMANDS) {
--- a/modules/filbert_controller/controller.cpp
+++ b/modules/filbert_controller/controller.cpp
@@ -131,6 +131,26 @@
     }
 }
 
+void controller::removeUnreadableCommands(messages::command_batch *batch,
+                                          std::vector<reply_address> *replies, time_point now)
+{
+    messages::command_batch readable;
+    readable.set_wall_ms(batch->wall_ms());
+    std::vector<reply_address> remainingReplies;
+    for (int i = 0; i < batch->commands_size(); ++i) {
+        const auto &command = batch->commands(i);
+        const auto &to = (*replies)[static_cast<std::size_t>(i)];
+        if (canBeReadBack(command)) {
+            *readable.add_commands() = command;
+            remainingReplies.push_back(to);
+        } else {
+            refuseCommand(state, command, to, now);
+        }
+    }
+    *batch = std::move(readable);
+    *replies = std::move(remainingReplies);
+}
+
 void controller::proposePending(time_point now, std::int64_t wallMs)
 {
     if (!state.isLeading) {
@@ -149,7 +169,16 @@
             *batch.add_commands() = std::move(state.pending[proposed].command);
             replies.push_back(state.pending[proposed].replyTo);
         }
-        if (propose(state.log, {batch.SerializeAsString()}, now, &state.effects)) {
+        auto payload = batch.SerializeAsString();
+        // A committed entry that cannot be parsed ends each controller that applies it.
+        if (!messages::command_batch {}.ParseFromString(payload)) {
+            removeUnreadableCommands(&batch, &replies, now);
+            if (batch.commands().empty()) {
+                continue;
+            }
+            payload = batch.SerializeAsString();
+        }
+        if (propose(state.log, {std::move(payload)}, now, &state.effects)) {
             // The batch was neither queued nor sent, but the scheduler holds reservations for it:
             // start over.
             for (const auto &to : replies) {
--- a/modules/filbert_controller/controller.h
+++ b/modules/filbert_controller/controller.h
@@ -71,6 +71,9 @@
     void handleRequest(const reply_address &from, const messages::envelope &envelope,
                        time_point now);
     void proposePending(time_point now, std::int64_t wallMs);
+    /** Removes the commands that could not be parsed from the log, and answers their callers. */
+    void removeUnreadableCommands(messages::command_batch *batch,
+                                  std::vector<reply_address> *replies, time_point now);
     void updateLeadership(time_point now);
     void sendAll(std::vector<messages::replication_message> *messages);
     void installSnapshot();
--- a/modules/filbert_controller/controller_metrics.cpp
+++ b/modules/filbert_controller/controller_metrics.cpp
@@ -33,6 +33,9 @@
     add("filbert_controller_jobs_waiting", "Jobs that wait, on the leader",
         static_cast<double>(countWaiting(state.scheduler, work_class::Batch)
                             + countWaiting(state.scheduler, work_class::Gang)));
+    add("filbert_controller_unreadable_commands",
+        "Commands refused since no controller could parse them",
+        static_cast<double>(state.unreadable.commands));
     add("filbert_controller_disk_full", "1 while the data folder has no room",
         state.isDiskFull ? 1 : 0);
     return prometheus::TextSerializer {}.Serialize(registry.Collect());
--- a/modules/filbert_controller/controller_state.h
+++ b/modules/filbert_controller/controller_state.h
@@ -83,6 +83,13 @@
     reply_address replyTo;
 };
 
+/** How much could not be parsed, since the process started. */
+struct unreadable_counts
+{
+    std::uint64_t commands = 0; // not proposed, since no controller could parse them
+    event_limit commandLimit; // of log lines
+};
+
 /** The state of a controller: the log, the replicated state, and the leader's own state. */
 struct controller_state
 {
@@ -90,6 +97,7 @@
     replicated_log_state log;
     replication_effects effects; // to be carried out by the next flush
     cell_state cell;
+    unreadable_counts unreadable;
 
     // Used by a leader only; discarded when its leadership ends.
     bool isLeading = false;
--- a/modules/filbert_controller/tests/dispatch_test.cpp
+++ b/modules/filbert_controller/tests/dispatch_test.cpp
@@ -307,3 +307,35 @@
     CHECK(fixture.sent[0].heartbeat_reply().announce_again());
     CHECK(fixture.sent[0].heartbeat_reply().lease_until() == 0);
 }
+
+// Guards against a batch that ends each controller that applies it, now and at each restart.
+TEST_CASE("a command that cannot be read back is refused alone, the others go through")
+{
+    single_controller fixture;
+    fixture.makeReady();
+    fixture.sent.clear();
+    messages::envelope odd;
+    auto *target = odd.mutable_announce();
+    target->set_name("t-\xff\xfe");
+    target->set_address("127.0.0.1:10");
+    target->set_epoch(1);
+    *target->mutable_capacity() = messageOf({4'000, 4'000, 0, 4});
+    target->add_services("quote");
+    fixture.receive(odd);
+    const auto oddExchange = fixture.lastExchange;
+    fixture.announce(2);
+    fixture.advance(1);
+    bool isRefused = false;
+    bool isAnnounced = false;
+    for (const auto &envelope : fixture.sent) {
+        isRefused = isRefused
+            || (envelope.exchange() == oddExchange
+                && static_cast<error_kind>(envelope.refused().kind()) == error_kind::Malformed);
+        isAnnounced =
+            isAnnounced || (envelope.exchange() == fixture.lastExchange && envelope.done());
+    }
+    CHECK(isRefused);
+    CHECK(isAnnounced);
+    CHECK(fixture.instance->view().cell.targets.size() == 1);
+    CHECK(fixture.instance->view().unreadable.commands == 1);
+}
--- a/modules/filbert_node/tests/work_controller_test.cpp
+++ b/modules/filbert_node/tests/work_controller_test.cpp
@@ -15,7 +15,7 @@
 {
     time_point now = monotonicNow(); // starts at the real clock, which orders are sent by
     fake_file_system files;
-    log_store store {files};
+    std::unique_ptr<log_store> store = std::make_unique<log_store>(files);
     work_metrics metrics;
     std::vector<target_order> orders;
     std::map<std::uint64_t, messages::work_answer> answers; // by exchange
@@ -24,18 +24,42 @@
     std::unique_ptr<work_controller> controller;
     std::uint64_t lastExchange = 0;
 
-    explicit controller_fixture(int faultTolerance = 0, bool isGreetedBeforeLeading = false)
+    explicit controller_fixture(int faultTolerance = 0, bool isGreetedBeforeLeading = false,
+                                const std::vector<std::string> &storedPayloads = {})
     {
-        REQUIRE(!store.initialise("a"));
+        REQUIRE(!store->initialise("a"));
         stored_state stored;
         storage_damage damage;
-        REQUIRE(!store.open(&stored, &damage));
+        REQUIRE(!store->open(&stored, &damage));
         messages::member self;
         self.set_identity("a");
         self.set_address("tcp://host-a");
         stored.term = 1;
         stored.entries = {makeBootstrapEntry(self)};
-        REQUIRE(!store.append(1, "", stored.entries));
+        for (const auto &payload : storedPayloads) {
+            auto &entry = stored.entries.emplace_back();
+            entry.set_index(stored.entries.size());
+            entry.set_term(1);
+            entry.set_kind(messages::COMMANDS);
+            entry.set_payload(payload);
+        }
+        REQUIRE(!store->append(1, "", stored.entries));
+        start(stored, faultTolerance, isGreetedBeforeLeading);
+    }
+
+    /** Starts the controller anew with what its disk holds. */
+    void restart()
+    {
+        controller.reset();
+        store = std::make_unique<log_store>(files);
+        stored_state stored;
+        storage_damage damage;
+        REQUIRE(!store->open(&stored, &damage));
+        start(stored, 0, false);
+    }
+
+    void start(const stored_state &stored, int faultTolerance, bool isGreetedBeforeLeading)
+    {
         work_controller_settings settings;
         settings.name = "controller-a";
         settings.address = "tcp://host-a";
@@ -56,7 +80,7 @@
         hooks.callTarget = [this](const target_order &order) { orders.push_back(order); };
         hooks.controllerAddresses = [] { return std::vector<std::string> {}; };
         replication_settings replication;
-        controller = std::make_unique<work_controller>(settings, replication, stored, 3, store,
+        controller = std::make_unique<work_controller>(settings, replication, stored, 3, *store,
                                                        metrics, hooks, now - milliseconds {3'000});
         if (isGreetedBeforeLeading) {
             messages::work_envelope envelope;
@@ -254,3 +278,39 @@
     CHECK(text.find("filbert_work_commands_total{kind=\"accept\"} 1") != std::string::npos);
     CHECK(text.find("filbert_work_commit_seconds_count") != std::string::npos);
 }
+
+namespace {
+
+messages::work_request reportOf(const std::string &target)
+{
+    messages::work_request request;
+    *request.mutable_report() = work_fixture::targetRegistration(target, 1);
+    request.mutable_report()->set_sequence(1);
+    request.mutable_report()->set_clock_ms(500);
+    return request;
+}
+
+} // namespace
+
+// Guards against a batch that ends each controller that applies it, now and at each restart.
+TEST_CASE("a command that cannot be read back is refused alone, the others of its turn go through",
+          "[controller]")
+{
+    controller_fixture fixture;
+    fixture.configure(1);
+    messages::work_envelope odd;
+    odd.set_exchange(++fixture.lastExchange);
+    *odd.mutable_request() = reportOf("i-\xff\xfe");
+    fixture.controller->handleEnvelope("gateway-1", odd, fixture.now, 1'000);
+    CHECK(fixture.sendRequest(reportOf("t1")).kind() == messages::ANSWER_OK);
+    CHECK(fixture.answers[odd.exchange()].kind() == messages::ANSWER_MALFORMED);
+    CHECK(fixture.controller->work().targets.size() == 1);
+    CHECK(fixture.controller->work().targets.contains("t1"));
+    CHECK(fixture.metrics.text().find("filbert_work_unreadable_total{what=\"command\"} 1")
+          != std::string::npos);
+    CHECK(fixture.sendRequest(reportOf("i-\xc3(")).kind() == messages::ANSWER_MALFORMED);
+    CHECK(fixture.configure(2).kind() == messages::ANSWER_OK);
+    fixture.restart();
+    CHECK(fixture.controller->isLeading());
+    CHECK(fixture.controller->work().configuration.version() == 2);
+}
--- a/modules/filbert_node/work_controller.cpp
+++ b/modules/filbert_node/work_controller.cpp
@@ -205,8 +205,17 @@
         *batch.add_commands() = std::move(command.command);
         replies.push_back(std::move(command.replyTo));
     }
+    auto payload = batch.SerializeAsString();
+    // A committed entry that cannot be parsed ends each controller that applies it.
+    if (!messages::work_batch {}.ParseFromString(payload)) {
+        removeUnreadableCommands(&batch, &replies, now);
+        if (batch.commands().empty()) {
+            return;
+        }
+        payload = batch.SerializeAsString();
+    }
     std::uint64_t index = 0;
-    if (const auto error = log.propose(batch.SerializeAsString(), now, &index)) {
+    if (const auto error = log.propose(std::move(payload), now, &index)) {
         log_line {"proposal_refused", log_line::severity::Warning}.with("error", error.message());
         for (const auto &to : replies) {
             answerKind(to, messages::ANSWER_NO_LEADER);
@@ -217,6 +226,43 @@
     inFlight[index] = {std::move(replies), now};
 }
 
+/** Removes the commands that could not be parsed from the log, and answers their callers. */
+void work_controller::removeUnreadableCommands(messages::work_batch *batch,
+                                               std::vector<answer_address> *replies, time_point now)
+{
+    messages::work_batch readable;
+    readable.set_wall_ms(batch->wall_ms());
+    std::vector<answer_address> remainingReplies;
+    for (int i = 0; i < batch->commands_size(); ++i) {
+        const auto &command = batch->commands(i);
+        auto &to = (*replies)[static_cast<std::size_t>(i)];
+        if (canBeReadBack(command)) {
+            *readable.add_commands() = command;
+            remainingReplies.push_back(std::move(to));
+        } else {
+            refuseCommand(command, to, now);
+        }
+    }
+    *batch = std::move(readable);
+    *replies = std::move(remainingReplies);
+}
+
+void work_controller::refuseCommand(const messages::work_command &command, const answer_address &to,
+                                    time_point now)
+{
+    metrics.countUnreadable("command");
+    if (const auto leftOut = refusalLimit.admit(now)) {
+        log_line {"command_refused", log_line::severity::Warning}
+            .with("kind", commandName(command))
+            .with("from", to.peer)
+            .with("left_out", *leftOut);
+    }
+    if (command.has_start()) {
+        handleCommittedCommand(*dispatch, command, true, now); // releases what it has reserved
+    }
+    answerKind(to, messages::ANSWER_MALFORMED, "a text of the request is not valid UTF-8");
+}
+
 void work_controller::applyEntry(const messages::log_entry &entry)
 {
     if (entry.kind() != messages::COMMANDS) {
--- a/modules/filbert_node/work_controller.h
+++ b/modules/filbert_node/work_controller.h
@@ -109,6 +109,10 @@
                     const std::string &detail = {}, std::int64_t number = 0);
     void propose(messages::work_command &&command, const answer_address &to);
     void proposePending(time_point now, std::int64_t wallMs);
+    void removeUnreadableCommands(messages::work_batch *batch, std::vector<answer_address> *replies,
+                                  time_point now);
+    void refuseCommand(const messages::work_command &command, const answer_address &to,
+                       time_point now);
     void applyEntry(const messages::log_entry &entry);
     void logCrash(const messages::target_crashed_command &crash);
     void handleAppliedCommand(const messages::work_command &command, const command_outcome &outcome,
@@ -151,6 +155,7 @@
     std::map<std::string, time_point> lastHelloByPeer; // last hello, by name of the process
     time_point leadingSince;
     time_point nextJoinAt;
+    event_limit refusalLimit; // of log lines
     time_point flushTime; // time of the current flush(), for the hooks of `log`
     order_router router;
     bool isStopping = false;
--- a/modules/filbert_node/work_metrics.cpp
+++ b/modules/filbert_node/work_metrics.cpp
@@ -40,6 +40,9 @@
                             "Orders to targets, by kind and result")}
     , suspicions {counterFamily(*registry, "filbert_work_suspicions_total",
                                 "Crashes of targets counted against tasks, by outcome")}
+    , unreadable {counterFamily(*registry, "filbert_work_unreadable_total",
+                                "Messages dropped, commands refused and log entries skipped since "
+                                "they cannot be parsed, by kind")}
     , orderSeconds {histogramFamily(*registry, "filbert_work_order_seconds",
                                     "Time from an order to its answer, by kind")}
     , termsLed {counterFamily(*registry, "filbert_work_terms_led_total", "Terms that it has led")
--- a/modules/filbert_node/work_metrics.h
+++ b/modules/filbert_node/work_metrics.h
@@ -26,6 +26,9 @@
         suspicions.Add({{"outcome", isGivenUp ? "given_up" : "suspected"}}).Increment();
     }
     void countTermLed() { termsLed.Increment(); }
+    /** Counts something that cannot be parsed, or could not be by others.
+        @param what  "message", "command" or "entry" */
+    void countUnreadable(const std::string &what) { unreadable.Add({{"what", what}}).Increment(); }
 
     /** Records that a batch of commands was applied. @param duration  time since it was proposed */
     void observeCommit(milliseconds duration);
@@ -52,6 +55,7 @@
     prometheus::Family<prometheus::Counter> &answers;
     prometheus::Family<prometheus::Counter> &orders;
     prometheus::Family<prometheus::Counter> &suspicions;
+    prometheus::Family<prometheus::Counter> &unreadable;
     prometheus::Family<prometheus::Histogram> &orderSeconds;
     prometheus::Counter &termsLed;
     prometheus::Histogram &commitSeconds;
