Controllers: a log entry that cannot be parsed is skipped, by all alike

Cause: that a committed entry can be parsed was an invariant, whose violation ends the process.

Change: such an entry is skipped, logged (entry_skipped, at most once a second) and counted. Whether it can be parsed depends on its bytes alone, so that all controllers skip the same ones, also at a start. A leader that has proposed it tells its callers that nothing was done, so that they send again, and begins its scheduling state anew, which holds reservations for the starts in the entry.

--- a/modules/filbert_controller/commit_effects.cpp
+++ b/modules/filbert_controller/commit_effects.cpp
@@ -282,6 +282,28 @@
     }
 }
 
+/** Skips a committed entry that cannot be parsed. Whether it can depends on its bytes alone, so
+   that all controllers skip the same ones, also when they start again. */
+void skipEntry(controller_state &state, const messages::log_entry &entry, time_point now)
+{
+    ++state.unreadable.entries;
+    if (const auto leftOut = state.unreadable.entryLimit.admit(now)) {
+        log_line {"entry_skipped", log_line::severity::Error}
+            .with("index", entry.index())
+            .with("term", entry.term())
+            .with("bytes", entry.payload().size())
+            .with("left_out", *leftOut);
+    }
+    const auto proposed = state.inFlight.extract(entry.index());
+    if (proposed.empty()) {
+        return;
+    }
+    for (const auto &to : proposed.mapped()) {
+        redirectToLeader(state, to); // nothing was done; it may be sent again
+    }
+    stopLeading(state); // the scheduler holds reservations for the entry: start over
+}
+
 } // namespace
 
 void refuseCommand(controller_state &state, const messages::command &command,
@@ -316,8 +338,10 @@
         return;
     }
     messages::command_batch batch;
-    FILBERT_INVARIANT(batch.ParseFromString(entry.payload()),
-                      "a committed log entry can be parsed");
+    if (!batch.ParseFromString(entry.payload())) {
+        skipEntry(state, entry, now);
+        return;
+    }
     std::vector<reply_address> replies;
     if (const auto found = state.inFlight.find(entry.index()); found != state.inFlight.end()) {
         replies = std::move(found->second);
--- a/modules/filbert_controller/commit_effects.h
+++ b/modules/filbert_controller/commit_effects.h
@@ -4,7 +4,8 @@
 
 namespace filbert {
 
-/** Applies a committed log entry; a leader also sends the answers and orders that follow. */
+/** Applies a committed log entry; a leader also sends the answers and orders that follow. An entry
+    that cannot be parsed is skipped, by all controllers alike. */
 void applyEntry(controller_state &state, const messages::log_entry &entry, time_point now);
 
 /** Refuses a command of the leader that is not proposed, since no controller could parse it.
--- a/modules/filbert_controller/controller.cpp
+++ b/modules/filbert_controller/controller.cpp
@@ -170,7 +170,8 @@
             replies.push_back(state.pending[proposed].replyTo);
         }
         auto payload = batch.SerializeAsString();
-        // A committed entry that cannot be parsed ends each controller that applies it.
+        // A committed entry that no controller can parse would be skipped by all of them, with all
+        // the commands in it.
         if (!messages::command_batch {}.ParseFromString(payload)) {
             removeUnreadableCommands(&batch, &replies, now);
             if (batch.commands().empty()) {
--- a/modules/filbert_controller/controller_metrics.cpp
+++ b/modules/filbert_controller/controller_metrics.cpp
@@ -36,6 +36,8 @@
     add("filbert_controller_unreadable_commands",
         "Commands refused since no controller could parse them",
         static_cast<double>(state.unreadable.commands));
+    add("filbert_controller_unreadable_entries", "Log entries skipped since they cannot be parsed",
+        static_cast<double>(state.unreadable.entries));
     add("filbert_controller_disk_full", "1 while the data folder has no room",
         state.isDiskFull ? 1 : 0);
     return prometheus::TextSerializer {}.Serialize(registry.Collect());
--- a/modules/filbert_controller/controller_state.h
+++ b/modules/filbert_controller/controller_state.h
@@ -87,7 +87,9 @@
 struct unreadable_counts
 {
     std::uint64_t commands = 0; // not proposed, since no controller could parse them
+    std::uint64_t entries = 0; // of the log; skipped by all controllers
     event_limit commandLimit; // of log lines
+    event_limit entryLimit;
 };
 
 /** The state of a controller: the log, the replicated state, and the leader's own state. */
--- a/modules/filbert_controller/tests/dispatch_test.cpp
+++ b/modules/filbert_controller/tests/dispatch_test.cpp
@@ -339,3 +339,48 @@
     CHECK(fixture.instance->view().cell.targets.size() == 1);
     CHECK(fixture.instance->view().unreadable.commands == 1);
 }
+
+// Guards against a committed entry that ends every controller at each start.
+TEST_CASE("a committed entry that cannot be parsed is skipped by a controller that starts")
+{
+    single_controller fixture;
+    const auto makeEntry = [](std::uint64_t index, const std::string &payload) {
+        messages::log_entry entry;
+        entry.set_index(index);
+        entry.set_term(1);
+        entry.set_kind(messages::COMMANDS);
+        entry.set_payload(payload);
+        return entry;
+    };
+    const auto payloadOf = [](const std::string &name) {
+        messages::command_batch batch;
+        batch.add_commands()->mutable_target()->set_name(name);
+        return batch.SerializeAsString();
+    };
+    messages::member self;
+    self.set_identity("c1-x");
+    fake_file_system files;
+    log_store store {files};
+    REQUIRE(!store.initialise("c1-x"));
+    stored_state stored;
+    storage_damage damage;
+    REQUIRE(!store.open(&stored, &damage));
+    stored.term = 1;
+    stored.entries = {makeBootstrapEntry(self), makeEntry(2, payloadOf("t1")),
+                      makeEntry(3, payloadOf("\xff\xfe")), makeEntry(4, "\xff\xff"),
+                      makeEntry(5, payloadOf("t2"))};
+    REQUIRE(!store.append(1, "", stored.entries));
+    controller restarted {
+        controller_settings {}, replication_settings {}, stored, 1, store, fixture, fixture.now};
+    for (int i = 0; i < 200; ++i) {
+        fixture.now = fixture.now + milliseconds {10};
+        restarted.tick(fixture.now);
+        REQUIRE(!restarted.flush(fixture.now, fixture.now.ms));
+    }
+    CHECK(restarted.isReadyToStop() == false);
+    CHECK(restarted.view().isLeading);
+    CHECK(restarted.view().cell.targets.size() == 2);
+    CHECK(restarted.view().unreadable.entries == 2);
+    cell_state copy;
+    CHECK_FALSE(restoreCell(serializeCell(restarted.view().cell), &copy));
+}
--- a/modules/filbert_node/tests/work_controller_test.cpp
+++ b/modules/filbert_node/tests/work_controller_test.cpp
@@ -290,6 +290,14 @@
     return request;
 }
 
+/** @return a log entry's payload with one report, as the leader writes it */
+std::string payloadOf(const std::string &target)
+{
+    messages::work_batch batch;
+    *batch.add_commands()->mutable_target() = reportOf(target).report();
+    return batch.SerializeAsString();
+}
+
 } // namespace
 
 // Guards against a batch that ends each controller that applies it, now and at each restart.
@@ -314,3 +322,34 @@
     CHECK(fixture.controller->isLeading());
     CHECK(fixture.controller->work().configuration.version() == 2);
 }
+
+// Guards against a committed entry that ends every controller at each start.
+TEST_CASE("a committed entry that cannot be parsed is skipped, also after a restart and a snapshot",
+          "[controller]")
+{
+    controller_fixture fixture {
+        0, false, {payloadOf("t1"), payloadOf("i-\xff\xfe"), "\xff\xff\xff", payloadOf("t2")}};
+    for (int i = 0; i < 2; ++i) {
+        CHECK(fixture.controller->isLeading());
+        CHECK(fixture.controller->work().targets.size() == 2);
+        fixture.restart();
+    }
+    CHECK(fixture.metrics.text().find("filbert_work_unreadable_total{what=\"entry\"} 6")
+          != std::string::npos);
+    CHECK(fixture.configure(7).kind() == messages::ANSWER_OK);
+    work_state restored;
+    REQUIRE_FALSE(readWorkState(writeWorkState(fixture.controller->work()), &restored));
+    CHECK(restored.targets.size() == 2);
+    CHECK(restored.configuration.version() == 7);
+}
+
+// Guards against two controllers that disagree on what an odd entry did.
+TEST_CASE("a controller that skips an entry has the same state as one that reads a snapshot after "
+          "it",
+          "[controller]")
+{
+    const controller_fixture replayed {
+        0, false, {payloadOf("t1"), payloadOf("i-\xff"), payloadOf("t2")}};
+    const controller_fixture plain {0, false, {payloadOf("t1"), payloadOf("t2")}};
+    CHECK(writeWorkState(replayed.controller->work()) == writeWorkState(plain.controller->work()));
+}
--- a/modules/filbert_node/work_controller.cpp
+++ b/modules/filbert_node/work_controller.cpp
@@ -206,7 +206,8 @@
         replies.push_back(std::move(command.replyTo));
     }
     auto payload = batch.SerializeAsString();
-    // A committed entry that cannot be parsed ends each controller that applies it.
+    // A committed entry that no controller can parse would be skipped by all of them, with all the
+    // commands in it.
     if (!messages::work_batch {}.ParseFromString(payload)) {
         removeUnreadableCommands(&batch, &replies, now);
         if (batch.commands().empty()) {
@@ -263,16 +264,42 @@
     answerKind(to, messages::ANSWER_MALFORMED, "a text of the request is not valid UTF-8");
 }
 
+/** Skips a committed entry that cannot be parsed. Whether it can depends on its bytes alone, so
+   that all controllers skip the same ones, also when they start again.
+    @param proposed  what this controller knows of the entry if it has proposed it, else nullptr
+*/
+void work_controller::skipEntry(const messages::log_entry &entry, const proposed_batch *proposed)
+{
+    metrics.countUnreadable("entry");
+    if (const auto leftOut = skipLimit.admit(flushTime)) {
+        log_line {"entry_skipped", log_line::severity::Error}
+            .with("index", entry.index())
+            .with("term", entry.term())
+            .with("bytes", entry.payload().size())
+            .with("left_out", *leftOut);
+    }
+    if (proposed == nullptr) {
+        return;
+    }
+    for (const auto &to : proposed->replies) {
+        answerKind(to, messages::ANSWER_NO_LEADER); // nothing was done; it may be sent again
+    }
+    dispatch.reset(); // it holds reservations for the starts in the entry: start over
+}
+
 void work_controller::applyEntry(const messages::log_entry &entry)
 {
     if (entry.kind() != messages::COMMANDS) {
         return;
     }
     const activity_scope scope {metrics.activities(), activity::Application};
-    messages::work_batch batch;
-    FILBERT_INVARIANT(batch.ParseFromString(entry.payload()),
-                      "a committed log entry can be parsed");
     const auto proposed = inFlight.extract(entry.index());
+    messages::work_batch batch;
+    if (!batch.ParseFromString(entry.payload())) {
+        const bool isOwnEntry = !proposed.empty() && entry.term() == log.state().term;
+        skipEntry(entry, isOwnEntry ? &proposed.mapped() : nullptr);
+        return;
+    }
     if (!proposed.empty()) {
         metrics.observeCommit(flushTime - proposed.mapped().proposedAt);
     }
--- a/modules/filbert_node/work_controller.h
+++ b/modules/filbert_node/work_controller.h
@@ -142,6 +142,8 @@
         time_point proposedAt;
     };
 
+    void skipEntry(const messages::log_entry &entry, const proposed_batch *proposed);
+
     work_controller_settings settings;
     work_metrics &metrics;
     work_controller_hooks hooks;
@@ -156,6 +158,7 @@
     time_point leadingSince;
     time_point nextJoinAt;
     event_limit refusalLimit; // of log lines
+    event_limit skipLimit;
     time_point flushTime; // time of the current flush(), for the hooks of `log`
     order_router router;
     bool isStopping = false;
