Interfaces: text that is not UTF-8 is refused at once with 400

What callers saw: a caller's path, host or key, or a target's id, with bytes that are not UTF-8 was forwarded in a message that the leader could not parse and dropped; the caller waited until its deadline and was told that no controller leads. A report or a configuration of one odd byte ended the controller that got it, follower or leader.

Cause: nothing checked text where it enters. The second: the problem of a body quotes its bytes, and the JSON library throws when such a text is to be written; nothing caught that in the event loop.

A target's content type that is not text is left out of the report on its answer.

--- a/modules/filbert_gateway/gateway.cpp
+++ b/modules/filbert_gateway/gateway.cpp
@@ -182,6 +182,13 @@
 {
     state->now = now;
     const auto &path = request.path;
+    // Messages to controllers hold these as text, and calls of targets as headers.
+    if (!isPlainText(path) || !isPlainText(request.idempotencyKey)
+        || !isPlainText(request.authorization) || !isPlainText(request.contentType)) {
+        state->answerProblem(request.id, error_kind::Malformed,
+                             "expected UTF-8 without control characters in the path and headers");
+        return;
+    }
     if (path == "/healthz" || path == "/readyz" || path == "/metrics") {
         answerHealth(*state, request, isReady(now));
         return;
--- a/modules/filbert_gateway/service_calls.cpp
+++ b/modules/filbert_gateway/service_calls.cpp
@@ -175,7 +175,9 @@
         return;
     }
     end.set_status(answer.status);
-    end.set_content_type(answer.contentType);
+    if (isPlainText(answer.contentType)) { // else no controller could parse the report
+        end.set_content_type(answer.contentType);
+    }
     end.set_body(answer.body);
     // The answer is stored durably before the caller gets it, so that a repeated request with the
     // same key gets the same answer.
--- a/modules/filbert_gateway/tests/gateway_test.cpp
+++ b/modules/filbert_gateway/tests/gateway_test.cpp
@@ -349,3 +349,29 @@
     CHECK(attempts == 10);
     CHECK(fixture.lastProblem() == "target_refused not_run");
 }
+
+// Guards against a request that no controller can parse, and whose caller waits for its deadline.
+TEST_CASE("a request with text that is not UTF-8 is refused at once")
+{
+    gateway_fixture fixture;
+    fixture.toController.clear();
+    const std::string odd = "\xff\xfe";
+    std::vector<http_request> requests(5);
+    requests[0].path = "/v1/targets/" + odd + "/announce";
+    requests[1].path = "/v1/targets/a\r\nb/heartbeat";
+    for (std::size_t i = 2; i < requests.size(); ++i) {
+        requests[i].path = "/v1/services/quote";
+    }
+    requests[2].idempotencyKey = odd;
+    requests[3].authorization = "Bearer " + odd;
+    requests[4].contentType = "text/" + odd;
+    for (auto &request : requests) {
+        request.id = ++fixture.lastRequest;
+        request.method = "POST";
+        fixture.testedGateway.handleRequest(std::move(request), fixture.now);
+        REQUIRE_FALSE(fixture.answers.empty());
+        CHECK(fixture.answers.back().status == 400);
+        fixture.answers.clear();
+    }
+    CHECK(fixture.toController.empty());
+}
--- a/modules/filbert_node/leader_client.cpp
+++ b/modules/filbert_node/leader_client.cpp
@@ -40,6 +40,13 @@
 void leader_client::call(const messages::work_request &request, time_point now, time_point deadline,
                          call_handler onCompletion)
 {
+    if (!canBeReadBack(request)) {
+        messages::work_answer refusal;
+        refusal.set_kind(messages::ANSWER_MALFORMED);
+        refusal.set_detail("a text of the request is not valid UTF-8");
+        onCompletion({true, false, refusal});
+        return;
+    }
     const auto id = ++lastExchange;
     auto &call = calls[id];
     call.envelope.set_exchange(id);
--- a/modules/filbert_node/leader_client.h
+++ b/modules/filbert_node/leader_client.h
@@ -79,7 +79,7 @@
     */
     void setSeeds(const std::vector<std::string> &addresses);
 
-    /** Sends a request to the leader.
+    /** Sends a request to the leader. One that no controller could parse is answered as malformed.
         @param deadline      when the call completes without an answer
         @param onCompletion  called exactly once, possibly before this returns
     */
--- a/modules/filbert_node/tests/leader_client_test.cpp
+++ b/modules/filbert_node/tests/leader_client_test.cpp
@@ -203,3 +203,21 @@
     fixture.advance({100});
     CHECK(fixture.requestAddresses().size() > before);
 }
+
+// Guards against a caller who waits until its deadline for an answer that cannot come.
+TEST_CASE("a request that the leader could not parse is refused at once and not sent", "[client]")
+{
+    client_fixture fixture;
+    fixture.receiveWelcome("tcp://c1", "tcp://c1");
+    fixture.sent.clear();
+    messages::work_request request;
+    request.mutable_job()->set_path("/quotes/\xff");
+    std::optional<call_result> result;
+    fixture.client.call(request, fixture.now, fixture.now + milliseconds {3'000},
+                        [&](call_result &&completed) { result = std::move(completed); });
+    REQUIRE(result);
+    CHECK(result->isAnswered);
+    CHECK(result->answer.kind() == messages::ANSWER_MALFORMED);
+    CHECK(fixture.sent.empty());
+    CHECK(fixture.client.pendingCalls() == 0);
+}
--- a/programs/filbert_controller.cpp
+++ b/programs/filbert_controller.cpp
@@ -100,7 +100,8 @@
 bool areSettingsValid(std::vector<std::string> problems)
 {
     settings_check check {std::move(problems)};
-    check.require(!FLAGS_name.empty(), "--name: expected a name");
+    check.require(!FLAGS_name.empty() && isPlainText(FLAGS_name),
+                  "--name: expected a name in UTF-8 without control characters");
     check.require(!FLAGS_data_folder.empty(), "--data_folder: expected a path");
     check.requireEndpoint("listen", FLAGS_listen);
     check.requireEndpoint("http", FLAGS_http);
--- a/programs/filbert_gateway.cpp
+++ b/programs/filbert_gateway.cpp
@@ -118,7 +118,8 @@
 bool areSettingsValid(std::vector<std::string> problems)
 {
     settings_check check {std::move(problems)};
-    check.require(!FLAGS_name.empty(), "--name: expected a name");
+    check.require(!FLAGS_name.empty() && isPlainText(FLAGS_name),
+                  "--name: expected a name in UTF-8 without control characters");
     check.requireEndpoint("http", FLAGS_http);
     const auto controllers = splitList(FLAGS_controllers);
     check.require(!controllers.empty(), "--controllers: expected at least one IP:port");
