--- a/modules/filbert_core/log_line.cpp
+++ b/modules/filbert_core/log_line.cpp
@@ -2,6 +2,7 @@
 
 #include "clock.h"
 #include "output_log.h"
+#include "text.h"
 
 #include <algorithm>
 #include <array>
@@ -14,9 +15,11 @@
 
 namespace {
 
+constexpr std::size_t maxValueBytes = 1'000; // values may come from other processes
+
 bool needsNoQuotes(char c)
 {
-    return c > ' ' && c != '"' && c != '=' && c != '\\' && c != 0x7f;
+    return c > ' ' && c < 0x7f && c != '"' && c != '=' && c != '\\';
 }
 
 void appendQuoted(std::string *out, std::string_view value)
@@ -122,10 +125,11 @@
     text += ' ';
     text += key;
     text += '=';
-    if (!value.empty() && std::all_of(value.begin(), value.end(), needsNoQuotes)) {
+    if (!value.empty() && value.size() <= maxValueBytes
+        && std::all_of(value.begin(), value.end(), needsNoQuotes)) {
         text += value;
     } else {
-        appendQuoted(&text, value);
+        appendQuoted(&text, toUtf8(value, maxValueBytes));
     }
     return *this;
 }
--- a/modules/filbert_node/work_controller.cpp
+++ b/modules/filbert_node/work_controller.cpp
@@ -205,8 +205,18 @@
         *batch.add_commands() = std::move(command.command);
         replies.push_back(std::move(command.replyTo));
     }
+    auto payload = batch.SerializeAsString();
+    // A committed entry that no controller can parse would be skipped by all of them, with all the
+    // commands in it.
+    if (!messages::work_batch {}.ParseFromString(payload)) {
+        removeUnreadableCommands(&batch, &replies, now);
+        if (batch.commands().empty()) {
+            return;
+        }
+        payload = batch.SerializeAsString();
+    }
     std::uint64_t index = 0;
-    if (const auto error = log.propose(batch.SerializeAsString(), now, &index)) {
+    if (const auto error = log.propose(std::move(payload), now, &index)) {
         log_line {"proposal_refused", log_line::severity::Warning}.with("error", error.message());
         for (const auto &to : replies) {
             answerKind(to, messages::ANSWER_NO_LEADER);
@@ -217,16 +227,79 @@
     inFlight[index] = {std::move(replies), now};
 }
 
+/** Removes the commands that could not be parsed from the log, and answers their callers. */
+void work_controller::removeUnreadableCommands(messages::work_batch *batch,
+                                               std::vector<answer_address> *replies, time_point now)
+{
+    messages::work_batch readable;
+    readable.set_wall_ms(batch->wall_ms());
+    std::vector<answer_address> remainingReplies;
+    for (int i = 0; i < batch->commands_size(); ++i) {
+        const auto &command = batch->commands(i);
+        auto &to = (*replies)[static_cast<std::size_t>(i)];
+        if (canBeReadBack(command)) {
+            *readable.add_commands() = command;
+            remainingReplies.push_back(std::move(to));
+        } else {
+            refuseCommand(command, to, now);
+        }
+    }
+    *batch = std::move(readable);
+    *replies = std::move(remainingReplies);
+}
+
+void work_controller::refuseCommand(const messages::work_command &command, const answer_address &to,
+                                    time_point now)
+{
+    metrics.countUnreadable("command");
+    if (const auto leftOut = refusalLimit.admit(now)) {
+        log_line {"command_refused", log_line::severity::Warning}
+            .with("kind", commandName(command))
+            .with("from", to.peer)
+            .with("left_out", *leftOut);
+    }
+    if (command.has_start()) {
+        handleCommittedCommand(*dispatch, command, true, now); // releases what it has reserved
+    }
+    answerKind(to, messages::ANSWER_MALFORMED, "a text of the request is not valid UTF-8");
+}
+
+/** Skips a committed entry that cannot be parsed. Whether it can depends on its bytes alone, so
+   that all controllers skip the same ones, also when they start again.
+    @param proposed  what this controller knows of the entry if it has proposed it, else nullptr
+*/
+void work_controller::skipEntry(const messages::log_entry &entry, const proposed_batch *proposed)
+{
+    metrics.countUnreadable("entry");
+    if (const auto leftOut = skipLimit.admit(flushTime)) {
+        log_line {"entry_skipped", log_line::severity::Error}
+            .with("index", entry.index())
+            .with("term", entry.term())
+            .with("bytes", entry.payload().size())
+            .with("left_out", *leftOut);
+    }
+    if (proposed == nullptr) {
+        return;
+    }
+    for (const auto &to : proposed->replies) {
+        answerKind(to, messages::ANSWER_NO_LEADER); // nothing was done; it may be sent again
+    }
+    dispatch.reset(); // it holds reservations for the starts in the entry: start over
+}
+
 void work_controller::applyEntry(const messages::log_entry &entry)
 {
     if (entry.kind() != messages::COMMANDS) {
         return;
     }
     const activity_scope scope {metrics.activities(), activity::Application};
-    messages::work_batch batch;
-    FILBERT_INVARIANT(batch.ParseFromString(entry.payload()),
-                      "a committed log entry can be parsed");
     const auto proposed = inFlight.extract(entry.index());
+    messages::work_batch batch;
+    if (!batch.ParseFromString(entry.payload())) {
+        const bool isOwnEntry = !proposed.empty() && entry.term() == log.state().term;
+        skipEntry(entry, isOwnEntry ? &proposed.mapped() : nullptr);
+        return;
+    }
     if (!proposed.empty()) {
         metrics.observeCommit(flushTime - proposed.mapped().proposedAt);
     }
--- a/modules/filbert_node/work_controller.h
+++ b/modules/filbert_node/work_controller.h
@@ -109,6 +109,10 @@
                     const std::string &detail = {}, std::int64_t number = 0);
     void propose(messages::work_command &&command, const answer_address &to);
     void proposePending(time_point now, std::int64_t wallMs);
+    void removeUnreadableCommands(messages::work_batch *batch, std::vector<answer_address> *replies,
+                                  time_point now);
+    void refuseCommand(const messages::work_command &command, const answer_address &to,
+                       time_point now);
     void applyEntry(const messages::log_entry &entry);
     void logCrash(const messages::target_crashed_command &crash);
     void handleAppliedCommand(const messages::work_command &command, const command_outcome &outcome,
@@ -138,6 +142,8 @@
         time_point proposedAt;
     };
 
+    void skipEntry(const messages::log_entry &entry, const proposed_batch *proposed);
+
     work_controller_settings settings;
     work_metrics &metrics;
     work_controller_hooks hooks;
@@ -151,6 +157,8 @@
     std::map<std::string, time_point> lastHelloByPeer; // last hello, by name of the process
     time_point leadingSince;
     time_point nextJoinAt;
+    event_limit refusalLimit; // of log lines
+    event_limit skipLimit;
     time_point flushTime; // time of the current flush(), for the hooks of `log`
     order_router router;
     bool isStopping = false;
