--- a/modules/filbert_work/filbert_work.h
+++ b/modules/filbert_work/filbert_work.h
@@ -29,7 +29,9 @@
 */
 
 #include "queue_lookup.h"
+#include "target_checks.h"
 #include "task_name.h"
+#include "value_limits.h"
 #include "work_commands.h"
 #include "work_snapshot.h"
 #include "work_state.h"
