Configurations: numbers beyond their limits are refused

Cause: the leader computes with an operator's numbers where it uses them: the objective is llround(critical path x slack factor), which is undefined for a factor of 1e18; the rank of late work is priority + 3, which overflows for the largest priority; negative weights, caps and times had no meaning.

findProblem(work_configuration) bounds them, so that such a configuration is answered with 400 and never in force. Queues in use have priorities of 0 to 2 and factors of 1.5 to 4.

The test "a configuration with a number beyond its limits is rejected" failed on the code before in each of its sections.

--- a/modules/filbert_work/queue_lookup.cpp
+++ b/modules/filbert_work/queue_lookup.cpp
@@ -1,5 +1,7 @@
 #include "queue_lookup.h"
 
+#include "value_limits.h"
+
 #include <algorithm>
 #include <set>
 #include <sodium.h>
@@ -11,12 +13,40 @@
 
 constexpr int maxTasksInStep = 10'000; // a step of this size takes 1 MB of replicated state
 constexpr int maxSteps = 1'000;
+constexpr int maxPriority = 1'000'000;
+constexpr double maxSlackFactor = 10'000;
 
 bool isEqualInConstantTime(const std::string &a, const std::string &b)
 {
     return a.size() == b.size() && sodium_memcmp(a.data(), b.data(), a.size()) == 0;
 }
 
+bool isAmount(const messages::resources &amount)
+{
+    return amount.milli_cores() >= 0 && amount.memory_mb() >= 0 && amount.accelerators() >= 0;
+}
+
+bool isAdmissionPolicy(const messages::admission_policy &policy)
+{
+    return isDuration(policy.decide_ms()) && isDuration(policy.per_target_ms())
+        && isDuration(policy.ticket_ms());
+}
+
+std::optional<std::string> findQueueProblem(const messages::work_queue &queue)
+{
+    if (queue.priority() < 0 || queue.priority() > maxPriority || queue.max_attempts() < 0) {
+        return "expected a priority from 0 to " + std::to_string(maxPriority)
+            + " and attempts of 0 or more";
+    }
+    if (!(queue.slack_factor() >= 0 && queue.slack_factor() <= maxSlackFactor)) {
+        return "expected a slack factor from 0 to 10000";
+    }
+    if (!isDuration(queue.latency_objective_ms()) || !isAdmissionPolicy(queue.admission())) {
+        return "expected durations from 0 to a year";
+    }
+    return std::nullopt;
+}
+
 std::optional<std::string> findStepProblem(const messages::staged_job &job, int step)
 {
     const auto &spec = job.steps(step);
@@ -79,9 +109,15 @@
         if (!routes.emplace(queue.host(), queue.path_prefix()).second) {
             return "queue " + queue.name() + ": another queue has the same host and path prefix";
         }
+        if (const auto problem = findQueueProblem(queue)) {
+            return "queue " + queue.name() + ": " + *problem;
+        }
     }
     std::set<std::string> keys;
     for (const auto &team : configuration.teams()) {
+        if (team.weight() < 0 || !isAmount(team.cap())) {
+            return "team " + team.name() + ": expected a weight and a cap of 0 or more";
+        }
         for (const auto &key : team.keys()) {
             if (!keys.insert(key).second) {
                 return "team " + team.name() + ": another team has one of its keys";
--- a/modules/filbert_work/queue_lookup.h
+++ b/modules/filbert_work/queue_lookup.h
@@ -18,8 +18,8 @@
 const messages::work_team *findTeamByKey(const messages::work_configuration &configuration,
                                          const std::string &key);
 
-/** Validates a configuration: queues must refer to known services, and no two queues may have the
-    same host and path prefix, nor two teams the same key.
+/** Validates a configuration: queues must refer to known services, no two queues may have the same
+    host and path prefix, nor two teams the same key, and all numbers must be within their limits.
 
     @return what is wrong with it, or nothing if it may be applied
 */
--- a/modules/filbert_work/tests/work_commands_test.cpp
+++ b/modules/filbert_work/tests/work_commands_test.cpp
@@ -2,12 +2,18 @@
 
 #include "property.h"
 
+#include <cmath>
+#include <limits>
+
 using namespace filbert;
 
 namespace {
 
 constexpr auto none = error_kind::None;
 constexpr auto conflict = error_kind::Conflict;
+constexpr std::int64_t negative = -1;
+constexpr auto max32 = std::numeric_limits<std::int32_t>::max();
+constexpr auto max64 = std::numeric_limits<std::int64_t>::max();
 
 } // namespace
 
@@ -264,6 +270,56 @@
     CHECK(findProblem(configuration));
 }
 
+// Guards against sums and products of an operator's numbers that overflow in the leader.
+TEST_CASE("a configuration with a number beyond its limits is rejected", "[work]")
+{
+    work_fixture cell;
+    auto configuration = cell.state.configuration;
+    auto *queue = configuration.mutable_queues(0);
+    auto *admission = queue->mutable_admission();
+    admission->set_decide_ms(15);
+    admission->set_per_target_ms(0.2);
+    admission->set_ticket_ms(2'000);
+    REQUIRE_FALSE(findProblem(configuration));
+    SECTION("priority")
+    {
+        queue->set_priority(GENERATE(-1, max32));
+    }
+    SECTION("attempts")
+    {
+        queue->set_max_attempts(-1);
+    }
+    SECTION("slack")
+    {
+        queue->set_slack_factor(GENERATE(-1.0, 1e18, 1e300, std::nan("")));
+    }
+    SECTION("objective")
+    {
+        queue->set_latency_objective_ms(GENERATE(negative, max64));
+    }
+    SECTION("decision")
+    {
+        admission->set_decide_ms(GENERATE(-1.0, 1e300, std::nan("")));
+    }
+    SECTION("decision for each target")
+    {
+        admission->set_per_target_ms(GENERATE(-1.0, 1e300));
+    }
+    SECTION("ticket")
+    {
+        admission->set_ticket_ms(GENERATE(negative, max64));
+    }
+    SECTION("weight")
+    {
+        configuration.mutable_teams(0)->set_weight(-1);
+    }
+    SECTION("cap")
+    {
+        configuration.mutable_teams(0)->mutable_cap()->set_memory_mb(-1);
+    }
+    CHECK(findProblem(configuration));
+}
+
 TEST_CASE("a request goes to the queue with the longest matching path prefix", "[work]")
 {
     work_fixture cell;
