Jobs: numbers beyond their limits are refused

Cause: the leader adds up the estimates of a job's steps and multiplies the interval with the number of an occurrence; with a caller's numbers near 2^63 both overflow. Negative estimates made a critical path negative.

findProblem(staged_job) bounds durations to a year and times to the year 9999.

The test "a job with a number beyond its limits is rejected" failed on the code before in 8 of its 9 cases; a negative interval was refused already.

--- a/modules/filbert_work/queue_lookup.cpp
+++ b/modules/filbert_work/queue_lookup.cpp
@@ -47,6 +47,18 @@
     return std::nullopt;
 }
 
+/** Validates when a job's occurrences are due. */
+std::optional<std::string> findRepetitionProblem(const messages::staged_job &job)
+{
+    if (job.repeat_count() < 0 || (job.repeat_count() > 1 && !isDuration(job.interval_ms()))) {
+        return "expected a repeat count of 0 or more and an interval from 0 to a year";
+    }
+    if (job.first_due_wall_ms() < 0 || job.first_due_wall_ms() > maxWallMs) {
+        return "expected a first time in milliseconds since 1970";
+    }
+    return std::nullopt;
+}
+
 std::optional<std::string> findStepProblem(const messages::staged_job &job, int step)
 {
     const auto &spec = job.steps(step);
@@ -54,10 +66,12 @@
     if (spec.count() < 1 || spec.count() > maxTasksInStep) {
         return prefix + "expected a task count from 1 to " + std::to_string(maxTasksInStep);
     }
-    if (spec.need().milli_cores() < 0 || spec.need().memory_mb() < 0
-        || spec.need().accelerators() < 0 || spec.max_per_target() < 0) {
+    if (!isAmount(spec.need()) || spec.max_per_target() < 0 || spec.max_away() < 0) {
         return prefix + "expected resource amounts and limits of 0 or more";
     }
+    if (!isDuration(spec.estimate_ms()) || !isDuration(spec.latency_target_ms())) {
+        return prefix + "expected durations from 0 to a year";
+    }
     for (const auto dependency : spec.depends_on()) {
         if (dependency < 0 || dependency >= step) {
             return prefix + "expected dependencies on earlier steps only";
@@ -132,15 +146,12 @@
     if (job.steps().empty() || job.steps_size() > maxSteps) {
         return "expected 1 to " + std::to_string(maxSteps) + " steps";
     }
-    if (job.repeat_count() < 0 || (job.repeat_count() > 1 && job.interval_ms() < 0)) {
-        return "expected a repeat count and an interval of 0 or more";
-    }
     for (int step = 0; step < job.steps_size(); ++step) {
         if (auto problem = findStepProblem(job, step)) {
             return problem;
         }
     }
-    return std::nullopt;
+    return findRepetitionProblem(job);
 }
 
 } // namespace filbert
--- a/modules/filbert_work/tests/work_commands_test.cpp
+++ b/modules/filbert_work/tests/work_commands_test.cpp
@@ -320,6 +320,39 @@
     CHECK(findProblem(configuration));
 }
 
+// Guards against sums and products of a caller's numbers that overflow in the leader.
+TEST_CASE("a job with a number beyond its limits is rejected", "[work]")
+{
+    messages::staged_job job;
+    auto *step = job.add_steps();
+    *step = work_fixture::step(4);
+    job.set_repeat_count(3);
+    job.set_interval_ms(60'000);
+    job.set_first_due_wall_ms(1'700'000'000'000);
+    REQUIRE_FALSE(findProblem(job));
+    SECTION("estimate")
+    {
+        step->set_estimate_ms(GENERATE(negative, max64));
+    }
+    SECTION("latency target")
+    {
+        step->set_latency_target_ms(GENERATE(negative, max64));
+    }
+    SECTION("tasks that may be unavailable")
+    {
+        step->set_max_away(-1);
+    }
+    SECTION("interval")
+    {
+        job.set_interval_ms(GENERATE(negative, max64));
+    }
+    SECTION("first time")
+    {
+        job.set_first_due_wall_ms(GENERATE(negative, max64));
+    }
+    CHECK(findProblem(job));
+}
+
 TEST_CASE("a request goes to the queue with the longest matching path prefix", "[work]")
 {
     work_fixture cell;
