Jobs: the tasks are limited over all occurrences

Cause: a step had a limit of tasks, a job none: 1,000 steps of 10,000 tasks, or 2^31 occurrences. If all of them are due (a first time in the past, no interval), the leader proposes every one of them in one turn.

A job may have 100,000 tasks over all of its occurrences: 10 MB of replicated state by the measure that the limit of a step states.

The test "the tasks of a job are limited over all of its occurrences" failed on the code before: work_commands_test.cpp CHECK( findProblem(job) ). That such a job fills the memory of a leader was not played.

--- a/modules/filbert_work/queue_lookup.cpp
+++ b/modules/filbert_work/queue_lookup.cpp
@@ -13,6 +13,7 @@
 
 constexpr int maxTasksInStep = 10'000; // a step of this size takes 1 MB of replicated state
 constexpr int maxSteps = 1'000;
+constexpr std::int64_t maxTasksInJob = 100'000; // in all of its occurrences
 constexpr int maxPriority = 1'000'000;
 constexpr double maxSlackFactor = 10'000;
 
@@ -47,7 +48,7 @@
     return std::nullopt;
 }
 
-/** Validates when a job's occurrences are due. */
+/** Validates when a job's occurrences are due, and how many tasks they have in all. */
 std::optional<std::string> findRepetitionProblem(const messages::staged_job &job)
 {
     if (job.repeat_count() < 0 || (job.repeat_count() > 1 && !isDuration(job.interval_ms()))) {
@@ -56,6 +57,13 @@
     if (job.first_due_wall_ms() < 0 || job.first_due_wall_ms() > maxWallMs) {
         return "expected a first time in milliseconds since 1970";
     }
+    std::int64_t tasks = 0;
+    for (const auto &step : job.steps()) {
+        tasks += step.count();
+    }
+    if (tasks > maxTasksInJob / std::max(job.repeat_count(), 1)) {
+        return "expected at most " + std::to_string(maxTasksInJob) + " tasks in all";
+    }
     return std::nullopt;
 }
 
--- a/modules/filbert_work/tests/work_commands_test.cpp
+++ b/modules/filbert_work/tests/work_commands_test.cpp
@@ -353,6 +353,24 @@
     CHECK(findProblem(job));
 }
 
+// Guards against a job whose occurrences, all due at once, fill the memory of every controller.
+TEST_CASE("the tasks of a job are limited over all of its occurrences", "[work]")
+{
+    messages::staged_job job;
+    *job.add_steps() = work_fixture::step(100);
+    job.set_repeat_count(1'000);
+    CHECK_FALSE(findProblem(job));
+    job.set_repeat_count(1'001);
+    CHECK(findProblem(job));
+    job.set_repeat_count(std::numeric_limits<std::int32_t>::max());
+    CHECK(findProblem(job));
+    job.set_repeat_count(0);
+    for (int i = 1; i < 11; ++i) {
+        *job.add_steps() = work_fixture::step(10'000);
+    }
+    CHECK(findProblem(job));
+}
+
 TEST_CASE("a request goes to the queue with the longest matching path prefix", "[work]")
 {
     work_fixture cell;
