Ends: a number that is far ahead acknowledges no other

Cause: the highest number in a list of ends is acknowledged and kept in the replicated state. A number that is legal but far ahead makes all later ends of that incarnation look known: they are never taken.

A target lists all ends that are not acknowledged, in order, so that the next one is near the last. One that is more than a million ahead ends the list.

--- a/modules/filbert_dispatch/order_answers.cpp
+++ b/modules/filbert_dispatch/order_answers.cpp
@@ -12,6 +12,9 @@
 constexpr milliseconds failedPollDelay {250};
 // Nothing waits for a stop; a lease outlasts several tries.
 constexpr milliseconds stopRetryDelay {400};
+// Between the last end that was taken and the next one. A target lists all that are not
+// acknowledged, in the order of their numbers.
+constexpr std::uint64_t maxEndGap = 1'000'000;
 
 /** Records that an answer of a target got lost, although the target is available. */
 void recordLostAnswer(dispatch_state &state, const std::string &target, time_point now)
@@ -191,6 +194,14 @@
     auto *batch = command.mutable_end();
     const auto lastKnownEnd = std::max(target.lastProposedEnd, registered.lastAppliedEnd);
     for (const auto &end : answer.ends) {
+        if (end.number > lastKnownEnd + maxEndGap) {
+            log_line {"end_implausible", log_line::severity::Warning}
+                .with("target", target.id)
+                .with("task", toString(end.task))
+                .with("number", end.number)
+                .with("last", lastKnownEnd);
+            break; // its acknowledgement would cover ends that have not occurred yet
+        }
         listed->insert(end.task);
         if (end.number <= lastKnownEnd) {
             continue;
--- a/modules/filbert_dispatch/tests/target_tracking_test.cpp
+++ b/modules/filbert_dispatch/tests/target_tracking_test.cpp
@@ -657,3 +657,23 @@
     cell.runFor({100});
     CHECK(cell.pendingOrders(order_kind::Poll, "t1").size() == 2);
 }
+
+// Guards against one end with a huge number that acknowledges, and so loses, all later ones.
+TEST_CASE("an end whose number is far ahead acknowledges no other", "[dispatch]")
+{
+    dispatch_fixture cell;
+    cell.placeOneTask();
+    cell.executeOrders("t1");
+    cell.runFor({20});
+    order_answer list;
+    list.ends.push_back({4, {"other", 0, 0, 0}, 1, messages::END_DONE, ""});
+    list.ends.push_back({(std::uint64_t {1} << 53) - 1, firstTask, 1, messages::END_DONE, ""});
+    cell.answerOrders(order_kind::Poll, order_result::Done, "t1", list);
+    cell.runFor({20});
+    CHECK(cell.state.targets.at("t1").lastAppliedEnd == 4);
+    list.ends.clear();
+    list.ends.push_back({5, firstTask, 1, messages::END_DONE, ""});
+    cell.answerOrders(order_kind::Poll, order_result::Done, "t1", list);
+    cell.runFor({20});
+    CHECK(cell.statusOf("j") == job_status::Completed);
+}
