Reports of targets: no target is replaced by an entry from the future or of an unknown service

Cause: registerTarget() takes the word of one entry: the later incarnation of an id wins for good, and one at the address of another target ends that one and abandons its runs. An entry with a born far ahead silenced the target of its id (late_report), and one with a service that nobody knows ended the target at its address, although it names no worker to use.

The leader checks a report against what it knows before it may change anything: no start more than an hour ahead of its wall clock; no service that the configuration in force does not name, except from a target that has it. Another service at an address is taken as before. Refused reports are answered with 400, logged, and counted in filbert_work_refused_reports_total.

--- a/modules/filbert_dispatch/filbert_dispatch.h
+++ b/modules/filbert_dispatch/filbert_dispatch.h
@@ -36,5 +36,6 @@
 #include "admission_requests.h"
 #include "dispatch_state.h"
 #include "interference.h"
+#include "report_checks.h"
 #include "scheduling.h"
 #include "target_tracking.h"
--- a/modules/filbert_node/tests/work_controller_test.cpp
+++ b/modules/filbert_node/tests/work_controller_test.cpp
@@ -178,6 +178,30 @@
     CHECK(fixture.controller->work().jobs.empty());
 }
 
+// Guards against an entry that is registered, or ends another target, on its own word alone.
+TEST_CASE("a report that must not be used is answered as malformed and changes nothing",
+          "[controller]")
+{
+    controller_fixture fixture;
+    fixture.configure(1);
+    messages::work_request report;
+    *report.mutable_report() = work_fixture::targetRegistration("t1", 1);
+    REQUIRE(fixture.sendRequest(report).kind() == messages::ANSWER_OK);
+    auto odd = report;
+    odd.mutable_report()->set_born(maxWallMs);
+    CHECK(fixture.sendRequest(odd).kind() == messages::ANSWER_MALFORMED);
+    odd = report;
+    odd.mutable_report()->set_id("t2"); // at the address of the first
+    odd.mutable_report()->set_born(2);
+    odd.mutable_report()->set_service("nobody");
+    CHECK(fixture.sendRequest(odd).kind() == messages::ANSWER_MALFORMED);
+    const auto &targets = fixture.controller->work().targets;
+    REQUIRE(targets.size() == 1);
+    CHECK_FALSE(targets.at("t1").hasEnded);
+    CHECK(targets.at("t1").registration.born() == 1);
+    CHECK(fixture.metrics.text().find("filbert_work_refused_reports_total 2") != std::string::npos);
+}
+
 TEST_CASE("a job is placed on a reporting target, and ordered to start after the commit",
           "[controller]")
 {
--- a/modules/filbert_node/work_metrics.cpp
+++ b/modules/filbert_node/work_metrics.cpp
@@ -42,6 +42,9 @@
                                 "Crashes of targets counted against tasks, by outcome")}
     , orderSeconds {histogramFamily(*registry, "filbert_work_order_seconds",
                                     "Time from an order to its answer, by kind")}
+    , refusedReports {counterFamily(*registry, "filbert_work_refused_reports_total",
+                                    "Reports of targets that were refused")
+                          .Add({})}
     , termsLed {counterFamily(*registry, "filbert_work_terms_led_total", "Terms that it has led")
                     .Add({})}
     , commitSeconds {histogramFamily(*registry, "filbert_work_commit_seconds",
--- a/modules/filbert_node/work_metrics.h
+++ b/modules/filbert_node/work_metrics.h
@@ -25,6 +25,8 @@
     {
         suspicions.Add({{"outcome", isGivenUp ? "given_up" : "suspected"}}).Increment();
     }
+    /** Counts a report of a target that was refused, as invalid or as contrary to what is known. */
+    void countRefusedReport() { refusedReports.Increment(); }
     void countTermLed() { termsLed.Increment(); }
 
     /** Records that a batch of commands was applied. @param duration  time since it was proposed */
@@ -53,6 +55,7 @@
     prometheus::Family<prometheus::Counter> &orders;
     prometheus::Family<prometheus::Counter> &suspicions;
     prometheus::Family<prometheus::Histogram> &orderSeconds;
+    prometheus::Counter &refusedReports;
     prometheus::Counter &termsLed;
     prometheus::Histogram &commitSeconds;
     prometheus::Family<prometheus::Gauge> &state;
--- a/modules/filbert_node/work_requests.cpp
+++ b/modules/filbert_node/work_requests.cpp
@@ -33,6 +33,16 @@
         handleJobCall(from, request.job(), wallMs);
         break;
     case body::kReport: {
+        if (const auto problem = findProblem(*dispatch, request.report(), wallMs)) {
+            metrics.countRefusedReport();
+            log_line {"report_refused", log_line::severity::Warning}
+                .with("target", request.report().id())
+                .with("born", request.report().born())
+                .with("service", request.report().service())
+                .with("problem", *problem);
+            answerKind(from, messages::ANSWER_MALFORMED, *problem);
+            break;
+        }
         const auto commandCount = dispatch->effects.commands.size();
         if (!handleTargetReport(*dispatch, request.report(), now)) {
             answerKind(from, messages::ANSWER_OK);
