Reports of targets: a wrong sequence does not silence a target

Cause: the highest sequence counts for the whole incarnation. After one report with a number far ahead, all others of that target were taken as overtaken: it was out of contact and got no work.

A report is overtaken only if its reading of the target's clock says so as well. The clock of an incarnation only advances: a report that a later one has overtaken has a reading below what the clock must have reached since, and one with a newer reading is the latest, whatever its number.

The test "a report with a wrong number does not silence its target" failed on the code before: CHECK( cell.acceptsWorkAt("t1") ) with expansion false.

--- a/modules/filbert_dispatch/target_tracking.cpp
+++ b/modules/filbert_dispatch/target_tracking.cpp
@@ -269,6 +269,22 @@
 
 } // namespace
 
+namespace {
+
+/** Whether a later report of the same incarnation has arrived before this one.
+
+    A report whose reading of the target's clock is newer than all others is the latest, whatever
+   its number: a wrong number that arrived before does not silence the target.
+*/
+bool isOvertaken(const tracked_target &target, const messages::target_life &report, time_point now)
+{
+    const bool hasLatestClock = target.clockMs && report.clock_ms() > clockLowerBound(target, now);
+    return static_cast<std::uint64_t>(report.sequence()) <= target.reportSequence
+        && !hasLatestClock;
+}
+
+} // namespace
+
 bool handleTargetReport(dispatch_state &state, const messages::target_life &report, time_point now)
 {
     const auto *registered = findRegisteredTarget(state, report.id());
@@ -284,11 +300,10 @@
         registered != nullptr && registered->registration.born() == report.born();
     if (isSameIncarnation && found != state.targets.end()) {
         auto &target = found->second;
-        const auto sequence = static_cast<std::uint64_t>(report.sequence());
-        if (sequence <= target.reportSequence) {
-            return false; // a later report has overtaken it
+        if (isOvertaken(target, report, now)) {
+            return false;
         }
-        target.reportSequence = sequence;
+        target.reportSequence = static_cast<std::uint64_t>(report.sequence());
         if (now - target.lastContactAt >= state.settings.contactTimeout) {
             state.changedTargets.insert(report.id()); // a poll may be due again
         }
--- a/modules/filbert_dispatch/tests/target_tracking_test.cpp
+++ b/modules/filbert_dispatch/tests/target_tracking_test.cpp
@@ -677,3 +677,30 @@
     cell.runFor({20});
     CHECK(cell.statusOf("j") == job_status::Completed);
 }
+
+// Guards against a target that is silenced for good by one report with a huge number in its name.
+TEST_CASE("a report with a wrong number does not silence its target", "[dispatch]")
+{
+    dispatch_fixture cell;
+    cell.registerTarget("t1");
+    cell.startLeading();
+    cell.reportTarget("t1");
+    cell.runFor({500});
+    auto odd = work_fixture::targetRegistration("t1", 1);
+    odd.set_sequence((std::int64_t {1} << 53) - 1);
+    odd.set_clock_ms(cell.now.ms);
+    handleTargetReport(*cell.leader, odd, cell.now);
+    cell.answerOrders(order_kind::Poll, order_result::Done);
+    for (int i = 0; i < 10; ++i) {
+        cell.runFor({500});
+        cell.reportTarget("t1");
+    }
+    CHECK(cell.leader->targets.at("t1").lastContactAt == cell.now);
+    CHECK(cell.acceptsWorkAt("t1"));
+
+    auto overtaken = work_fixture::targetRegistration("t1", 1);
+    overtaken.set_sequence(cell.now.ms - 400);
+    overtaken.set_clock_ms(cell.now.ms - 400);
+    overtaken.set_is_draining(true);
+    CHECK_FALSE(handleTargetReport(*cell.leader, overtaken, cell.now));
+}
