Reports of targets: an implausible clock reading is not used

Cause: a reading of a target's clock from any report was taken over if it was later than the last. All further leases were granted and judged by it until the target's next incarnation.

A reading that is more than a minute ahead of the clock, longer than a report can be on its way, is not used; the target is polled instead, and its answer is believed.

--- a/modules/filbert_dispatch/target_tracking.cpp
+++ b/modules/filbert_dispatch/target_tracking.cpp
@@ -17,6 +17,8 @@
 // For a stop with a checkpoint before the target leaves.
 constexpr milliseconds checkpointTimeout {700};
 constexpr int allWorkDone = 100; // progress of a run in percent
+// A report may be this long on its way, so that a reading of a clock may be too low by as much.
+constexpr milliseconds maxReportDelay {60'000};
 // Between ticks of a draining target: a small fraction of the time that is left for a stop.
 constexpr milliseconds drainingTickPeriod {50};
 
@@ -283,6 +285,21 @@
         && !hasLatestClock;
 }
 
+/** Takes over the reading of a target's clock from a report, unless the clock cannot have come that
+    far. Then the target is asked, since leases are granted and judged by its clock. */
+void updateClockFromReport(tracked_target &target, std::int64_t clockMs, time_point now)
+{
+    if (!target.clockMs || clockMs <= clockUpperBound(target, now) + maxReportDelay.count) {
+        updateClock(target, clockMs, now);
+        return;
+    }
+    target.isInventoryStale = true;
+    log_line {"clock_implausible", log_line::severity::Warning}
+        .with("target", target.id)
+        .with("clock_ms", clockMs)
+        .with("expected_ms", clockUpperBound(target, now));
+}
+
 } // namespace
 
 bool handleTargetReport(dispatch_state &state, const messages::target_life &report, time_point now)
@@ -308,7 +325,7 @@
             state.changedTargets.insert(report.id()); // a poll may be due again
         }
         target.lastContactAt = now;
-        updateClock(target, report.clock_ms(), now);
+        updateClockFromReport(target, report.clock_ms(), now);
         if (report.is_draining() && target.drainDeadline.ms == 0) {
             target.drainDeadline = now + milliseconds {report.remaining_ms()};
         }
--- a/modules/filbert_dispatch/tests/target_tracking_test.cpp
+++ b/modules/filbert_dispatch/tests/target_tracking_test.cpp
@@ -704,3 +704,20 @@
     overtaken.set_is_draining(true);
     CHECK_FALSE(handleTargetReport(*cell.leader, overtaken, cell.now));
 }
+
+// Guards against a reading far ahead, by which all further leases are granted and judged.
+TEST_CASE("an implausible clock reading in a report is not used", "[dispatch]")
+{
+    dispatch_fixture cell;
+    cell.placeOneTask();
+    cell.runTargets({1'000}, {"t1"});
+    REQUIRE(cell.taskStatus(firstTask) == task_status::Running);
+    auto odd = work_fixture::targetRegistration("t1", 1);
+    odd.set_sequence(cell.now.ms + 1);
+    odd.set_clock_ms((std::int64_t {1} << 53) - 1);
+    handleTargetReport(*cell.leader, odd, cell.now);
+    cell.runTargets({10'000}, {"t1"});
+    CHECK(findTask(cell.state, firstTask)->run == 1);
+    CHECK(cell.taskStatus(firstTask) == task_status::Running);
+    CHECK(*cell.leader->targets.at("t1").clockMs <= cell.now.ms);
+}
