Test: the leaving of an unknown target changes nothing

No fault: by reading, handleTargetLeaving() ignores ids that it does not know. The test passes on the code before; it guards what a DELETE under an odd or unknown id may do.

--- a/modules/filbert_dispatch/tests/target_tracking_test.cpp
+++ b/modules/filbert_dispatch/tests/target_tracking_test.cpp
@@ -721,3 +721,17 @@
     CHECK(cell.taskStatus(firstTask) == task_status::Running);
     CHECK(*cell.leader->targets.at("t1").clockMs <= cell.now.ms);
 }
+
+TEST_CASE("the leaving of an unknown target changes nothing", "[dispatch]")
+{
+    dispatch_fixture cell;
+    cell.placeOneTask();
+    cell.executeOrders("t1");
+    for (const std::string id : {"", "t", "t11", "unknown"}) {
+        handleTargetLeaving(*cell.leader, id, cell.now);
+    }
+    CHECK(cell.leader->effects.commands.empty());
+    cell.runFor({20});
+    CHECK(cell.state.targets.size() == 1);
+    CHECK(cell.acceptsWorkAt("t1"));
+}
