--- a/modules/filbert_dispatch/target_tracking.cpp
+++ b/modules/filbert_dispatch/target_tracking.cpp
@@ -17,6 +17,8 @@
 // For a stop with a checkpoint before the target leaves.
 constexpr milliseconds checkpointTimeout {700};
 constexpr int allWorkDone = 100; // progress of a run in percent
+// A report may be this long on its way, so that a reading of a clock may be too low by as much.
+constexpr milliseconds maxReportDelay {60'000};
 // Between ticks of a draining target: a small fraction of the time that is left for a stop.
 constexpr milliseconds drainingTickPeriod {50};
 
@@ -269,6 +271,37 @@
 
 } // namespace
 
+namespace {
+
+/** Whether a later report of the same incarnation has arrived before this one.
+
+    A report whose reading of the target's clock is newer than all others is the latest, whatever
+   its number: a wrong number that arrived before does not silence the target.
+*/
+bool isOvertaken(const tracked_target &target, const messages::target_life &report, time_point now)
+{
+    const bool hasLatestClock = target.clockMs && report.clock_ms() > clockLowerBound(target, now);
+    return static_cast<std::uint64_t>(report.sequence()) <= target.reportSequence
+        && !hasLatestClock;
+}
+
+/** Takes over the reading of a target's clock from a report, unless the clock cannot have come that
+    far. Then the target is asked, since leases are granted and judged by its clock. */
+void updateClockFromReport(tracked_target &target, std::int64_t clockMs, time_point now)
+{
+    if (!target.clockMs || clockMs <= clockUpperBound(target, now) + maxReportDelay.count) {
+        updateClock(target, clockMs, now);
+        return;
+    }
+    target.isInventoryStale = true;
+    log_line {"clock_implausible", log_line::severity::Warning}
+        .with("target", target.id)
+        .with("clock_ms", clockMs)
+        .with("expected_ms", clockUpperBound(target, now));
+}
+
+} // namespace
+
 bool handleTargetReport(dispatch_state &state, const messages::target_life &report, time_point now)
 {
     const auto *registered = findRegisteredTarget(state, report.id());
@@ -284,16 +317,15 @@
         registered != nullptr && registered->registration.born() == report.born();
     if (isSameIncarnation && found != state.targets.end()) {
         auto &target = found->second;
-        const auto sequence = static_cast<std::uint64_t>(report.sequence());
-        if (sequence <= target.reportSequence) {
-            return false; // a later report has overtaken it
+        if (isOvertaken(target, report, now)) {
+            return false;
         }
-        target.reportSequence = sequence;
+        target.reportSequence = static_cast<std::uint64_t>(report.sequence());
         if (now - target.lastContactAt >= state.settings.contactTimeout) {
             state.changedTargets.insert(report.id()); // a poll may be due again
         }
         target.lastContactAt = now;
-        updateClock(target, report.clock_ms(), now);
+        updateClockFromReport(target, report.clock_ms(), now);
         if (report.is_draining() && target.drainDeadline.ms == 0) {
             target.drainDeadline = now + milliseconds {report.remaining_ms()};
         }
--- a/modules/filbert_dispatch/tests/target_tracking_test.cpp
+++ b/modules/filbert_dispatch/tests/target_tracking_test.cpp
@@ -657,3 +657,81 @@
     cell.runFor({100});
     CHECK(cell.pendingOrders(order_kind::Poll, "t1").size() == 2);
 }
+
+// Guards against one end with a huge number that acknowledges, and so loses, all later ones.
+TEST_CASE("an end whose number is far ahead acknowledges no other", "[dispatch]")
+{
+    dispatch_fixture cell;
+    cell.placeOneTask();
+    cell.executeOrders("t1");
+    cell.runFor({20});
+    order_answer list;
+    list.ends.push_back({4, {"other", 0, 0, 0}, 1, messages::END_DONE, ""});
+    list.ends.push_back({(std::uint64_t {1} << 53) - 1, firstTask, 1, messages::END_DONE, ""});
+    cell.answerOrders(order_kind::Poll, order_result::Done, "t1", list);
+    cell.runFor({20});
+    CHECK(cell.state.targets.at("t1").lastAppliedEnd == 4);
+    list.ends.clear();
+    list.ends.push_back({5, firstTask, 1, messages::END_DONE, ""});
+    cell.answerOrders(order_kind::Poll, order_result::Done, "t1", list);
+    cell.runFor({20});
+    CHECK(cell.statusOf("j") == job_status::Completed);
+}
+
+// Guards against a target that is silenced for good by one report with a huge number in its name.
+TEST_CASE("a report with a wrong number does not silence its target", "[dispatch]")
+{
+    dispatch_fixture cell;
+    cell.registerTarget("t1");
+    cell.startLeading();
+    cell.reportTarget("t1");
+    cell.runFor({500});
+    auto odd = work_fixture::targetRegistration("t1", 1);
+    odd.set_sequence((std::int64_t {1} << 53) - 1);
+    odd.set_clock_ms(cell.now.ms);
+    handleTargetReport(*cell.leader, odd, cell.now);
+    cell.answerOrders(order_kind::Poll, order_result::Done);
+    for (int i = 0; i < 10; ++i) {
+        cell.runFor({500});
+        cell.reportTarget("t1");
+    }
+    CHECK(cell.leader->targets.at("t1").lastContactAt == cell.now);
+    CHECK(cell.acceptsWorkAt("t1"));
+
+    auto overtaken = work_fixture::targetRegistration("t1", 1);
+    overtaken.set_sequence(cell.now.ms - 400);
+    overtaken.set_clock_ms(cell.now.ms - 400);
+    overtaken.set_is_draining(true);
+    CHECK_FALSE(handleTargetReport(*cell.leader, overtaken, cell.now));
+}
+
+// Guards against a reading far ahead, by which all further leases are granted and judged.
+TEST_CASE("an implausible clock reading in a report is not used", "[dispatch]")
+{
+    dispatch_fixture cell;
+    cell.placeOneTask();
+    cell.runTargets({1'000}, {"t1"});
+    REQUIRE(cell.taskStatus(firstTask) == task_status::Running);
+    auto odd = work_fixture::targetRegistration("t1", 1);
+    odd.set_sequence(cell.now.ms + 1);
+    odd.set_clock_ms((std::int64_t {1} << 53) - 1);
+    handleTargetReport(*cell.leader, odd, cell.now);
+    cell.runTargets({10'000}, {"t1"});
+    CHECK(findTask(cell.state, firstTask)->run == 1);
+    CHECK(cell.taskStatus(firstTask) == task_status::Running);
+    CHECK(*cell.leader->targets.at("t1").clockMs <= cell.now.ms);
+}
+
+TEST_CASE("the leaving of an unknown target changes nothing", "[dispatch]")
+{
+    dispatch_fixture cell;
+    cell.placeOneTask();
+    cell.executeOrders("t1");
+    for (const std::string id : {"", "t", "t11", "unknown"}) {
+        handleTargetLeaving(*cell.leader, id, cell.now);
+    }
+    CHECK(cell.leader->effects.commands.empty());
+    cell.runFor({20});
+    CHECK(cell.state.targets.size() == 1);
+    CHECK(cell.acceptsWorkAt("t1"));
+}
--- a/modules/filbert_node/work_metrics.h
+++ b/modules/filbert_node/work_metrics.h
@@ -25,6 +25,8 @@
     {
         suspicions.Add({{"outcome", isGivenUp ? "given_up" : "suspected"}}).Increment();
     }
+    /** Counts a report of a target that was refused, as invalid or as contrary to what is known. */
+    void countRefusedReport() { refusedReports.Increment(); }
     void countTermLed() { termsLed.Increment(); }
     /** Counts something that cannot be parsed, or could not be by others.
         @param what  "message", "command" or "entry" */
@@ -57,6 +59,7 @@
     prometheus::Family<prometheus::Counter> &suspicions;
     prometheus::Family<prometheus::Counter> &unreadable;
     prometheus::Family<prometheus::Histogram> &orderSeconds;
+    prometheus::Counter &refusedReports;
     prometheus::Counter &termsLed;
     prometheus::Histogram &commitSeconds;
     prometheus::Family<prometheus::Gauge> &state;
--- a/modules/filbert_work/queue_lookup.cpp
+++ b/modules/filbert_work/queue_lookup.cpp
@@ -1,5 +1,7 @@
 #include "queue_lookup.h"
 
+#include "value_limits.h"
+
 #include <algorithm>
 #include <set>
 #include <sodium.h>
@@ -11,12 +13,60 @@
 
 constexpr int maxTasksInStep = 10'000; // a step of this size takes 1 MB of replicated state
 constexpr int maxSteps = 1'000;
+constexpr std::int64_t maxTasksInJob = 100'000; // in all of its occurrences
+constexpr int maxPriority = 1'000'000;
+constexpr double maxSlackFactor = 10'000;
 
 bool isEqualInConstantTime(const std::string &a, const std::string &b)
 {
     return a.size() == b.size() && sodium_memcmp(a.data(), b.data(), a.size()) == 0;
 }
 
+bool isAmount(const messages::resources &amount)
+{
+    return amount.milli_cores() >= 0 && amount.memory_mb() >= 0 && amount.accelerators() >= 0;
+}
+
+bool isAdmissionPolicy(const messages::admission_policy &policy)
+{
+    return isDuration(policy.decide_ms()) && isDuration(policy.per_target_ms())
+        && isDuration(policy.ticket_ms());
+}
+
+std::optional<std::string> findQueueProblem(const messages::work_queue &queue)
+{
+    if (queue.priority() < 0 || queue.priority() > maxPriority || queue.max_attempts() < 0) {
+        return "expected a priority from 0 to " + std::to_string(maxPriority)
+            + " and attempts of 0 or more";
+    }
+    if (!(queue.slack_factor() >= 0 && queue.slack_factor() <= maxSlackFactor)) {
+        return "expected a slack factor from 0 to 10000";
+    }
+    if (!isDuration(queue.latency_objective_ms()) || !isAdmissionPolicy(queue.admission())) {
+        return "expected durations from 0 to a year";
+    }
+    return std::nullopt;
+}
+
+/** Validates when a job's occurrences are due, and how many tasks they have in all. */
+std::optional<std::string> findRepetitionProblem(const messages::staged_job &job)
+{
+    if (job.repeat_count() < 0 || (job.repeat_count() > 1 && !isDuration(job.interval_ms()))) {
+        return "expected a repeat count of 0 or more and an interval from 0 to a year";
+    }
+    if (job.first_due_wall_ms() < 0 || job.first_due_wall_ms() > maxWallMs) {
+        return "expected a first time in milliseconds since 1970";
+    }
+    std::int64_t tasks = 0;
+    for (const auto &step : job.steps()) {
+        tasks += step.count();
+    }
+    if (tasks > maxTasksInJob / std::max(job.repeat_count(), 1)) {
+        return "expected at most " + std::to_string(maxTasksInJob) + " tasks in all";
+    }
+    return std::nullopt;
+}
+
 std::optional<std::string> findStepProblem(const messages::staged_job &job, int step)
 {
     const auto &spec = job.steps(step);
@@ -24,10 +74,12 @@
     if (spec.count() < 1 || spec.count() > maxTasksInStep) {
         return prefix + "expected a task count from 1 to " + std::to_string(maxTasksInStep);
     }
-    if (spec.need().milli_cores() < 0 || spec.need().memory_mb() < 0
-        || spec.need().accelerators() < 0 || spec.max_per_target() < 0) {
+    if (!isAmount(spec.need()) || spec.max_per_target() < 0 || spec.max_away() < 0) {
         return prefix + "expected resource amounts and limits of 0 or more";
     }
+    if (!isDuration(spec.estimate_ms()) || !isDuration(spec.latency_target_ms())) {
+        return prefix + "expected durations from 0 to a year";
+    }
     for (const auto dependency : spec.depends_on()) {
         if (dependency < 0 || dependency >= step) {
             return prefix + "expected dependencies on earlier steps only";
@@ -79,9 +131,15 @@
         if (!routes.emplace(queue.host(), queue.path_prefix()).second) {
             return "queue " + queue.name() + ": another queue has the same host and path prefix";
         }
+        if (const auto problem = findQueueProblem(queue)) {
+            return "queue " + queue.name() + ": " + *problem;
+        }
     }
     std::set<std::string> keys;
     for (const auto &team : configuration.teams()) {
+        if (team.weight() < 0 || !isAmount(team.cap())) {
+            return "team " + team.name() + ": expected a weight and a cap of 0 or more";
+        }
         for (const auto &key : team.keys()) {
             if (!keys.insert(key).second) {
                 return "team " + team.name() + ": another team has one of its keys";
@@ -96,15 +154,12 @@
     if (job.steps().empty() || job.steps_size() > maxSteps) {
         return "expected 1 to " + std::to_string(maxSteps) + " steps";
     }
-    if (job.repeat_count() < 0 || (job.repeat_count() > 1 && job.interval_ms() < 0)) {
-        return "expected a repeat count and an interval of 0 or more";
-    }
     for (int step = 0; step < job.steps_size(); ++step) {
         if (auto problem = findStepProblem(job, step)) {
             return problem;
         }
     }
-    return std::nullopt;
+    return findRepetitionProblem(job);
 }
 
 } // namespace filbert
--- a/modules/filbert_work/tests/work_commands_test.cpp
+++ b/modules/filbert_work/tests/work_commands_test.cpp
@@ -2,12 +2,18 @@
 
 #include "property.h"
 
+#include <cmath>
+#include <limits>
+
 using namespace filbert;
 
 namespace {
 
 constexpr auto none = error_kind::None;
 constexpr auto conflict = error_kind::Conflict;
+constexpr std::int64_t negative = -1;
+constexpr auto max32 = std::numeric_limits<std::int32_t>::max();
+constexpr auto max64 = std::numeric_limits<std::int64_t>::max();
 
 } // namespace
 
@@ -264,6 +270,107 @@
     CHECK(findProblem(configuration));
 }
 
+// Guards against sums and products of an operator's numbers that overflow in the leader.
+TEST_CASE("a configuration with a number beyond its limits is rejected", "[work]")
+{
+    work_fixture cell;
+    auto configuration = cell.state.configuration;
+    auto *queue = configuration.mutable_queues(0);
+    auto *admission = queue->mutable_admission();
+    admission->set_decide_ms(15);
+    admission->set_per_target_ms(0.2);
+    admission->set_ticket_ms(2'000);
+    REQUIRE_FALSE(findProblem(configuration));
+    SECTION("priority")
+    {
+        queue->set_priority(GENERATE(-1, max32));
+    }
+    SECTION("attempts")
+    {
+        queue->set_max_attempts(-1);
+    }
+    SECTION("slack")
+    {
+        queue->set_slack_factor(GENERATE(-1.0, 1e18, 1e300, std::nan("")));
+    }
+    SECTION("objective")
+    {
+        queue->set_latency_objective_ms(GENERATE(negative, max64));
+    }
+    SECTION("decision")
+    {
+        admission->set_decide_ms(GENERATE(-1.0, 1e300, std::nan("")));
+    }
+    SECTION("decision for each target")
+    {
+        admission->set_per_target_ms(GENERATE(-1.0, 1e300));
+    }
+    SECTION("ticket")
+    {
+        admission->set_ticket_ms(GENERATE(negative, max64));
+    }
+    SECTION("weight")
+    {
+        configuration.mutable_teams(0)->set_weight(-1);
+    }
+    SECTION("cap")
+    {
+        configuration.mutable_teams(0)->mutable_cap()->set_memory_mb(-1);
+    }
+    CHECK(findProblem(configuration));
+}
+
+// Guards against sums and products of a caller's numbers that overflow in the leader.
+TEST_CASE("a job with a number beyond its limits is rejected", "[work]")
+{
+    messages::staged_job job;
+    auto *step = job.add_steps();
+    *step = work_fixture::step(4);
+    job.set_repeat_count(3);
+    job.set_interval_ms(60'000);
+    job.set_first_due_wall_ms(1'700'000'000'000);
+    REQUIRE_FALSE(findProblem(job));
+    SECTION("estimate")
+    {
+        step->set_estimate_ms(GENERATE(negative, max64));
+    }
+    SECTION("latency target")
+    {
+        step->set_latency_target_ms(GENERATE(negative, max64));
+    }
+    SECTION("tasks that may be unavailable")
+    {
+        step->set_max_away(-1);
+    }
+    SECTION("interval")
+    {
+        job.set_interval_ms(GENERATE(negative, max64));
+    }
+    SECTION("first time")
+    {
+        job.set_first_due_wall_ms(GENERATE(negative, max64));
+    }
+    CHECK(findProblem(job));
+}
+
+// Guards against a job whose occurrences, all due at once, fill the memory of every controller.
+TEST_CASE("the tasks of a job are limited over all of its occurrences", "[work]")
+{
+    messages::staged_job job;
+    *job.add_steps() = work_fixture::step(100);
+    job.set_repeat_count(1'000);
+    CHECK_FALSE(findProblem(job));
+    job.set_repeat_count(1'001);
+    CHECK(findProblem(job));
+    job.set_repeat_count(std::numeric_limits<std::int32_t>::max());
+    CHECK(findProblem(job));
+    job.set_repeat_count(0);
+    for (int i = 1; i < 11; ++i) {
+        *job.add_steps() = work_fixture::step(10'000);
+    }
+    CHECK(findProblem(job));
+}
+
 TEST_CASE("a request goes to the queue with the longest matching path prefix", "[work]")
 {
     work_fixture cell;
