Logs: stops that get no answer, and runs that are stopped with their job

Nothing said when a run of a cancelled job was asked to stop, nor that its stop went unanswered, so that a late stop could not be told from a run that the leader had lost sight of. run_stopping now also names runs whose job has ended or whose target has a new incarnation, stop_not_taken each stop without effect.

--- a/modules/filbert_dispatch/order_answers.cpp
+++ b/modules/filbert_dispatch/order_answers.cpp
@@ -136,6 +136,12 @@
     auto &run = found->second;
     run.isOrderPending = false;
     if (result != order_result::Done && result != order_result::Superseded) {
+        log_line {"stop_not_taken", log_line::severity::Warning}
+            .with("task", toString(order.task))
+            .with("run", order.run)
+            .with("target", target.id)
+            .with("result", resultName(result))
+            .with("waited_ms", (now - order.sentAt).count);
         run.retryAt = now + stopRetryDelay;
         return;
     }
--- a/modules/filbert_dispatch/target_tracking.cpp
+++ b/modules/filbert_dispatch/target_tracking.cpp
@@ -59,6 +59,13 @@
         const bool isOfPreviousIncarnation =
             record != nullptr && record->incarnation != target.incarnation;
         if (run.phase != run_phase::Stopping && (job.hasEnded() || isOfPreviousIncarnation)) {
+            log_line {"run_stopping"}
+                .with("task", toString(task))
+                .with("run", run.run)
+                .with("target", target.id)
+                .with("percent", run.percentDone)
+                .with("reason",
+                      job.hasEnded() ? "its job has ended" : "its target has a new incarnation");
             run.phase = run_phase::Stopping;
             run.confirmedAt = {};
             run.retryAt = now;
