Jobs are cancelled only for callers that may see them

Callers of another team could cancel a job, if they knew its id, whenever any proposal was on its way to the log, which under load is always so: the check of team and queue was left out then, since the job's submission might have been among these proposals. The leader now keeps id, queue and team of the submissions that it has proposed, and applies the same check to them. Any other cancel of a job that the caller may not see is answered 'no such job'.

The test failed before: work_controller_test.cpp:205: FAILED: CHECK( fixture.answers[foreign].kind() == messages::ANSWER_NO_JOB )

--- a/modules/filbert_node/tests/work_controller_test.cpp
+++ b/modules/filbert_node/tests/work_controller_test.cpp
@@ -93,8 +93,28 @@
         return sendRequest(request);
     }
 
+    /** Configures a second team, with the key "key-of-others". */
+    void configureTwoTeams(std::uint64_t version)
+    {
+        work_fixture content;
+        messages::work_request request;
+        *request.mutable_configure() = content.state.configuration;
+        request.mutable_configure()->set_version(version);
+        auto *team = request.mutable_configure()->add_teams();
+        team->set_name("others");
+        team->add_keys("key-of-others");
+        REQUIRE(sendRequest(request).kind() == messages::ANSWER_OK);
+    }
+
     messages::work_answer callJob(messages::job_call_kind kind, const std::string &path = jobPath,
                                   const std::string &key = "key-of-desk", int tasks = 1)
+    {
+        return sendRequest(jobRequest(kind, path, key, tasks));
+    }
+
+    static messages::work_request jobRequest(messages::job_call_kind kind,
+                                             const std::string &path = jobPath,
+                                             const std::string &key = "key-of-desk", int tasks = 1)
     {
         messages::work_request request;
         auto *call = request.mutable_job();
@@ -105,7 +125,7 @@
         if (kind == messages::JOB_SUBMIT && tasks > 0) {
             *call->mutable_job()->add_steps() = work_fixture::step(tasks);
         }
-        return sendRequest(request);
+        return request;
     }
 };
 
@@ -163,6 +183,34 @@
           == messages::ANSWER_NO_JOB);
 }
 
+// Guards against a team that ends the work of another: while anything was on its way to the log, a
+// job was cancelled for whoever knew its id.
+TEST_CASE("a job is cancelled only for its own team, also while its submission is being committed",
+          "[controller]")
+{
+    controller_fixture fixture;
+    fixture.configureTwoTeams(1);
+    const auto send = [&](const messages::work_request &request) {
+        messages::work_envelope envelope;
+        envelope.set_exchange(++fixture.lastExchange);
+        *envelope.mutable_request() = request;
+        fixture.controller->handleEnvelope("gateway-1", envelope, fixture.now, 1'000);
+        return fixture.lastExchange;
+    };
+    const auto submission = send(fixture.jobRequest(messages::JOB_SUBMIT));
+    const auto foreign = send(fixture.jobRequest(messages::JOB_CANCEL, jobPath, "key-of-others"));
+    fixture.runTurn();
+    CHECK(fixture.answers[submission].kind() == messages::ANSWER_OK);
+    CHECK(fixture.answers[foreign].kind() == messages::ANSWER_NO_JOB);
+    CHECK(fixture.callJob(messages::JOB_STATE).name() == "queued");
+    const auto another = "/quotes/5c0e7a21d94b36f9";
+    send(fixture.jobRequest(messages::JOB_SUBMIT, another));
+    const auto own = send(fixture.jobRequest(messages::JOB_CANCEL, another));
+    fixture.runTurn();
+    CHECK(fixture.answers[own].kind() == messages::ANSWER_OK);
+    CHECK(fixture.callJob(messages::JOB_STATE, another).name() == "cancelled");
+}
+
 TEST_CASE("invalid requests are rejected with the matching kind of answer", "[controller]")
 {
     controller_fixture fixture;
--- a/modules/filbert_node/work_controller.cpp
+++ b/modules/filbert_node/work_controller.cpp
@@ -200,21 +200,26 @@
     }
     messages::work_batch batch;
     batch.set_wall_ms(wallMs);
-    std::vector<answer_address> replies;
+    proposed_batch proposed;
+    proposed.proposedAt = now;
     for (auto &command : std::exchange(pending, {})) {
+        if (command.command.has_accept()) {
+            const auto &job = command.command.accept();
+            proposed.submissions.push_back({job.id(), job.queue(), job.team()});
+        }
         *batch.add_commands() = std::move(command.command);
-        replies.push_back(std::move(command.replyTo));
+        proposed.replies.push_back(std::move(command.replyTo));
     }
     std::uint64_t index = 0;
     if (const auto error = log.propose(batch.SerializeAsString(), now, &index)) {
         log_line {"proposal_refused", log_line::severity::Warning}.with("error", error.message());
-        for (const auto &to : replies) {
+        for (const auto &to : proposed.replies) {
             answerKind(to, messages::ANSWER_NO_LEADER);
         }
         dispatch.reset(); // it holds reservations for starts that were not proposed: start over
         return;
     }
-    inFlight[index] = {std::move(replies), now};
+    inFlight[index] = std::move(proposed);
 }
 
 void work_controller::applyEntry(const messages::log_entry &entry)
--- a/modules/filbert_node/work_controller.h
+++ b/modules/filbert_node/work_controller.h
@@ -92,6 +92,14 @@
         std::uint64_t exchange = 0; // id of the request; 0 = no answer is expected
     };
 
+    /** A submission on its way to the log, with what decides who may cancel its job. */
+    struct pending_submission
+    {
+        std::string id;
+        std::string queue;
+        std::string team;
+    };
+
     void handleRequest(const answer_address &from, const messages::work_request &request,
                        time_point now, std::int64_t wallMs);
     void handleJobCall(const answer_address &from, const messages::job_call &call,
@@ -108,6 +116,7 @@
     void answerKind(const answer_address &to, messages::work_answer_kind kind,
                     const std::string &detail = {}, std::int64_t number = 0);
     void propose(messages::work_command &&command, const answer_address &to);
+    std::optional<pending_submission> findPendingSubmission(const std::string &id) const;
     void proposePending(time_point now, std::int64_t wallMs);
     void applyEntry(const messages::log_entry &entry);
     void logCrash(const messages::target_crashed_command &crash);
@@ -136,6 +145,7 @@
     {
         std::vector<answer_address> replies;
         time_point proposedAt;
+        std::vector<pending_submission> submissions;
     };
 
     work_controller_settings settings;
--- a/modules/filbert_node/work_requests.cpp
+++ b/modules/filbert_node/work_requests.cpp
@@ -100,21 +100,21 @@
         handleSubmission(from, call, *queue, teamName, id, wallMs);
         return;
     }
+    const auto isVisible = [&](const std::string &jobQueue, const std::string &jobTeam) {
+        return jobQueue == queue->name() && (queue->is_open() || jobTeam == teamName);
+    };
     const auto job = state.jobs.find(id);
-    const bool isVisible = job != state.jobs.end() && job->second.job.queue() == queue->name()
-        && (queue->is_open() || job->second.job.team() == teamName);
+    const bool isKnown =
+        job != state.jobs.end() && isVisible(job->second.job.queue(), job->second.job.team());
     if (call.kind() == messages::JOB_STATE) {
         messages::work_answer content;
-        content.set_kind(isVisible ? messages::ANSWER_STATE : messages::ANSWER_NO_JOB);
-        content.set_name(isVisible ? std::string {statusName(job->second.status)} : std::string {});
+        content.set_kind(isKnown ? messages::ANSWER_STATE : messages::ANSWER_NO_JOB);
+        content.set_name(isKnown ? std::string {statusName(job->second.status)} : std::string {});
         answer(from, std::move(content));
         return;
     }
-    const bool mayBePending =
-        std::any_of(pending.begin(), pending.end(),
-                    [&](const auto &entry) { return entry.command.accept().id() == id; })
-        || !inFlight.empty();
-    if (!isVisible && !mayBePending) {
+    const auto submission = job == state.jobs.end() ? findPendingSubmission(id) : std::nullopt;
+    if (!isKnown && !(submission && isVisible(submission->queue, submission->team))) {
         answerKind(from, messages::ANSWER_NO_JOB);
         return;
     }
@@ -123,6 +123,25 @@
     propose(std::move(command), from);
 }
 
+std::optional<work_controller::pending_submission>
+work_controller::findPendingSubmission(const std::string &id) const
+{
+    for (const auto &[index, batch] : inFlight) {
+        for (const auto &submission : batch.submissions) {
+            if (submission.id == id) {
+                return submission;
+            }
+        }
+    }
+    for (const auto &entry : pending) {
+        const auto &job = entry.command.accept();
+        if (entry.command.has_accept() && job.id() == id) {
+            return pending_submission {id, job.queue(), job.team()};
+        }
+    }
+    return std::nullopt;
+}
+
 void work_controller::handleSubmission(const answer_address &from, const messages::job_call &call,
                                        const messages::work_queue &queue, const std::string &team,
                                        const std::string &id, std::int64_t wallMs)
