A stop is sent to the new incarnation although the previous one confirmed it

A run that was stopped when its target ended kept the confirmation of the previous incarnation: nothing was sent to the new one, whose next poll did not list the run, and the run was abandoned. The class: what an incarnation has confirmed is taken for valid in the next one.

A new incarnation now starts without confirmations, so the stop is sent again and the run ends only by what the new incarnation says.

--- a/modules/filbert_dispatch/target_tracking.cpp
+++ b/modules/filbert_dispatch/target_tracking.cpp
@@ -221,6 +221,8 @@
             now + state.settings.maxOrderDelay + withClockRateMargin(state.settings.maxTargetLease);
         for (auto &[task, run] : target.runs) {
             run.isOrderPending = false; // its answer would come from the previous incarnation
+            run.confirmedAt = {}; // by the previous incarnation
+            run.retryAt = now;
             run.mayStartLateUntil = lateStartsUntil;
         }
         target.reservedResources = previous.reservedResources;
--- a/modules/filbert_dispatch/tests/target_tracking_test.cpp
+++ b/modules/filbert_dispatch/tests/target_tracking_test.cpp
@@ -657,3 +657,42 @@
     cell.runFor({100});
     CHECK(cell.pendingOrders(order_kind::Poll, "t1").size() == 2);
 }
+
+namespace {
+
+/** Places a task whose first start gets no answer and may be carried out late, and whose second
+    start is confirmed. */
+void loseFirstStartAnswer(dispatch_fixture &cell)
+{
+    cell.placeOneTask();
+    cell.answerOrders(order_kind::Start, order_result::Unanswered);
+    cell.runFor({300});
+    REQUIRE(cell.pendingOrders(order_kind::Start).size() == 1);
+    cell.answerOrders(order_kind::Start, order_result::Done);
+    cell.runFor({20});
+}
+
+} // namespace
+
+// Guards against tasks that run on after the cancelling of their job: a late start reached a new
+// incarnation, which knew nothing of the stop that the previous one had confirmed.
+TEST_CASE("a stop that the previous incarnation confirmed is sent to the new one too", "[dispatch]")
+{
+    dispatch_fixture cell;
+    loseFirstStartAnswer(cell);
+    messages::work_command cancel;
+    cancel.set_cancel("j");
+    cell.apply(cancel);
+    handleCommittedCommand(*cell.leader, cancel, false, cell.now);
+    cell.runFor({20});
+    cell.answerOrders(order_kind::Stop, order_result::Done);
+    cell.orders.clear(); // it crashes before a poll lists the end
+    cell.reportTarget("t1", 2);
+    cell.runFor({30});
+    const auto stops = cell.pendingOrders(order_kind::Stop, "t1");
+    REQUIRE(stops.size() == 1);
+    CHECK(stops[0].incarnation == 2);
+    cell.answerOrders(order_kind::Poll, order_result::Done, "t1");
+    cell.runFor({30});
+    CHECK(cell.taskStatus(firstTask) == task_status::Running); // until the stop is confirmed
+}
