A new leader expects late starts of runs ordered from a previous incarnation

A start that got no answer may be carried out 12 s late by the next incarnation of its target, with a lease that this one counts from the arrival. A leader that saw the new incarnation begin waits for that; its successor took such a run's lease for expired 5 s after it began to lead, and placed the task elsewhere. It knows from the log that the run was ordered from another incarnation, and now waits as well.

--- a/modules/filbert_dispatch/target_tracking.cpp
+++ b/modules/filbert_dispatch/target_tracking.cpp
@@ -180,6 +180,15 @@
     }
 }
 
+/** @return until when a late order to the previous incarnation may grant a lease to a run of this
+    one. Such an order names an expiry on the clock of the previous incarnation, which means nothing
+    on the clock of this one. This incarnation bounds the lease by its own maximum, counted from the
+    arrival of the order. */
+time_point lateStartsEnd(const dispatch_state &state, time_point now)
+{
+    return now + state.settings.maxOrderDelay + withClockRateMargin(state.settings.maxTargetLease);
+}
+
 } // namespace
 
 bool acceptsWork(const dispatch_state &state, const tracked_target &target,
@@ -214,16 +223,11 @@
         const auto previous = std::move(target);
         target = {};
         target.runs = previous.runs; // stopped in the new incarnation too, see tickRuns()
-        // Orders to the previous incarnation name an expiry on its clock, which means nothing on
-        // the clock of this one. This incarnation bounds such a lease by its own maximum, counted
-        // from the arrival of the order.
-        const auto lateStartsUntil =
-            now + state.settings.maxOrderDelay + withClockRateMargin(state.settings.maxTargetLease);
         for (auto &[task, run] : target.runs) {
             run.isOrderPending = false; // its answer would come from the previous incarnation
             run.confirmedAt = {}; // by the previous incarnation
             run.retryAt = now;
-            run.mayStartLateUntil = lateStartsUntil;
+            run.mayStartLateUntil = lateStartsEnd(state, now);
         }
         target.reservedResources = previous.reservedResources;
         target.reservedBestEffortCores = previous.reservedBestEffortCores;
@@ -250,6 +254,9 @@
         run.startedAt = now;
         run.lastProgressAt = now;
         run.checkpoint = record->checkpoint;
+        if (record->incarnation != target.incarnation) {
+            run.mayStartLateUntil = lateStartsEnd(state, now);
+        }
     }
 }
 
--- a/modules/filbert_dispatch/tests/target_tracking_test.cpp
+++ b/modules/filbert_dispatch/tests/target_tracking_test.cpp
@@ -696,3 +696,21 @@
     cell.runFor({30});
     CHECK(cell.taskStatus(firstTask) == task_status::Running); // until the stop is confirmed
 }
+
+// Guards against a task that runs twice: a new leader took the lease of a run that was ordered from
+// the previous incarnation for expired, while its late start could still be carried out.
+TEST_CASE("a new leader expects late starts of runs that were ordered from a previous incarnation",
+          "[dispatch]")
+{
+    dispatch_fixture cell;
+    cell.registerTarget("t1", 1);
+    cell.accept("j", {cell.step(1)});
+    cell.start(firstTask, 1, "t1", 1);
+    cell.registerTarget("t1", 2);
+    cell.startLeading(2);
+    cell.reportTarget("t1", 2);
+    cell.runFor({10'000}); // it is silent
+    CHECK(cell.taskStatus(firstTask) == task_status::Running);
+    cell.runFor({9'000});
+    CHECK(cell.taskStatus(firstTask) == task_status::Waiting);
+}
