A late sign-off of the previous incarnation does not end the new one

A target's sign-off (DELETE) names only its id. One that was on its way while a new incarnation registered was taken for the new one's: if that had no runs, it was removed at once, its later reports were dropped as late, and it got no work until its next restart; if it had runs, its leases were no longer renewed. By reading; not seen in a run.

A planned end begins with a report that the target drains. The sign-off of a target that has not reported this counts only after it was silent for the contact timeout; a report in between shows that it goes on.

The test failed before: target_tracking_test.cpp:906: FAILED: CHECK_FALSE( cell.state.targets.at("t1").hasEnded )

--- a/modules/filbert_dispatch/target_tracking.cpp
+++ b/modules/filbert_dispatch/target_tracking.cpp
@@ -366,6 +366,9 @@
         }
         target.lastContactAt = now;
         updateClock(target, report.clock_ms(), now);
+        if (!report.is_draining() && !target.isRemovalProposed) {
+            target.leavingSince.reset(); // the sign-off came from a previous incarnation
+        }
         if (report.is_draining() && target.drainDeadline.ms == 0) {
             target.drainDeadline = now + milliseconds {report.remaining_ms()};
         }
@@ -461,7 +464,11 @@
     // A target that reported its end without getting an acknowledgement runs on for seconds. Only
     // the expiry of its lease, which is not renewed any more, ensures that its runs have ended.
     const bool haveRunsEnded = hasLeaseExpired(target, now) && areLateStartsExcluded(target, now);
-    if (target.leavingSince && (target.runs.empty() || haveRunsEnded)) {
+    // A sign-off names no incarnation: only that of a draining target is certain at once.
+    const bool isLeaving = target.leavingSince
+        && (registered->registration.is_draining()
+            || now - *target.leavingSince >= state.settings.contactTimeout);
+    if (isLeaving && (target.runs.empty() || haveRunsEnded)) {
         if (!std::exchange(target.isRemovalProposed, true)) {
             messages::work_command command;
             command.set_target_left(id);
--- a/modules/filbert_dispatch/tests/target_tracking_test.cpp
+++ b/modules/filbert_dispatch/tests/target_tracking_test.cpp
@@ -891,3 +891,30 @@
     CHECK(stops[0].task == firstTask);
     CHECK(stops[0].run == 1);
 }
+
+// Guards against the loss of a target that works: a sign-off names no incarnation, and a late one
+// of the previous incarnation removed the new one for good.
+TEST_CASE("a late sign-off of the previous incarnation does not end the new one", "[dispatch]")
+{
+    dispatch_fixture cell;
+    cell.registerTarget("t1");
+    cell.startLeading();
+    answerIdlePolls(cell, "t1", 1, {500});
+    answerIdlePolls(cell, "t1", 2, {500});
+    handleTargetLeaving(*cell.leader, "t1", cell.now);
+    answerIdlePolls(cell, "t1", 2, {2'000});
+    CHECK_FALSE(cell.state.targets.at("t1").hasEnded);
+    CHECK(cell.acceptsWorkAt("t1"));
+}
+
+TEST_CASE("a target that signs off without having drained is removed once it is silent",
+          "[dispatch]")
+{
+    dispatch_fixture cell;
+    cell.registerTarget("t1");
+    cell.startLeading();
+    answerIdlePolls(cell, "t1", 1, {500});
+    handleTargetLeaving(*cell.leader, "t1", cell.now);
+    cell.runFor(cell.leader->settings.contactTimeout + cell.leader->settings.maxTargetPause);
+    CHECK(cell.state.targets.at("t1").hasEnded);
+}
