An incarnation that answers before it has registered gets no work

A target that starts again behind a partition from the controllers can still be reached by entry hosts. Under its old id it carries out orders that are meant for its previous incarnation. The leader took its answers to starts for those of the previous one and went on placing work there, ignored its lists of runs, and judged the leases by the previous one's clock: after 5 s it placed the tasks elsewhere, while they might run on for 10 s. The class: an observation that does not fit is dropped instead of being taken as news.

A list of runs from a later incarnation now makes the target suspect, and its runs are kept until the new incarnation has registered and says what it has, or no late lease can last.

The test failed before: target_tracking_test.cpp: FAILED: CHECK( cell.taskStatus(firstTask) == task_status::Running ), 0 == 1

--- a/modules/filbert_dispatch/order_answers.cpp
+++ b/modules/filbert_dispatch/order_answers.cpp
@@ -320,6 +320,9 @@
             target.pollAnsweredAt = {};
             target.nextPollAt = now + failedPollDelay;
         }
+        if (answer.incarnation && *answer.incarnation > target.incarnation) {
+            handleUnregisteredIncarnation(state, target, now);
+        }
         return;
     }
     state.changedTargets.insert(order.target);
--- a/modules/filbert_dispatch/target_tracking.cpp
+++ b/modules/filbert_dispatch/target_tracking.cpp
@@ -316,6 +316,15 @@
     }
 }
 
+void handleUnregisteredIncarnation(dispatch_state &state, tracked_target &target, time_point now)
+{
+    target.isSuspect = true;
+    target.isInventoryStale = true;
+    for (auto &[task, run] : target.runs) {
+        run.mayStartLateUntil = lateStartsEnd(state, now);
+    }
+}
+
 namespace {
 
 /** Proposes to record the crashes that a report proves: of an earlier incarnation of the same
--- a/modules/filbert_dispatch/target_tracking.h
+++ b/modules/filbert_dispatch/target_tracking.h
@@ -24,6 +24,10 @@
 void recordUnansweredStart(dispatch_state &state, tracked_target &target, const target_order &order,
                            time_point now);
 
+/** Handles the answer of an incarnation that has not registered yet: it gets no work, and carries
+    out what is ordered from the previous one. */
+void handleUnregisteredIncarnation(dispatch_state &state, tracked_target &target, time_point now);
+
 /** Sends what is due to targets: retries of starts and stops, polls, renewed leases. Abandons runs
     whose lease has certainly expired. */
 void tickTargets(dispatch_state &state, time_point now);
--- a/modules/filbert_dispatch/tests/target_tracking_test.cpp
+++ b/modules/filbert_dispatch/tests/target_tracking_test.cpp
@@ -918,3 +918,23 @@
     cell.runFor(cell.leader->settings.contactTimeout + cell.leader->settings.maxTargetPause);
     CHECK(cell.state.targets.at("t1").hasEnded);
 }
+
+// Guards against a task that runs twice: a new incarnation that could not register yet carried out
+// orders, and its leases were judged by the clock of the previous one.
+TEST_CASE("an incarnation that answers before it has registered gets no work and keeps its runs",
+          "[dispatch]")
+{
+    dispatch_fixture cell;
+    cell.placeOneTask();
+    cell.runTargets({500}, {"t1"});
+    cell.runFor({20}); // another poll is sent
+    for (const auto end = cell.now + milliseconds {10'000}; cell.now < end;) {
+        order_answer list;
+        list.incarnation = 2;
+        cell.answerOrders(order_kind::Start, order_result::Done);
+        cell.answerOrders(order_kind::Poll, order_result::Done, "t1", list);
+        cell.runFor({100});
+        CHECK_FALSE(cell.acceptsWorkAt("t1"));
+    }
+    CHECK(cell.taskStatus(firstTask) == task_status::Running);
+}
