--- a/modules/filbert_dispatch/target_tracking.cpp
+++ b/modules/filbert_dispatch/target_tracking.cpp
@@ -22,16 +22,21 @@
 // Between ticks of a draining target: a small fraction of the time that is left for a stop.
 constexpr milliseconds drainingTickPeriod {50};
 
+bool isInContact(const dispatch_state &state, const tracked_target &target, time_point now)
+{
+    return now - target.lastContactAt < state.settings.contactTimeout;
+}
+
 bool needsPoll(const dispatch_state &state, const tracked_target &target,
                const registered_target &registered, time_point now)
 {
     if (target.lastProposedEnd > registered.lastAppliedEnd) {
         return false; // until the proposed ends are committed
     }
-    const bool isInContact = now - target.lastContactAt < state.settings.contactTimeout;
     return !target.runs.empty()
-        || (isInContact
-            && (registered.lastAppliedEnd > target.lastAcknowledgedEnd || target.isInventoryStale));
+        || (isInContact(state, target, now)
+            && (registered.lastAppliedEnd > target.lastAcknowledgedEnd || target.isInventoryStale
+                || mayHaveOrphans(target, now)));
 }
 
 bool hasLeaseExpired(const tracked_target &target, time_point now)
@@ -61,6 +66,13 @@
         const bool isOfPreviousIncarnation =
             record != nullptr && record->incarnation != target.incarnation;
         if (run.phase != run_phase::Stopping && (job.hasEnded() || isOfPreviousIncarnation)) {
+            log_line {"run_stopping"}
+                .with("task", toString(task))
+                .with("run", run.run)
+                .with("target", target.id)
+                .with("percent", run.percentDone)
+                .with("reason",
+                      job.hasEnded() ? "its job has ended" : "its target has a new incarnation");
             run.phase = run_phase::Stopping;
             run.confirmedAt = {};
             run.retryAt = now;
@@ -82,9 +94,13 @@
         }
         sendStart(state, target, registered, task, target.runs.at(task), now);
     }
-    for (const auto &[task, run] : target.orphanRuns) {
-        if (now >= target.pollSentAt + state.settings.retryDelay) {
-            sendStop(state, target, registered, task, run, now);
+    if (!isInContact(state, target, now)) {
+        return;
+    }
+    for (auto &[task, orphan] : target.orphanRuns) {
+        if (orphan.confirmedAt.ms == 0 && now >= orphan.nextStopAt) {
+            orphan.nextStopAt = now + state.settings.orderTimeout;
+            sendStop(state, target, registered, task, orphan.run, now);
         }
     }
 }
@@ -105,6 +121,9 @@
             if (!run.isAbandonmentProposed) {
                 noteLostRun(state, target, task, run);
             }
+            if (run.isOrderPending || target.unansweredStarts.contains(task)) {
+                target.orphanRuns.emplace(task, orphan_run {run.run, now});
+            }
             proposeAbandonment(state, task, run, target.id, "the lease of its target has expired");
         }
     }
@@ -175,6 +194,63 @@
     }
 }
 
+/** @return until when a late order to the previous incarnation may grant a lease to a run of this
+    one. Such an order names an expiry on the clock of the previous incarnation, which means nothing
+    on the clock of this one. This incarnation bounds the lease by its own maximum, counted from the
+    arrival of the order. */
+time_point lateStartsEnd(const dispatch_state &state, time_point now)
+{
+    return now + state.settings.maxOrderDelay + withClockRateMargin(state.settings.maxTargetLease);
+}
+
+/** Has the starts stopped that a previous incarnation did not answer and that this one may still
+    carry out. Those of runs in the log are stopped with these. */
+void stopLateStarts(tracked_target &target, time_point now)
+{
+    for (const auto &[task, start] : target.unansweredStarts) {
+        if (now >= start.mayArriveUntil || target.runs.contains(task)
+            || !target.orphanRuns.emplace(task, orphan_run {start.run, now}).second) {
+            continue;
+        }
+        log_line {"late_start_stopped"}
+            .with("task", toString(task))
+            .with("run", start.run)
+            .with("target", target.id);
+    }
+}
+
+/** Replaces what is known about a target, or begins to track it. What was ordered from a previous
+    incarnation may reach this one. */
+void beginIncarnation(dispatch_state &state, tracked_target &target,
+                      const registered_target &registered, time_point now)
+{
+    state.dueTargets.erase({target.dueAt, registered.registration.id()});
+    const auto previous = std::move(target);
+    target = {};
+    target.id = registered.registration.id();
+    target.incarnation = registered.registration.born();
+    target.lastContactAt = now;
+    target.registeredAt = now;
+    target.previousLeasesExpireBy = state.leadingSince
+        + withClockRateMargin(std::min(state.settings.targetLease, state.settings.maxTargetLease))
+        + leaseMargin;
+    if (previous.incarnation == 0) {
+        return;
+    }
+    target.reservedResources = previous.reservedResources;
+    target.reservedBestEffortCores = previous.reservedBestEffortCores;
+    target.runs = previous.runs; // stopped in the new incarnation too, see tickRuns()
+    for (auto &[task, run] : target.runs) {
+        run.isOrderPending = false; // its answer would come from the previous incarnation
+        run.confirmedAt = {}; // by the previous incarnation
+        run.retryAt = now;
+        run.mayStartLateUntil = lateStartsEnd(state, now);
+    }
+    target.lateOrdersUntil = now + state.settings.maxOrderDelay;
+    target.unansweredStarts = previous.unansweredStarts;
+    stopLateStarts(target, now);
+}
+
 } // namespace
 
 bool acceptsWork(const dispatch_state &state, const tracked_target &target,
@@ -205,29 +281,7 @@
     }
     auto &target = state.targets[id];
     if (target.incarnation != registered->registration.born()) {
-        state.dueTargets.erase({target.dueAt, id});
-        const auto previous = std::move(target);
-        target = {};
-        target.runs = previous.runs; // stopped in the new incarnation too, see tickRuns()
-        // Orders to the previous incarnation name an expiry on its clock, which means nothing on
-        // the clock of this one. This incarnation bounds such a lease by its own maximum, counted
-        // from the arrival of the order.
-        const auto lateStartsUntil =
-            now + state.settings.maxOrderDelay + withClockRateMargin(state.settings.maxTargetLease);
-        for (auto &[task, run] : target.runs) {
-            run.isOrderPending = false; // its answer would come from the previous incarnation
-            run.mayStartLateUntil = lateStartsUntil;
-        }
-        target.reservedResources = previous.reservedResources;
-        target.reservedBestEffortCores = previous.reservedBestEffortCores;
-        target.id = id;
-        target.incarnation = registered->registration.born();
-        target.lastContactAt = now;
-        target.registeredAt = now;
-        target.previousLeasesExpireBy = state.leadingSince
-            + withClockRateMargin(std::min(state.settings.targetLease,
-                                           state.settings.maxTargetLease))
-            + leaseMargin;
+        beginIncarnation(state, target, *registered, now);
     }
     target.lastProposedEnd = std::max(target.lastProposedEnd, registered->lastAppliedEnd);
     std::erase_if(target.runs,
@@ -243,6 +297,33 @@
         run.startedAt = now;
         run.lastProgressAt = now;
         run.checkpoint = record->checkpoint;
+        if (record->incarnation != target.incarnation) {
+            run.mayStartLateUntil = lateStartsEnd(state, now);
+        }
+    }
+}
+
+void recordUnansweredStart(dispatch_state &state, tracked_target &target, const target_order &order,
+                           time_point now)
+{
+    std::erase_if(target.unansweredStarts,
+                  [&](const auto &each) { return now >= each.second.mayArriveUntil; });
+    auto &start = target.unansweredStarts[order.task];
+    start.run = std::max(start.run, order.run);
+    start.mayArriveUntil =
+        std::max(start.mayArriveUntil, order.sentAt + state.settings.maxOrderDelay);
+    if (order.incarnation != target.incarnation) {
+        stopLateStarts(target, now);
+        state.changedTargets.insert(target.id);
+    }
+}
+
+void handleUnregisteredIncarnation(dispatch_state &state, tracked_target &target, time_point now)
+{
+    target.isSuspect = true;
+    target.isInventoryStale = true;
+    for (auto &[task, run] : target.runs) {
+        run.mayStartLateUntil = lateStartsEnd(state, now);
     }
 }
 
@@ -326,6 +407,9 @@
         }
         target.lastContactAt = now;
         updateClockFromReport(target, report.clock_ms(), now);
+        if (!report.is_draining() && !target.isRemovalProposed) {
+            target.leavingSince.reset(); // the sign-off came from a previous incarnation
+        }
         if (report.is_draining() && target.drainDeadline.ms == 0) {
             target.drainDeadline = now + milliseconds {report.remaining_ms()};
         }
@@ -421,7 +505,11 @@
     // A target that reported its end without getting an acknowledgement runs on for seconds. Only
     // the expiry of its lease, which is not renewed any more, ensures that its runs have ended.
     const bool haveRunsEnded = hasLeaseExpired(target, now) && areLateStartsExcluded(target, now);
-    if (target.leavingSince && (target.runs.empty() || haveRunsEnded)) {
+    // A sign-off names no incarnation: only that of a draining target is certain at once.
+    const bool isLeaving = target.leavingSince
+        && (registered->registration.is_draining()
+            || now - *target.leavingSince >= state.settings.contactTimeout);
+    if (isLeaving && (target.runs.empty() || haveRunsEnded)) {
         if (!std::exchange(target.isRemovalProposed, true)) {
             messages::work_command command;
             command.set_target_left(id);
@@ -440,8 +528,8 @@
     }
     reviewProgress(state, target, now);
     tickRuns(state, target, *registered, now);
-    const bool isPollLost =
-        isLosingAnswers(state) && now - target.pollSentAt > lossyPollTimeout(state);
+    const bool isPollLost = isLosingAnswers(state) && !isPolledForOrphans(target, now)
+        && now - target.pollSentAt > lossyPollTimeout(state);
     if ((!target.isPollPending || isPollLost) && now >= target.nextPollAt
         && needsPoll(state, target, *registered, now)) {
         sendPoll(state, target, *registered, now);
@@ -481,8 +569,10 @@
     } else if (isLosingAnswers(state)) {
         consider(target.pollSentAt + lossyPollTimeout(state) + milliseconds {1});
     }
-    if (!target.orphanRuns.empty()) {
-        consider(target.pollSentAt + state.settings.retryDelay);
+    for (const auto &[task, orphan] : target.orphanRuns) {
+        if (orphan.confirmedAt.ms == 0) {
+            consider(orphan.nextStopAt);
+        }
     }
     for (const auto &[task, run] : target.runs) {
         if (!run.isOrderPending) {
