--- a/modules/filbert_node/work_controller.cpp
+++ b/modules/filbert_node/work_controller.cpp
@@ -214,7 +214,7 @@
     // A committed entry that no controller can parse would be skipped by all of them, with all the
     // commands in it.
     if (!messages::work_batch {}.ParseFromString(payload)) {
-        removeUnreadableCommands(&batch, &replies, now);
+        removeUnreadableCommands(&batch, &proposed.replies, now);
         if (batch.commands().empty()) {
             return;
         }
