Messages: what cannot be parsed is logged and counted; kinds of a peer are checked

What callers saw: a message that its receiver cannot parse was dropped in silence; whoever looked for the cause of a request without an answer found nothing. Found by reading: the kind of an order and the result of an answer came from a peer's message as numbers and indexed tables of names.

--- a/modules/filbert_controller/controller.cpp
+++ b/modules/filbert_controller/controller.cpp
@@ -51,6 +51,17 @@
     handleRequest(from, envelope, now);
 }
 
+void controller::reportUnreadableMessage(const std::string &peer, std::size_t bytes, time_point now)
+{
+    ++state.unreadable.messages;
+    if (const auto leftOut = state.unreadable.messageLimit.admit(now)) {
+        log_line {"message_unreadable", log_line::severity::Warning}
+            .with("peer", peer)
+            .with("bytes", bytes)
+            .with("left_out", *leftOut);
+    }
+}
+
 void controller::handleRequest(const reply_address &from, const messages::envelope &envelope,
                                time_point now)
 {
--- a/modules/filbert_controller/controller.h
+++ b/modules/filbert_controller/controller.h
@@ -48,6 +48,12 @@
     */
     void handleMessage(const std::string &peer, const messages::envelope &envelope, time_point now);
 
+    /** Counts and logs a message that cannot be parsed and is dropped.
+        @param peer   name of the process that sent it
+        @param bytes  its size
+    */
+    void reportUnreadableMessage(const std::string &peer, std::size_t bytes, time_point now);
+
     /** Does what is due by time alone; call it every 10 to 20 ms. */
     void tick(time_point now);
 
--- a/modules/filbert_controller/controller_metrics.cpp
+++ b/modules/filbert_controller/controller_metrics.cpp
@@ -33,6 +33,8 @@
     add("filbert_controller_jobs_waiting", "Jobs that wait, on the leader",
         static_cast<double>(countWaiting(state.scheduler, work_class::Batch)
                             + countWaiting(state.scheduler, work_class::Gang)));
+    add("filbert_controller_unreadable_messages", "Messages dropped since they cannot be parsed",
+        static_cast<double>(state.unreadable.messages));
     add("filbert_controller_unreadable_commands",
         "Commands refused since no controller could parse them",
         static_cast<double>(state.unreadable.commands));
--- a/modules/filbert_controller/controller_state.h
+++ b/modules/filbert_controller/controller_state.h
@@ -86,9 +86,11 @@
 /** How much could not be parsed, since the process started. */
 struct unreadable_counts
 {
+    std::uint64_t messages = 0; // from other processes; dropped
     std::uint64_t commands = 0; // not proposed, since no controller could parse them
     std::uint64_t entries = 0; // of the log; skipped by all controllers
-    event_limit commandLimit; // of log lines
+    event_limit messageLimit; // of log lines
+    event_limit commandLimit;
     event_limit entryLimit;
 };
 
--- a/modules/filbert_gateway/gateway_metrics.cpp
+++ b/modules/filbert_gateway/gateway_metrics.cpp
@@ -33,6 +33,11 @@
                                          "work")
                                    .Register(*registry)
                                    .Add({})}
+    , unreadableMessages {prometheus::BuildCounter()
+                              .Name("filbert_gateway_unreadable_total")
+                              .Help("Messages dropped since they cannot be parsed")
+                              .Register(*registry)
+                              .Add({})}
     , configurationVersion {prometheus::BuildGauge()
                                 .Name("filbert_gateway_configuration_version")
                                 .Help("Version of the configuration in force")
--- a/modules/filbert_gateway/gateway_metrics.h
+++ b/modules/filbert_gateway/gateway_metrics.h
@@ -33,6 +33,9 @@
         showed that the work had ended. */
     void countUnresponsiveConnection() { unresponsiveConnections.Increment(); }
 
+    /** Counts a message from a controller that cannot be parsed. */
+    void countUnreadableMessage() { unreadableMessages.Increment(); }
+
     void setConfigurationVersion(std::int64_t version)
     {
         configurationVersion.Set(static_cast<double>(version));
@@ -47,6 +50,7 @@
     prometheus::Family<prometheus::Histogram> &latencies;
     prometheus::Counter &retries;
     prometheus::Counter &unresponsiveConnections;
+    prometheus::Counter &unreadableMessages;
     prometheus::Gauge &configurationVersion;
 };
 
--- a/modules/filbert_gateway/socket_transport.h
+++ b/modules/filbert_gateway/socket_transport.h
@@ -18,11 +18,12 @@
         @param context    ZeroMQ context; must outlive this object
         @param name       identifies this process to controllers
         @param site       CURVE keys of the connections
-        @param onMessage  called for each message, with the address of the controller that sent it;
-                          messages that cannot be parsed are ignored
+        @param onMessage  called for each message, with the address of the controller that sent it
+        @param onUnreadable  called for each message that cannot be parsed; it is logged and dropped
     */
-    socket_transport(event_loop &loop, zmq::context_t &context, const std::string &name,
-                     const curve_site &site, handler onMessage);
+    socket_transport(
+        event_loop &loop, zmq::context_t &context, const std::string &name, const curve_site &site,
+        handler onMessage, std::function<void()> onUnreadable = [] {});
 
     bool send(const std::string &address, const messages::envelope &envelope) override;
     void reconnect(const std::string &address) override;
--- a/modules/filbert_node/order_router.cpp
+++ b/modules/filbert_node/order_router.cpp
@@ -233,6 +233,11 @@
     return message;
 }
 
+bool hasKnownKind(const messages::carried_order &message)
+{
+    return message.kind() >= 0 && message.kind() <= static_cast<int>(order_kind::SetWorkRate);
+}
+
 target_order toTargetOrder(const messages::carried_order &message)
 {
     target_order order;
@@ -286,7 +291,10 @@
 order_answer toOrderAnswer(const messages::carried_answer &message)
 {
     order_answer answer;
-    answer.result = static_cast<order_result>(message.result());
+    const bool isKnown =
+        message.result() >= 0 && message.result() <= static_cast<int>(order_result::RelayLost);
+    answer.result =
+        isKnown ? static_cast<order_result>(message.result()) : order_result::Unanswered;
     if (message.has_clock_ms()) {
         answer.clockMs = message.clock_ms();
     }
--- a/modules/filbert_node/order_router.h
+++ b/modules/filbert_node/order_router.h
@@ -141,13 +141,17 @@
 /** @return an order as a message to a relay, without an id */
 messages::carried_order toOrderMessage(const target_order &order);
 
-/** @return the order in a message to a relay */
+/** @return whether this version knows the kind of an order */
+bool hasKnownKind(const messages::carried_order &message);
+
+/** @return the order in a message to a relay. Its kind must be known. */
 target_order toTargetOrder(const messages::carried_order &message);
 
 /** @return a target's answer as a message from a relay, without an id */
 messages::carried_answer toAnswerMessage(const order_answer &answer);
 
-/** @return the target's answer in a message from a relay */
+/** @return the target's answer in a message from a relay; a result that this version does not know
+    is Unanswered, since it says nothing about the order */
 order_answer toOrderAnswer(const messages::carried_answer &message);
 
 } // namespace filbert
--- a/modules/filbert_node/tests/order_router_test.cpp
+++ b/modules/filbert_node/tests/order_router_test.cpp
@@ -239,3 +239,21 @@
     CHECK(read.runs[0].percentDone == 41);
     CHECK(read.ends[0].kind == messages::END_ALONE);
 }
+
+// Guards against numbers from another process that index a table of names.
+TEST_CASE("kinds and results of other versions are recognised, not cast", "[relay]")
+{
+    auto order = toOrderMessage(router_fixture::orderFor("t1"));
+    CHECK(hasKnownKind(order));
+    for (const int kind : {-1, 4, 1'000'000}) {
+        order.set_kind(kind);
+        CHECK_FALSE(hasKnownKind(order));
+    }
+    messages::carried_answer answer;
+    for (const int result : {-1, 12, 2'147'483'647}) {
+        answer.set_result(result);
+        CHECK(toOrderAnswer(answer).result == order_result::Unanswered);
+    }
+    answer.set_result(static_cast<int>(order_result::RelayLost));
+    CHECK(toOrderAnswer(answer).result == order_result::RelayLost);
+}
--- a/modules/filbert_node/work_metrics.cpp
+++ b/modules/filbert_node/work_metrics.cpp
@@ -102,6 +102,9 @@
     : registry {std::make_shared<prometheus::Registry>()}
     , answers {histogramFamily(*registry, "filbert_entry_answer_seconds",
                                "Time from a whole request to its answer, by status")}
+    , unreadableMessages {counterFamily(*registry, "filbert_entry_unreadable_total",
+                                        "Messages dropped since they cannot be parsed")
+                              .Add({})}
     , pendingRequests {prometheus::BuildGauge()
                            .Name("filbert_entry_open_requests")
                            .Help("Requests that wait for the leader's answer")
--- a/modules/filbert_node/work_metrics.h
+++ b/modules/filbert_node/work_metrics.h
@@ -76,6 +76,9 @@
     */
     void observeResponse(int status, milliseconds duration);
 
+    /** Counts a message from a controller that cannot be parsed. */
+    void countUnreadableMessage() { unreadableMessages.Increment(); }
+
     void setPendingRequests(std::size_t count) { pendingRequests.Set(static_cast<double>(count)); }
 
     /** @return all metrics in Prometheus' text format */
@@ -84,6 +87,7 @@
 private:
     std::shared_ptr<prometheus::Registry> registry;
     prometheus::Family<prometheus::Histogram> &answers;
+    prometheus::Counter &unreadableMessages;
     prometheus::Gauge &pendingRequests;
 };
 
--- a/programs/filbert_controller.cpp
+++ b/programs/filbert_controller.cpp
@@ -166,8 +166,15 @@
                           site,
                           [&](const std::string &peer, std::string &&serialized) {
                               messages::envelope envelope;
-                              if (controllerInstance && envelope.ParseFromString(serialized)) {
-                                  controllerInstance->handleMessage(peer, envelope, monotonicNow());
+                              if (!controllerInstance) {
+                                  return;
+                              }
+                              const auto now = monotonicNow();
+                              if (envelope.ParseFromString(serialized)) {
+                                  controllerInstance->handleMessage(peer, envelope, now);
+                              } else {
+                                  controllerInstance->reportUnreadableMessage(
+                                      peer, serialized.size(), now);
                               }
                           }};
     const auto seed = std::hash<std::string> {}(stored.identity);
--- a/programs/filbert_gateway.cpp
+++ b/programs/filbert_gateway.cpp
@@ -157,14 +157,19 @@
     readCurveSite(FLAGS_curve_site, &site);
     std::unique_ptr<gateway> gatewayInstance;
     std::unique_ptr<controller_links> links;
+    gateway_metrics metrics;
     socket_transport transport {
-        loop, context, FLAGS_name, site,
+        loop,
+        context,
+        FLAGS_name,
+        site,
         [&](const std::string &address, const messages::envelope &envelope) {
             gatewayInstance->tick(monotonicNow());
             if (!links->handleAnswer(address, envelope, monotonicNow())) {
                 gatewayInstance->handleControllerMessage(envelope, monotonicNow());
             }
-        }};
+        },
+        [&] { metrics.countUnreadableMessage(); }};
     std::vector<std::string> addresses;
     for (const auto &address : splitList(FLAGS_controllers)) {
         addresses.push_back("tcp://" + address);
@@ -172,7 +177,6 @@
     links = std::make_unique<controller_links>(FLAGS_name, addresses, transport);
     http_target_port targets {loop};
     http_caller_port callers;
-    gateway_metrics metrics;
     gateway_settings settings;
     settings.name = FLAGS_name;
     settings.bootstrapOperator = readBootstrapKey();
