--- a/tests/bad_input.sh
+++ b/tests/bad_input.sh
@@ -62,6 +62,9 @@
 expect "an operator's key for a team's request" 403 "${operator[@]}" --data x $url/v1/services/quote
 expect "a team's key for a target's heartbeat" 403 "${team[@]}" --data '{}' $url/v1/targets/t9/heartbeat
 expect "a target that announces an invalid address" 400 "${target[@]}" --data '{"address":"nowhere","epoch":1}' $url/v1/targets/t9/announce
+expect "a target's name that is not UTF-8" 400 "${target[@]}" --data '{"address":"127.0.0.1:9","epoch":1}' $url/v1/targets/t%ff%fe/announce
+expect "an Idempotency-Key that is not UTF-8" 400 "${team[@]}" -H $'Idempotency-Key: \xff' --data x $url/v1/services/quote
+expect "a key that is not UTF-8" 400 -H $'Authorization: Bearer \xff\xfe' --data x $url/v1/services/quote
 expect "a job id that is not a number" 404 "${team[@]}" $url/v1/jobs/first
 job=$(FILBERT_KEY=$desk_token ctl submit --queue=proofs --service=quote --payload=ms=60000)
 expect "another team's job" 404 -H "Authorization: Bearer $rival_token" $url/v1/jobs/$job
