HTTP client: a connection that is not kept is closed after an empty response too

Cause: for a while after a call without an answer, calls use connections that no later call may use. Such a connection was to be closed by the return value of LWS_CALLBACK_COMPLETED_CLIENT_HTTP. The library heeds it for a response with a body. After one with content-length 0 it leaves the connection open, without a timeout, neither idle nor closed, and among those on which later calls of the same slot queue. Each of them waits there until its own deadline and ends without a byte sent, so that the endpoint is not even suspected, and the next one takes the same slot.

Change: such connections are noted and closed after the callback, before the next call starts; one that the library has destroyed meanwhile is forgotten (LWS_CALLBACK_WSI_DESTROY).

Evidence: the new test with an empty body, before: "call 3: the connection could not be established", calls 4 and 5 too, 3 requests of 6 arrived; with a body it passed. With the change both pass, valgrind reports nothing in it, and so do all 263 test cases (release build).

--- a/modules/filbert_transport/http_client.cpp
+++ b/modules/filbert_transport/http_client.cpp
@@ -196,10 +196,17 @@
 {
     auto *call = static_cast<pending_call *>(user);
     const lws_protocols *protocol = lws_get_protocol(wsi);
-    if (call == nullptr || protocol == nullptr || protocol->user == nullptr) {
+    if (protocol == nullptr || protocol->user == nullptr) {
         return 0;
     }
     auto *self = static_cast<http_client *>(protocol->user);
+    if (reason == LWS_CALLBACK_WSI_DESTROY) {
+        self->connectionsToClose.erase(wsi);
+        return 0;
+    }
+    if (call == nullptr) {
+        return 0;
+    }
     if (!self->activeCalls.contains(call)) {
         return reason == LWS_CALLBACK_RECEIVE_CLIENT_HTTP ? -1 : 0;
     }
@@ -253,6 +260,9 @@
         // The library would keep the connection open although no other call may use it. Endpoints
         // limit the number of connections.
         const bool closes = !call->keepsConnection;
+        if (closes) {
+            self->connectionsToClose.insert(wsi);
+        }
         finish(*call, isTruncated ? std::error_code {error_kind::TargetLost} : std::error_code {});
         return closes ? -1 : 0;
     }
@@ -321,11 +331,24 @@
     }
     // Deferred: the library is still using this connection.
     self->loop.post([self, owner, error, &endpoint] {
+        self->closeConnections();
         self->startWaitingCalls(endpoint);
         owner->onResponse(error, std::move(owner->response));
     });
 }
 
+/** Closes the connections that no other call may use. The library does so by itself when the end of
+    a response is reported, except for a response without a body: such a connection would stay open
+    without a timeout, and later calls with its slot would wait behind it for ever. */
+void http_client::closeConnections()
+{
+    while (!connectionsToClose.empty()) {
+        auto *const wsi = *connectionsToClose.begin();
+        connectionsToClose.erase(connectionsToClose.begin());
+        lws_set_timeout(wsi, PENDING_TIMEOUT_USER_OK, LWS_TO_KILL_SYNC);
+    }
+}
+
 /** Whether the loop has stalled since the last check, so that responses may not have been read yet.
     Two checks in a row are never skipped: a loop that is always late still enforces deadlines. */
 bool http_client::mustSkipDeadlineCheck(time_point now)
--- a/modules/filbert_transport/http_client.h
+++ b/modules/filbert_transport/http_client.h
@@ -7,6 +7,7 @@
 #include <memory>
 #include <string>
 #include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 namespace filbert {
@@ -103,6 +104,7 @@
     int writeBody(lws *wsi, pending_call &call);
     static void finish(pending_call &call, std::error_code error);
     static void abandon(pending_call &call, std::error_code error);
+    void closeConnections();
     bool mustSkipDeadlineCheck(time_point now);
     void checkDeadlines();
 
@@ -116,6 +118,7 @@
     event_limit refusalLimit; // of log lines
     time_point lastDeadlineCheck;
     bool wasCheckSkipped = false;
+    std::unordered_set<lws *> connectionsToClose; // after a response; the library may do it first
     std::unordered_map<std::string, std::unique_ptr<endpoint_state>> endpoints;
     std::unordered_map<pending_call *, std::shared_ptr<pending_call>> activeCalls;
 };
--- a/modules/filbert_transport/tests/http_test.cpp
+++ b/modules/filbert_transport/tests/http_test.cpp
@@ -198,6 +198,56 @@
     CHECK(answered == 4);
 }
 
+// Guards against polls and stops that wait, to the end, behind a connection that was left half
+// open: after a call without an answer, an empty response arrived on a connection that is not kept.
+TEST_CASE("an empty response on a connection that is not kept does not block later calls",
+          "[transport]")
+{
+    constexpr int calls = 6;
+    constexpr int unansweredCall = 1;
+    constexpr milliseconds suspectPeriod {150};
+    const bool isBodyEmpty = GENERATE(true, false);
+    event_loop loop;
+    int requests = 0;
+    std::unique_ptr<http_server> server;
+    server = std::make_unique<http_server>(loop, "127.0.0.1", 0, http_limits {}, tls_files {},
+                                           [&](http_request &&request) {
+                                               if (requests++ != unansweredCall) {
+                                                   http_response response;
+                                                   response.body = isBodyEmpty ? "" : "{}";
+                                                   server->respond(request.id, std::move(response));
+                                               }
+                                           });
+    http_client client {loop, 1};
+    client.setSuspectPeriod(suspectPeriod);
+    std::vector<std::error_code> results;
+    std::function<void()> startCall = [&] {
+        http_call call;
+        call.endpoint = "127.0.0.1:" + std::to_string(server->port());
+        call.body = "{}";
+        call.timeout = {250};
+        client.send(std::move(call), [&](std::error_code error, http_response &&) {
+            results.push_back(error);
+            if (results.size() == calls) {
+                loop.stop();
+                return;
+            }
+            // The call after the unanswered one falls into the suspect period, later ones do not.
+            const bool isSuspect = results.size() == unansweredCall + 1;
+            loop.callAfter(isSuspect ? milliseconds {1} : suspectPeriod + suspectPeriod, startCall);
+        });
+    };
+    startCall();
+    loop.callAfter({10'000}, [&] { loop.stop(); });
+    loop.run();
+    REQUIRE(results.size() == calls);
+    for (std::size_t i = 0; i < results.size(); ++i) {
+        INFO("call " << i << ": " << results[i].message());
+        CHECK(static_cast<bool>(results[i]) == (i == unansweredCall));
+    }
+    CHECK(requests == calls);
+}
+
 // libwebsockets restarts its own 5 s timeout when a request over TLS is sent completely, which may
 // be after the client set its longer one. Calls then failed before their deadline.
 TEST_CASE("a call over TLS waits for its whole timeout even if the loop is busy while it is sent",
