--- a/modules/filbert_node/work_controller.h
+++ b/modules/filbert_node/work_controller.h
@@ -169,6 +169,7 @@
     time_point nextJoinAt;
     event_limit refusalLimit; // of log lines
     event_limit skipLimit;
+    event_limit reportLimit;
     time_point flushTime; // time of the current flush(), for the hooks of `log`
     order_router router;
     bool isStopping = false;
--- a/modules/filbert_node/work_requests.cpp
+++ b/modules/filbert_node/work_requests.cpp
@@ -35,11 +35,14 @@
     case body::kReport: {
         if (const auto problem = findProblem(*dispatch, request.report(), wallMs)) {
             metrics.countRefusedReport();
-            log_line {"report_refused", log_line::severity::Warning}
-                .with("target", request.report().id())
-                .with("born", request.report().born())
-                .with("service", request.report().service())
-                .with("problem", *problem);
+            if (const auto leftOut = reportLimit.admit(now)) {
+                log_line {"report_refused", log_line::severity::Warning}
+                    .with("target", request.report().id())
+                    .with("born", request.report().born())
+                    .with("service", request.report().service())
+                    .with("problem", *problem)
+                    .with("left_out", *leftOut);
+            }
             answerKind(from, messages::ANSWER_MALFORMED, *problem);
             break;
         }
