--- a/modules/filbert_core/log_line.cpp
+++ b/modules/filbert_core/log_line.cpp
@@ -84,10 +84,11 @@
 
 } // namespace
 
-log_line::log_line(std::string_view event, severity level)
+log_line::log_line(std::string_view event, severity level, volume rate)
     : level {level}
     , isWritten {FLAGS_minloglevel <= toGlogSeverity(level)
-                 && (!outputSink || outputSink->output.acceptsLine(monotonicNow()))}
+                 && (!outputSink || rate == volume::Periodic
+                     || outputSink->output.acceptsLine(monotonicNow()))}
 {
     if (isWritten) {
         text += "event=";
--- a/modules/filbert_core/log_line.h
+++ b/modules/filbert_core/log_line.h
@@ -20,7 +20,12 @@
 public:
     enum class severity { Info, Warning, Error };
 
-    explicit log_line(std::string_view event, severity level = severity::Info);
+    /** Whether the line counts against the limit of lines per second. Periodic lines, which sum up
+        what the others tell one by one, do not: they matter most when the others are discarded. */
+    enum class volume { Limited, Periodic };
+
+    explicit log_line(std::string_view event, severity level = severity::Info,
+                      volume rate = volume::Limited);
     ~log_line();
     log_line(const log_line &) = delete;
     log_line &operator=(const log_line &) = delete;
--- a/modules/filbert_dispatch/dispatch_state.h
+++ b/modules/filbert_dispatch/dispatch_state.h
@@ -316,6 +316,25 @@
     std::unordered_map<std::string_view, std::size_t> indexById;
 };
 
+/** What the leader has done since its term began. */
+struct dispatch_totals
+{
+    std::uint64_t passes = 0;
+    std::uint64_t orderedSteps = 0; // pending steps, summed over the passes
+    std::uint64_t triedSteps = 0; // of those: steps for which a pass looked for capacity
+    std::uint64_t unplacedSteps = 0; // of those: steps for which it found too little
+    std::uint64_t consideredCandidates = 0; // targets considered for a step
+    std::uint64_t proposedStarts = 0;
+    // Requests to the policy service by purpose, and the targets that they named.
+    std::uint64_t firstRequests = 0;
+    std::uint64_t furtherRequests = 0;
+    std::uint64_t renewals = 0;
+    std::uint64_t namedTargets = 0;
+    std::uint64_t starts = 0; // orders, with repetitions
+    std::uint64_t stops = 0;
+    std::uint64_t polls = 0;
+};
+
 /** What only a serving leader knows. It is rebuilt from the replicated state in each term. */
 struct dispatch_state
 {
@@ -356,7 +375,7 @@
     // steps cause.
     time_point earliestPassAt;
     std::size_t pendingStepCount = 0; // as of the last pass
-    std::uint64_t passCount = 0;
+    dispatch_totals totals;
     // How often a target was considered for a request to the policy service; shows the cost of
     // requests.
     std::uint64_t consideredCandidates = 0;
--- a/modules/filbert_dispatch/scheduling.cpp
+++ b/modules/filbert_dispatch/scheduling.cpp
@@ -31,6 +31,7 @@
     }
     const auto consider = [&](std::size_t index) {
         const auto &candidate = service.candidates[index];
+        ++pass.state.totals.consideredCandidates;
         if (fits(step.need, candidate.free) && isEligible(step, candidate)) {
             indices.push_back(index);
         }
@@ -107,6 +108,7 @@
     start->set_born(candidate.target->incarnation);
     start->set_checkpoint(checkpoint);
     pass.state.effects.commands.push_back(std::move(command));
+    ++pass.state.totals.proposedStarts;
 }
 
 /** Reserves the targets with the most free resources for a step that found no capacity, so that
@@ -186,6 +188,7 @@
     step.isSuspect = unplaced == 0 && unplacedSuspects > 0;
     if (unplaced > 0) {
         ++service.unplacedSteps;
+        ++pass.state.totals.unplacedSteps;
         reserveCandidates(pass, step, service, unplaced);
     }
     if (unplaced + unplacedSuspects > 0) {
@@ -253,6 +256,7 @@
     const auto plan = planGangPlacement(pass, step, service, record.tasks.size());
     if (plan.empty()) {
         ++service.unplacedSteps;
+        ++pass.state.totals.unplacedSteps;
         const bool isLate = step.rank >= lateRankOffset;
         if (isLate || !preemptFor(pass, step, service, record.tasks.size())) {
             reserveCandidates(pass, step, service, record.tasks.size());
@@ -276,18 +280,21 @@
 void placeWaitingTasks(dispatch_state &state, time_point now)
 {
     placement_pass pass {state, now, queuesOf(state), {}};
-    ++state.passCount;
+    auto &totals = state.totals;
+    ++totals.passes;
     auto steps = pendingStepsInOrder(state, pass.queues, now);
     state.pendingStepCount = steps.size();
+    totals.orderedSteps += steps.size();
     for (auto &step : steps) {
         auto &service = serviceOf(pass, step.queue->service());
         // After many steps without capacity, each further step is tried only in one of several
         // passes.
         const bool isSkipped = service.unplacedSteps >= maxUnplacedSteps
-            && (std::hash<std::string> {}(step.name.job) + state.passCount) % passesPerRetry != 0;
+            && (std::hash<std::string> {}(step.name.job) + totals.passes) % passesPerRetry != 0;
         if (isSkipped) {
             continue;
         }
+        ++totals.triedSteps;
         if (dependsOnTaskCounts(*step.spec)) {
             step.tasksByTarget = countTasksByTarget(pass, step.name);
         }
--- a/modules/filbert_dispatch/target_orders.cpp
+++ b/modules/filbert_dispatch/target_orders.cpp
@@ -99,6 +99,7 @@
                                      state.settings.maxRetryTokens);
     }
     run.isOrderPending = true;
+    ++state.totals.starts;
     state.effects.orders.push_back(std::move(order));
 }
 
@@ -108,6 +109,7 @@
     auto order = orderFor(state, target, registered, order_kind::Stop, now);
     order.task = task;
     order.run = run;
+    ++state.totals.stops;
     state.effects.orders.push_back(std::move(order));
 }
 
@@ -148,6 +150,7 @@
         order.pollWait + (isLossy ? lossyPollGracePeriod(state) : state.settings.pollGracePeriod);
     target.isPollPending = true;
     target.pollSentAt = now;
+    ++state.totals.polls;
     state.effects.orders.push_back(std::move(order));
 }
 
--- a/modules/filbert_dispatch/ticket_requests.cpp
+++ b/modules/filbert_dispatch/ticket_requests.cpp
@@ -37,13 +37,6 @@
                                    maxCostlyCalls);
 }
 
-void requestAdmissionFor(placement_pass &pass, const pending_step &step,
-                         const std::vector<std::string> &targets)
-{
-    requestAdmission(pass.state, step.name, *step.queue, targets,
-                     isCostly(*step.queue) ? targetsPerCostlyCall : targetsPerRequest, pass.now);
-}
-
 /** Which targets a request for tickets names. */
 enum class ticket_request {
     First, // the best fits, those without free capacity last
@@ -51,6 +44,34 @@
     Renewal, // those whose earlier tickets expire
 };
 
+/** Counts a request by its purpose. */
+void countRequest(dispatch_totals &totals, ticket_request kind, std::size_t targets)
+{
+    if (targets == 0) {
+        return;
+    }
+    switch (kind) {
+    case ticket_request::First:
+        ++totals.firstRequests;
+        break;
+    case ticket_request::Further:
+        ++totals.furtherRequests;
+        break;
+    case ticket_request::Renewal:
+        ++totals.renewals;
+        break;
+    }
+    totals.namedTargets += targets;
+}
+
+void requestAdmissionFor(placement_pass &pass, const pending_step &step, ticket_request kind,
+                         const std::vector<std::string> &targets)
+{
+    countRequest(pass.state.totals, kind, targets.size());
+    requestAdmission(pass.state, step.name, *step.queue, targets,
+                     isCostly(*step.queue) ? targetsPerCostlyCall : targetsPerRequest, pass.now);
+}
+
 /** @return the maximum number of targets to name in a request */
 std::size_t maxTargetsOf(const placement_pass &pass, const pending_step &step, ticket_request kind)
 {
@@ -162,13 +183,13 @@
         return;
     }
     if (view.requestedTargets.empty()) {
-        requestAdmissionFor(pass, step,
+        requestAdmissionFor(pass, step, ticket_request::First,
                             targetsToRequest(pass, step, service, view, ticket_request::First));
         return;
     }
     const auto &policy = step.queue->admission();
     if (hasAdmittedCapacity(pass, step, service, view)) {
-        requestAdmissionFor(pass, step,
+        requestAdmissionFor(pass, step, ticket_request::Renewal,
                             targetsToRequest(pass, step, service, view, ticket_request::Renewal));
         return;
     }
@@ -179,9 +200,9 @@
             return isTicketUsable(pass.state, each.second, policy, pass.now);
         });
     if (!furtherTargets.empty()) {
-        requestAdmissionFor(pass, step, furtherTargets);
+        requestAdmissionFor(pass, step, ticket_request::Further, furtherTargets);
     } else if (expectedAdmissionDuration(policy, 1) >= slowAdmissionTime && !hasUsableTicket) {
-        requestAdmissionFor(pass, step,
+        requestAdmissionFor(pass, step, ticket_request::Renewal,
                             targetsToRequest(pass, step, service, view, ticket_request::Renewal));
     }
     view.nextRequestAt = pass.now + requestDelay;
@@ -200,7 +221,7 @@
         return;
     }
     const auto &service = serviceOf(pass, step.queue->service());
-    requestAdmissionFor(pass, step,
+    requestAdmissionFor(pass, step, ticket_request::First,
                         targetsToRequest(pass, step, service, admission, ticket_request::First));
 }
 
--- a/modules/filbert_node/work_controller.h
+++ b/modules/filbert_node/work_controller.h
@@ -76,6 +76,9 @@
 
     bool isLeading() const { return dispatch.has_value(); }
 
+    /** @return what this term's dispatch knows, or nullptr while another controller leads */
+    const dispatch_state *leadersState() const { return dispatch ? &*dispatch : nullptr; }
+
     /** @return whether the process can stop: it does not lead any more */
     bool isReadyToStop() const { return log.state().role != replica_role::Leader; }
 
