--- a/modules/filbert_node/leader_client.cpp
+++ b/modules/filbert_node/leader_client.cpp
@@ -44,7 +44,7 @@
         messages::work_answer refusal;
         refusal.set_kind(messages::ANSWER_MALFORMED);
         refusal.set_detail("a text of the request is not valid UTF-8");
-        onCompletion({true, false, refusal});
+        onCompletion({true, false, false, refusal});
         return;
     }
     const auto id = ++lastExchange;
@@ -65,7 +65,7 @@
         return;
     }
     if (hooks.send(leader, call.envelope)) {
-        call.wasSent = true;
+        ++call.copiesSent;
         call.sentTo = leader;
         call.nextSendAt = now + settings.resendTimeout;
     }
@@ -104,7 +104,7 @@
     }
     const auto call = std::move(found->second);
     calls.erase(found);
-    call.onCompletion({true, true, envelope.answer()});
+    call.onCompletion({true, true, call.copiesSent > 1, envelope.answer()});
 }
 
 void leader_client::handleWelcome(const std::string &address, const messages::peer_welcome &welcome,
@@ -180,7 +180,7 @@
     }
     std::vector<std::uint64_t> expired;
     for (auto &[id, call] : calls) {
-        if (now >= call.deadline || (!call.wasSent && now >= call.unsentDeadline)) {
+        if (now >= call.deadline || (call.copiesSent == 0 && now >= call.unsentDeadline)) {
             expired.push_back(id);
         } else if (now >= call.nextSendAt) {
             sendCall(call, now);
@@ -189,7 +189,7 @@
     for (const auto id : expired) {
         const auto call = std::move(calls.at(id));
         calls.erase(id);
-        call.onCompletion({false, call.wasSent, {}});
+        call.onCompletion({false, call.copiesSent > 0, call.copiesSent > 1, {}});
     }
 }
 
--- a/modules/filbert_node/leader_client.h
+++ b/modules/filbert_node/leader_client.h
@@ -44,6 +44,7 @@
 {
     bool isAnswered = false;
     bool wasSent = false; // without an answer, the request may still have taken effect
+    bool wasResent = false; // an earlier copy may have taken effect, whatever the answer says
     messages::work_answer answer;
 };
 
@@ -117,7 +118,7 @@
         time_point unsentDeadline;
         time_point nextSendAt;
         std::string sentTo;
-        bool wasSent = false;
+        int copiesSent = 0;
         call_handler onCompletion;
     };
 
--- a/modules/filbert_node/tests/leader_client_test.cpp
+++ b/modules/filbert_node/tests/leader_client_test.cpp
@@ -1,6 +1,7 @@
 #include "filbert_node/filbert_node.h"
 
 #include <catch2/catch.hpp>
+#include <optional>
 
 using namespace filbert;
 
@@ -113,6 +114,34 @@
     CHECK(result->wasSent);
 }
 
+// Guards against a caller that is told that its request was rejected, while an earlier copy of it
+// was accepted.
+TEST_CASE("the answer to a resent request says that an earlier copy may have taken effect",
+          "[link]")
+{
+    for (const bool isResent : {false, true}) {
+        client_fixture fixture;
+        fixture.receiveWelcome("tcp://c1", "tcp://c1");
+        std::optional<call_result> result;
+        fixture.client.call({}, fixture.now, fixture.now + milliseconds {3'000},
+                            [&](call_result &&outcome) { result = std::move(outcome); });
+        if (isResent) {
+            fixture.advance({700});
+        }
+        messages::work_envelope answer;
+        answer.mutable_answer()->set_kind(messages::ANSWER_UNAUTHORIZED);
+        for (const auto &[address, envelope] : fixture.sent) {
+            if (envelope.has_request()) {
+                answer.set_exchange(envelope.exchange());
+            }
+        }
+        fixture.client.handleEnvelope("tcp://c1", answer, fixture.now);
+        REQUIRE(result);
+        CHECK(result->isAnswered);
+        CHECK(result->wasResent == isResent);
+    }
+}
+
 TEST_CASE("a follower's welcome does not replace a leader that is still in contact", "[link]")
 {
     client_fixture fixture;
