Relays: an order is not lost while its answer may be unread after a long turn

Cause: the router judges deadlines in a timer, before the loop reads its messages. After a turn that is longer than the rest of the deadline, every order of a relay counted as lost with the relay: its starts were sent again or stopped, and took more of the time that was short. Change: deadlines and silence are judged by the time of the previous tick; all messages that had arrived by then have been read.

--- a/modules/filbert_node/order_router.cpp
+++ b/modules/filbert_node/order_router.cpp
@@ -159,14 +159,17 @@
 
 void order_router::tick(time_point now)
 {
+    // Messages that have arrived since the last call may not have been read yet.
+    const auto readUntil = std::exchange(lastTickAt, now);
     std::map<std::string, std::string> lost; // reason by relay
     for (const auto &[id, pending] : pendingOrders) {
-        if (now >= pending.deadline) {
+        if (readUntil >= pending.deadline) {
             lost.emplace(pending.relay, "an order timed out without an answer");
         }
     }
     for (const auto &[name, relay] : relays) {
-        if (relay.lastContactAt.ms != 0 && now - relay.lastContactAt >= settings.relayTimeout) {
+        if (relay.lastContactAt.ms != 0
+            && readUntil - relay.lastContactAt >= settings.relayTimeout) {
             lost.emplace(name, "no hello within the timeout");
         }
     }
--- a/modules/filbert_node/order_router.h
+++ b/modules/filbert_node/order_router.h
@@ -135,6 +135,7 @@
     std::map<std::string, messages::work_envelope> outgoing; // for the next flush, by relay
     std::vector<waiting_order> waitingOrders; // until a relay is known, or the wait for one is over
     time_point relayWaitDeadline;
+    time_point lastTickAt;
     std::uint64_t lastId = 0;
 };
 
