Leader client: unanswered requests are resent more and more rarely

Cause: each request without an answer was sent again every 600 ms. A leader whose turns take 200 ms needs that long to commit, and got submissions and reports several times.

--- a/modules/filbert_node/leader_client.cpp
+++ b/modules/filbert_node/leader_client.cpp
@@ -67,7 +67,8 @@
     if (hooks.send(leader, call.envelope)) {
         ++call.copiesSent;
         call.sentTo = leader;
-        call.nextSendAt = now + settings.resendTimeout;
+        const auto doublings = std::min(call.copiesSent - 1, settings.maxResendDoublings);
+        call.nextSendAt = now + settings.resendTimeout * (std::int64_t {1} << doublings);
     }
 }
 
--- a/modules/filbert_node/leader_client.h
+++ b/modules/filbert_node/leader_client.h
@@ -29,8 +29,10 @@
     // Period of hellos while no leader is known. It is shorter, since requests wait meanwhile.
     milliseconds leaderSearchPeriod {100};
     // A request without an answer is sent again after this time, which is safe for every request.
-    // It is several times as long as the longest commit.
+    // It is several times as long as the longest commit, and doubled with each further copy: a
+    // leader that is short of time would otherwise get each request several times.
     milliseconds resendTimeout {600};
+    int maxResendDoublings = 3;
     milliseconds retryDelay {60}; // after an answer that the controller does not lead
     // A request that could not be sent fails after this time, which covers an election.
     milliseconds unsentTimeout {1'500};
--- a/modules/filbert_node/tests/leader_client_test.cpp
+++ b/modules/filbert_node/tests/leader_client_test.cpp
@@ -142,6 +142,20 @@
     }
 }
 
+// Guards against a leader that is short of time and gets each request several times.
+TEST_CASE("an unanswered request is resent more and more rarely", "[link]")
+{
+    client_fixture fixture;
+    fixture.receiveWelcome("tcp://c1", "tcp://c1");
+    fixture.client.call({}, fixture.now, fixture.now + milliseconds {10'000},
+                        [](call_result &&) {});
+    for (int i = 0; i < 40; ++i) {
+        fixture.advance({100});
+        fixture.receiveWelcome("tcp://c1", "tcp://c1");
+    }
+    CHECK(fixture.requestAddresses().size() == 3); // after 600 and 1,800 ms
+}
+
 TEST_CASE("a follower's welcome does not replace a leader that is still in contact", "[link]")
 {
     client_fixture fixture;
