--- a/modules/filbert_node/work_controller.cpp
+++ b/modules/filbert_node/work_controller.cpp
@@ -9,24 +9,11 @@
 
 constexpr milliseconds peerTimeout {3'000}; // ten missed hellos: the process is considered gone
 
-std::string commandName(const messages::work_command &command)
-{
-    const auto *field = messages::work_command::descriptor()->FindFieldByNumber(
-        static_cast<int>(command.body_case()));
-    return field != nullptr ? field->name() : "none";
-}
-
 std::string answerName(messages::work_answer_kind kind)
 {
     return messages::work_answer_kind_Name(kind);
 }
 
-std::string orderName(order_kind kind)
-{
-    constexpr const char *names[] = {"start", "stop", "look", "pace"};
-    return names[static_cast<std::size_t>(kind)];
-}
-
 } // namespace
 
 work_controller::work_controller(const work_controller_settings &settings,
@@ -314,7 +301,7 @@
             logCrash(command.crashed());
         }
         const auto outcome = applyCommand(state, command, batch.wall_ms());
-        metrics.countCommand(commandName(command));
+        metrics.countCommand(command);
         const bool isOwnEntry = !proposed.empty() && entry.term() == log.state().term;
         handleAppliedCommand(command, outcome,
                              isOwnEntry ? proposed.mapped().replies[static_cast<std::size_t>(i)]
@@ -407,8 +394,7 @@
 void work_controller::handleOrderAnswer(const target_order &order, const order_answer &answer,
                                         time_point now)
 {
-    metrics.observeOrder(orderName(order.kind), std::string {resultName(answer.result)},
-                         now - order.sentAt);
+    metrics.observeOrder(order.kind, answer.result, now - order.sentAt);
     if (dispatch) {
         filbert::handleOrderAnswer(*dispatch, order, answer, now);
     }
--- a/modules/filbert_node/work_metrics.cpp
+++ b/modules/filbert_node/work_metrics.cpp
@@ -28,8 +28,21 @@
     return prometheus::BuildHistogram().Name(name).Help(help).Register(registry);
 }
 
+std::string orderName(order_kind kind)
+{
+    constexpr const char *names[] = {"start", "stop", "look", "pace"};
+    return names[static_cast<std::size_t>(kind)];
+}
+
 } // namespace
 
+std::string commandName(const messages::work_command &command)
+{
+    const auto *field = messages::work_command::descriptor()->FindFieldByNumber(
+        static_cast<int>(command.body_case()));
+    return field != nullptr ? field->name() : "none";
+}
+
 work_metrics::work_metrics()
     : registry {std::make_shared<prometheus::Registry>()}
     , commands {counterFamily(*registry, "filbert_work_commands_total",
@@ -73,11 +86,28 @@
     commitSeconds.Observe(secondsOf(duration));
 }
 
-void work_metrics::observeOrder(const std::string &kind, const std::string &result,
-                                milliseconds duration)
+void work_metrics::countCommand(const messages::work_command &command)
 {
-    orders.Add({{"kind", kind}, {"result", result}}).Increment();
-    orderSeconds.Add({{"kind", kind}}, secondsBuckets).Observe(secondsOf(duration));
+    auto &counter = commandCounters[static_cast<int>(command.body_case())];
+    if (counter == nullptr) {
+        counter = &commands.Add({{"kind", commandName(command)}});
+    }
+    counter->Increment();
+}
+
+void work_metrics::observeOrder(order_kind kind, order_result result, milliseconds duration)
+{
+    auto &counter = orderCounters[{kind, result}];
+    if (counter == nullptr) {
+        counter =
+            &orders.Add({{"kind", orderName(kind)}, {"result", std::string {resultName(result)}}});
+    }
+    counter->Increment();
+    auto &histogram = orderHistograms[kind];
+    if (histogram == nullptr) {
+        histogram = &orderSeconds.Add({{"kind", orderName(kind)}}, secondsBuckets);
+    }
+    histogram->Observe(secondsOf(duration));
 }
 
 void work_metrics::setState(bool isLeading, std::uint64_t applied, int members, std::size_t jobs)
--- a/modules/filbert_node/work_metrics.h
+++ b/modules/filbert_node/work_metrics.h
@@ -1,7 +1,9 @@
 #pragma once
 
-#include "filbert_core/filbert_core.h"
+#include "filbert_dispatch/filbert_dispatch.h"
 
+#include <array>
+#include <map>
 #include <memory>
 #include <prometheus/counter.h>
 #include <prometheus/family.h>
@@ -12,13 +14,17 @@
 
 namespace filbert {
 
+/** @return the name of a command's kind in logs and metrics */
+std::string commandName(const messages::work_command &command);
+
 /** Prometheus metrics of a controller of staged jobs. */
 class work_metrics
 {
 public:
     work_metrics();
 
-    void countCommand(const std::string &kind) { commands.Add({{"kind", kind}}).Increment(); }
+    /** Counts an applied command. */
+    void countCommand(const messages::work_command &command);
     void countAnswer(const std::string &kind) { answers.Add({{"kind", kind}}).Increment(); }
     /** Counts a crash of a target against a task. @param isGivenUp  whether its job fails for it */
     void countSuspicion(bool isGivenUp)
@@ -38,7 +44,7 @@
     /** Records the end of an order, with or without a target's answer.
         @param duration  time since the order was sent
     */
-    void observeOrder(const std::string &kind, const std::string &result, milliseconds duration);
+    void observeOrder(order_kind kind, order_result result, milliseconds duration);
 
     /** Sets the gauges. @param applied last log index that was applied */
     void setState(bool isLeading, std::uint64_t applied, int members, std::size_t jobs);
@@ -65,6 +71,10 @@
     prometheus::Family<prometheus::Gauge> &state;
     prometheus::Family<prometheus::Gauge> &activitySeconds;
     prometheus::Family<prometheus::Gauge> &activityCounts;
+    // The metrics that are updated most often, since it takes long to find one by its labels.
+    std::map<int, prometheus::Counter *> commandCounters; // by number of the field of the command
+    std::map<std::pair<order_kind, order_result>, prometheus::Counter *> orderCounters;
+    std::map<order_kind, prometheus::Histogram *> orderHistograms;
 };
 
 /** Prometheus metrics of an entry host of staged jobs. */
