Leader: keeps what it knows when its lease lapses for a moment

Cause: heartbeats of a turn left at its end, after placement, so that a lease had to outlast three turns; a leader without a lease dropped its whole dispatch state and started cold, which makes its next turns longer still. Change: heartbeats leave before the work of a turn. Orders are held while the lease has lapsed, and sent if it is renewed in the same term: no other can have led then. They are discarded when the term ends. There is no test of its own for the held orders.

--- a/modules/filbert_node/work_controller.cpp
+++ b/modules/filbert_node/work_controller.cpp
@@ -483,8 +483,11 @@
 {
     const auto &view = log.state();
     if (dispatch && (view.role != replica_role::Leader || dispatch->term != view.term)) {
-        log_line {"leading_ended"}.with("term", dispatch->term);
+        log_line {"leading_ended"}
+            .with("term", dispatch->term)
+            .with("discarded_orders", dispatch->effects.orders.size());
         dispatch.reset();
+        areOrdersHeld = false;
     }
     if (view.role != replica_role::Leader) {
         rejectPendingRequests();
@@ -515,15 +518,18 @@
         return;
     }
     if (!log.isServing(now)) {
-        // The lease has expired, so another controller may lead by now: the orders of this term
-        // are discarded.
-        log_line {"orders_dropped", log_line::severity::Warning}
-            .with("term", dispatch->term)
-            .with("orders", dispatch->effects.orders.size());
-        dispatch.reset();
+        // The lease has expired, so another controller may lead by now. The orders wait: if the
+        // lease is renewed in this term, no other has led; if the term ends, they are discarded.
+        if (!std::exchange(areOrdersHeld, true)) {
+            log_line {"orders_held", log_line::severity::Warning}
+                .with("term", dispatch->term)
+                .with("orders", dispatch->effects.orders.size());
+        }
         return;
     }
-    for (const auto &order : std::exchange(dispatch->effects.orders, {})) {
+    const bool wereOrdersHeld = std::exchange(areOrdersHeld, false);
+    for (auto &order : std::exchange(dispatch->effects.orders, {})) {
+        order.sentAt = wereOrdersHeld ? now : order.sentAt;
         const auto target = state.targets.find(order.target);
         const auto failureDomain = target == state.targets.end()
             ? std::string {}
@@ -544,7 +550,9 @@
     auto &activities = metrics.activities();
     const activity_scope scope {activities, activity::Replication};
     flushTime = now;
-    log.tick(now); // sends heartbeats on time even when a turn takes long
+    // Heartbeats are sent on time even when a turn takes long.
+    log.tick(now);
+    log.sendReadyMessages();
     updateLeadership(now, wallMs);
     if (dispatch && log.isServing(now)) {
         {
--- a/modules/filbert_node/work_controller.h
+++ b/modules/filbert_node/work_controller.h
@@ -176,6 +176,7 @@
     time_point flushTime; // time of the current flush(), for the hooks of `log`
     order_router router;
     bool isStopping = false;
+    bool areOrdersHeld = false; // orders wait for the lease to be renewed
 };
 
 } // namespace filbert
--- a/modules/filbert_replication/log_member.h
+++ b/modules/filbert_replication/log_member.h
@@ -67,6 +67,10 @@
     /** Handles all timeouts; call it every 10 to 20 ms. */
     void tick(time_point now);
 
+    /** Sends the messages that need not wait for a write, such as heartbeats. flush() does so too;
+        call this before work that takes long. */
+    void sendReadyMessages() { sendMessages(&effects.messagesBeforeSync); }
+
     /** Appends an entry to the log, if this member leads.
 
         @param index  set to the index of the entry, or to 0 on an error
