Lost answers: the mode that costs more is bounded

Cause: two lost answers among 1,100 targets made the leader poll all of them four times a second: 2,660 polls a second instead of 650, which made further answers late (a metastable failure). Change: answers count as lost once 4 percent of the targets have lost some (two of 48, as before), all polls together stay within 1,500 a second, and repeating a pending poll takes a token of the retry budget.

--- a/modules/filbert_dispatch/dispatch_state.h
+++ b/modules/filbert_dispatch/dispatch_state.h
@@ -47,7 +47,11 @@
     // Number of targets whose answers were lost; a single target may be at fault itself.
     std::size_t lossyTargetThreshold = 2;
     milliseconds lossyPollWait {250}; // a third of the shortest usual task
+    double lossyTargetFraction = 0.04;
     // Of a target without runs on which a late start may begin one. Two such polls, one of them
+    // Polls of all targets while answers get lost. A poll takes the leader and its relay 0.1 ms of
+    // processor time each; with more targets than this allows, each is polled more rarely.
+    std::int64_t maxLossyPollsPerSecond = 1'500;
     // lost, and a stop fit into the time that an orphan run may take to be stopped.
     milliseconds idlePollWait {1'000};
     milliseconds lossyPollGracePeriod {150};
--- a/modules/filbert_dispatch/target_orders.cpp
+++ b/modules/filbert_dispatch/target_orders.cpp
@@ -3,6 +3,7 @@
 #include "target_tracking.h"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 namespace filbert {
@@ -133,7 +134,7 @@
     const bool isFirst = !target.clockMs;
     const bool isLossy = isLosingAnswers(state);
     if (!isIdle && !isFirst && !isStopping) {
-        order.pollWait = isLossy ? state.settings.lossyPollWait
+        order.pollWait = isLossy ? lossyPollWait(state)
             : isMixedLoad        ? state.settings.mixedLoadPollWait
                                  : state.settings.pollWait;
     } else if (isStopping) {
@@ -154,6 +155,15 @@
     state.effects.orders.push_back(std::move(order));
 }
 
+milliseconds lossyPollWait(const dispatch_state &state)
+{
+    constexpr std::int64_t millisecondsPerSecond = 1'000;
+    const auto &settings = state.settings;
+    const milliseconds affordable {static_cast<std::int64_t>(state.targets.size())
+                                   * millisecondsPerSecond / settings.maxLossyPollsPerSecond};
+    return std::clamp(affordable, settings.lossyPollWait, settings.pollWait);
+}
+
 milliseconds lossyPollGracePeriod(const dispatch_state &state)
 {
     return answerTimeout(state.startAnswerTime, state.settings.lossyPollGracePeriod,
@@ -213,7 +223,10 @@
 
 bool isLosingAnswers(const dispatch_state &state)
 {
-    return state.lostAnswers.size() >= state.settings.lossyTargetThreshold;
+    const auto &settings = state.settings;
+    const auto fraction = static_cast<std::size_t>(
+        std::llround(static_cast<double>(state.targets.size()) * settings.lossyTargetFraction));
+    return state.lostAnswers.size() >= std::max(settings.lossyTargetThreshold, fraction);
 }
 
 } // namespace filbert
--- a/modules/filbert_dispatch/target_orders.h
+++ b/modules/filbert_dispatch/target_orders.h
@@ -22,10 +22,13 @@
 /** @return the time by which the answer to a poll may be late while answers get lost */
 milliseconds lossyPollGracePeriod(const dispatch_state &state);
 
+/** @return how long a target may hold a poll while answers get lost */
+milliseconds lossyPollWait(const dispatch_state &state);
+
 /** @return the timeout of a poll while answers get lost */
 inline milliseconds lossyPollTimeout(const dispatch_state &state)
 {
-    return state.settings.lossyPollWait + lossyPollGracePeriod(state);
+    return lossyPollWait(state) + lossyPollGracePeriod(state);
 }
 
 /** Whether a start may be retried early; takes a token of the retry budget for it. */
--- a/modules/filbert_dispatch/target_tracking.cpp
+++ b/modules/filbert_dispatch/target_tracking.cpp
@@ -530,8 +530,8 @@
     tickRuns(state, target, *registered, now);
     const bool isPollLost = isLosingAnswers(state) && !isPolledForOrphans(target, now)
         && now - target.pollSentAt > lossyPollTimeout(state);
-    if ((!target.isPollPending || isPollLost) && now >= target.nextPollAt
-        && needsPoll(state, target, *registered, now)) {
+    if (now >= target.nextPollAt && needsPoll(state, target, *registered, now)
+        && (!target.isPollPending || (isPollLost && takeRetryToken(state)))) {
         sendPoll(state, target, *registered, now);
     }
 }
--- a/modules/filbert_dispatch/tests/target_tracking_test.cpp
+++ b/modules/filbert_dispatch/tests/target_tracking_test.cpp
@@ -1,4 +1,5 @@
 #include "dispatch_fixture.h"
+#include "filbert_dispatch/target_orders.h"
 
 #include <catch2/catch.hpp>
 #include <functional>
@@ -1016,3 +1017,55 @@
     }
     CHECK(cell.taskStatus(firstTask) == task_status::Running);
 }
+
+// Guards against a mode that multiplies the polls of a large cell because of a few targets.
+TEST_CASE("answers count as lost only if a fraction of the targets has lost some", "[dispatch]")
+{
+    dispatch_fixture cell;
+    for (int i = 0; i < 200; ++i) {
+        cell.registerTarget("t" + std::to_string(i));
+    }
+    cell.startLeading();
+    auto &state = *cell.leader;
+    for (int i = 0; i < 8; ++i) {
+        CHECK_FALSE(isLosingAnswers(state));
+        state.lostAnswers["t" + std::to_string(i)] = cell.now;
+    }
+    CHECK(isLosingAnswers(state)); // 4 percent
+}
+
+// Guards against more polls than the leader and its relays have time for, while answers get lost.
+TEST_CASE("the polls of all targets together stay within a rate while answers get lost",
+          "[dispatch]")
+{
+    dispatch_fixture cell;
+    for (int i = 0; i < 100; ++i) {
+        cell.registerTarget("t" + std::to_string(i));
+    }
+    cell.startLeading();
+    auto &state = *cell.leader;
+    CHECK(lossyPollWait(state) == state.settings.lossyPollWait);
+    state.settings.maxLossyPollsPerSecond = 100;
+    CHECK(lossyPollWait(state) == milliseconds {1'000});
+}
+
+// Guards against a new leader that loses its lease in its first turns, since all targets answer its
+// first polls at once.
+TEST_CASE("the first polls of a term are spread", "[dispatch]")
+{
+    constexpr int count = 400;
+    dispatch_fixture cell;
+    for (int i = 0; i < count; ++i) {
+        cell.registerTarget("t" + std::to_string(i));
+    }
+    cell.startLeading();
+    for (int i = 0; i < count; ++i) {
+        cell.reportTarget("t" + std::to_string(i));
+    }
+    cell.runFor({50});
+    const auto sent = cell.pendingOrders(order_kind::Poll).size();
+    CHECK(sent > 0);
+    CHECK(sent <= count / 2);
+    cell.runFor({100});
+    CHECK(cell.pendingOrders(order_kind::Poll).size() == count);
+}
