New leader: its first polls are spread

Cause: a new leader polled all targets at once, and the answers made its first turns longer than its lease. Change: four polls a millisecond. Test: "the first polls of a term are spread", fails before.

--- a/modules/filbert_dispatch/dispatch_state.cpp
+++ b/modules/filbert_dispatch/dispatch_state.cpp
@@ -14,6 +14,9 @@
 constexpr milliseconds cleanupPeriod {5'000}; // far below the retention of jobs
 constexpr std::size_t stepsPerMillisecond = 4; // pending steps that a pass goes through in a ms
 constexpr std::size_t targetsPerMillisecond = 50; // that a pass collects in a ms, each once
+// The first polls of a term are spread, since the answers to all of them at once would make the
+// first turns of a new leader longer than its lease.
+constexpr std::size_t firstPollsPerMillisecond = 4;
 constexpr milliseconds maxPassPause {40}; // a small fraction of the shortest latency objective
 constexpr int requestIdBits = 32; // leaves 2^32 request ids per term
 constexpr int maxJobsPerCleanup = 500; // keeps the entry of the log at some 10 kB
@@ -221,8 +224,11 @@
     for (const auto &[id, registered] : work.targets) {
         syncTarget(state, id, now);
     }
+    std::size_t polled = 0;
     for (auto &[id, target] : state.targets) {
         target.lateOrdersUntil = lateOrdersEnd(settings, target.incarnation, now, wallMs);
+        const auto delay = polled++ / firstPollsPerMillisecond;
+        target.nextPollAt = now + milliseconds {static_cast<std::int64_t>(delay)};
     }
     for (const auto &[id, job] : work.jobs) {
         if (!job.hasEnded()) {
