Placement: late work does not take the time and the calls that other work needs

Cause, by event=dispatch_load: 900 to 1,400 requests waited for the policy service, half of them renewals for late steps. Each caller had one call at a time and got the next one in the leader's next turn, 100 ms later; the queue was first come, first served. Tickets expired meanwhile or while their step was passed over, starts were rejected, and all was asked for again. Each request ranked all targets. Change: * Callers get quick requests for 100 ms ahead; late steps ask after others. * A request names targets from a place that differs by step and considers no more than it needs: steps that asked at the same time were admitted to the same few targets. * A step is tried at once when it gets tickets; of the others beyond 48 without capacity, 32 in a pass. * The margin of a ticket follows the time that starts take. * Late work goes with the least late first, and last of all what comes later than three times its objective. * Sorting steps no longer builds all of them; the place of a ticket's target is looked up once. Tests: nine cases, and a model of a leader whose turns take as long as what they did costs: after a burst of twice the load without a leader for 4 s, 30 of 63 later jobs were of use before, 63 now. Two tests are changed: one expected a single call at a time for a free caller and now expects as many as fill 100 ms; the gang's policy now admits the first target of each request, since which targets are named first has changed.

--- a/modules/filbert_dispatch/admission_requests.cpp
+++ b/modules/filbert_dispatch/admission_requests.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 #include <cmath>
+#include <functional>
+#include <queue>
 #include <utility>
 
 namespace filbert {
@@ -13,27 +15,45 @@
 constexpr milliseconds answerGracePeriod {250}; // added to the expected duration: many round trips
 // One of this many callers is kept free for quick policies.
 constexpr std::size_t callersPerQuickCaller = 3;
-// For each level by which its priority is lower, a request counts as made this much later. It thus
+// For each level by which its rank is lower, a request counts as made this much later. It thus
 // precedes more urgent requests that are made after that time. Otherwise gangs that renew their
 // tickets all the time would keep work of lower priority from any call.
-constexpr milliseconds agePerPriorityLevel {500};
+constexpr milliseconds agePerRank {500};
 
-std::vector<std::string> freeCallers(const dispatch_state &state, time_point now)
+/** A caller that can get a request, by the time until which it has work. */
+using available_caller = std::pair<time_point, std::string>;
+
+/** @return the callers that are in contact and have at most a certain amount of work left, those
+    with the least first */
+std::vector<available_caller> availableCallers(const dispatch_state &state, time_point now,
+                                               milliseconds maxQueuedTime)
 {
-    std::vector<std::string> free;
+    std::vector<available_caller> available;
     for (const auto &[name, caller] : state.callers) {
-        if (caller.pendingRequest == 0 && now - caller.lastContactAt < callerTimeout) {
-            free.push_back(name);
+        const auto freeAt = caller.pendingRequests.empty() ? now : std::max(caller.busyUntil, now);
+        const bool isFree = caller.pendingRequests.empty() || freeAt - now < maxQueuedTime;
+        if (isFree && now - caller.lastContactAt < callerTimeout) {
+            available.emplace_back(freeAt, name);
         }
     }
-    return free;
+    std::sort(available.begin(), available.end());
+    return available;
+}
+
+std::size_t countFreeCallers(const std::vector<available_caller> &available,
+                             const dispatch_state &state)
+{
+    return static_cast<std::size_t>(
+        std::count_if(available.begin(), available.end(), [&](const auto &each) {
+            return state.callers.at(each.second).pendingRequests.empty();
+        }));
 }
 
 void releaseCaller(dispatch_state &state, const std::string &caller, std::uint64_t id)
 {
     const auto found = state.callers.find(caller);
-    if (found != state.callers.end() && found->second.pendingRequest == id) {
-        found->second.pendingRequest = 0;
+    if (found != state.callers.end()) {
+        found->second.pendingRequests.erase(id);
     }
 }
 
@@ -48,9 +68,13 @@
 void sendToCaller(dispatch_state &state, const std::string &caller, std::uint64_t id,
                   pending_admission &pending, time_point now)
 {
+    auto &called = state.callers[caller];
+    const auto begin = called.pendingRequests.empty() ? now : std::max(called.busyUntil, now);
     pending.caller = caller;
     pending.sentAt = now;
-    state.callers[caller].pendingRequest = id;
+    pending.expectedAt = begin + pending.expectedDuration;
+    called.busyUntil = pending.expectedAt;
+    called.pendingRequests.insert(id);
     admission_call call;
     call.caller = caller;
     call.request.set_id(id);
@@ -72,10 +96,12 @@
 
 void reviewPending(dispatch_state &state, time_point now)
 {
+    // Answers may have arrived while this process did something else.
+    const auto sinceReview = now - std::exchange(state.lastAdmissionReviewAt, now);
+    const auto gracePeriod = answerGracePeriod + sinceReview;
     for (auto entry = state.pendingAdmissions.begin(); entry != state.pendingAdmissions.end();) {
         auto &[id, pending] = *entry;
-        const bool isOverdue = !pending.caller.empty()
-            && now - pending.sentAt > pending.expectedDuration + answerGracePeriod;
+        const bool isOverdue = !pending.caller.empty() && now - pending.expectedAt > gracePeriod;
         const bool isNeeded = isStillNeeded(state, pending.step);
         if (isOverdue) {
             log_line {"admission_unanswered", log_line::severity::Warning}
@@ -101,7 +127,7 @@
 
 std::size_t countSpareCallers(const dispatch_state &state, time_point now)
 {
-    const auto free = freeCallers(state, now).size();
+    const auto free = countFreeCallers(availableCallers(state, now, {}), state);
     const auto keptFree = state.callers.size() / callersPerQuickCaller;
     return free > keptFree ? free - keptFree : 0;
 }
@@ -116,7 +142,12 @@
 bool isTicketUsable(const dispatch_state &state, const admission_view::ticket &ticket,
                     const messages::admission_policy &policy, time_point now)
 {
-    return now - ticket.issuedAt < milliseconds {policy.ticket_ms()} - state.settings.ticketMargin;
+    const milliseconds validity {policy.ticket_ms()};
+    const auto &settings = state.settings;
+    const milliseconds maxMargin {validity.count / settings.maxTicketMarginDivisor};
+    const auto margin = answerTimeout(state.placementTime, settings.ticketMargin,
+                                      std::max(settings.ticketMargin, maxMargin));
+    return now - ticket.issuedAt < validity - margin;
 }
 
 const std::string *findUsableTicket(const dispatch_state &state, const admission_view &view,
@@ -130,8 +161,9 @@
 }
 
 void requestAdmission(dispatch_state &state, const task_name &step,
-                      const messages::work_queue &queue, const std::vector<std::string> &targets,
-                      std::size_t maxPerCall, time_point now)
+                      const messages::work_queue &queue, int rank,
+                      const std::vector<std::string> &targets, std::size_t maxPerCall,
+                      time_point now)
 {
     auto &view = state.admissions[step];
     if (view.pendingRequests > 0 || now < view.nextRequestAt) {
@@ -145,7 +177,7 @@
         pending.step = step;
         pending.expectedDuration = expectedAdmissionDuration(queue.admission(), count);
         pending.targets.assign(first, first + static_cast<std::ptrdiff_t>(count));
-        pending.priority = queue.priority();
+        pending.rank = rank;
         pending.requestedAt = now;
         state.areAdmissionsDue = true;
     }
@@ -164,7 +196,7 @@
                 pending.caller.clear(); // tickAdmissions() sends it to another
             }
         }
-        caller.pendingRequest = 0;
+        caller.pendingRequests.clear();
     }
     caller.lastContactAt = now;
 }
@@ -191,8 +223,9 @@
     auto &view = state.admissions[pending.step];
     --view.pendingRequests;
     view.requestedTargets.insert(pending.targets.begin(), pending.targets.end());
+    view.hasNewTickets = true;
     for (const auto &ticket : answer.admitted()) {
-        view.tickets[ticket.target()] = {ticket.ticket(), now};
+        view.tickets[ticket.target()] = {ticket.ticket(), now, 0, {}};
     }
     log_line {"admission"}
         .with("step", stepToString(pending.step))
@@ -218,7 +251,7 @@
     std::vector<std::pair<time_point, std::uint64_t>> waiting; // by the time that decides the order
     for (const auto &[id, pending] : state.pendingAdmissions) {
         if (pending.caller.empty()) {
-            const milliseconds handicap {agePerPriorityLevel.count * pending.priority};
+            const milliseconds handicap {agePerRank.count * pending.rank};
             waiting.emplace_back(pending.requestedAt + handicap, id);
         }
     }
@@ -226,19 +259,28 @@
         return;
     }
     std::sort(waiting.begin(), waiting.end());
-    auto free = freeCallers(state, now);
+    const auto available = availableCallers(state, now, state.settings.maxQueuedAdmissionTime);
+    auto freeCount = countFreeCallers(available, state);
     const auto keptFree = state.callers.size() / callersPerQuickCaller;
+    std::priority_queue<available_caller, std::vector<available_caller>, std::greater<>> callers {
+        std::greater<> {}, available};
     for (const auto &[time, id] : waiting) {
-        auto &pending = state.pendingAdmissions[id];
-        const bool isQuick = pending.expectedDuration <= maxQuickAdmissionTime;
-        if (free.empty()) {
+        if (callers.empty()) {
             break;
         }
-        if (!isQuick && free.size() <= keptFree) {
+        auto &pending = state.pendingAdmissions[id];
+        const bool isQuick = pending.expectedDuration <= maxQuickAdmissionTime;
+        if (!isQuick && freeCount <= keptFree) {
             continue;
         }
-        sendToCaller(state, free.back(), id, pending, now);
-        free.pop_back();
+        const auto name = callers.top().second;
+        callers.pop();
+        freeCount -= state.callers[name].pendingRequests.empty() ? 1 : 0;
+        sendToCaller(state, name, id, pending, now);
+        const auto freeAt = state.callers[name].busyUntil;
+        if (freeAt - now < state.settings.maxQueuedAdmissionTime) {
+            callers.emplace(freeAt, name);
+        }
     }
 }
 
--- a/modules/filbert_dispatch/admission_requests.h
+++ b/modules/filbert_dispatch/admission_requests.h
@@ -10,15 +10,18 @@
 /** Requests tickets for a step from the policy service, unless a request for that step is pending.
 
     The service takes one call at a time from each process, so calls are spread over the
-    registered callers. Some callers are kept free for quick calls, see maxQuickAdmissionTime.
+    registered callers. Some callers are kept free for quick calls, see maxQuickAdmissionTime. Quick
+    calls also wait at busy callers, so that these need not wait for the leader between two calls.
 
     @param step        the step, as a task name with index 0
+    @param rank        of the step, see pending_step::rank
     @param targets     to name in the request, the preferred ones first
     @param maxPerCall  maximum number of targets in a call; further ones go into parallel calls
 */
 void requestAdmission(dispatch_state &state, const task_name &step,
-                      const messages::work_queue &queue, const std::vector<std::string> &targets,
-                      std::size_t maxPerCall, time_point now);
+                      const messages::work_queue &queue, int rank,
+                      const std::vector<std::string> &targets, std::size_t maxPerCall,
+                      time_point now);
 
 /** Registers a process that can call the policy service, or notes that it is still there.
     @param name     of the process
--- a/modules/filbert_dispatch/dispatch_state.cpp
+++ b/modules/filbert_dispatch/dispatch_state.cpp
@@ -26,7 +26,7 @@
 {
     const auto task = toTaskName(start.task());
     releaseStart(state, task);
-    std::string ticket;
+    reserved_ticket ticket;
     if (const auto heldTicket = state.reservedTickets.extract(task)) {
         ticket = heldTicket.mapped();
     }
--- a/modules/filbert_dispatch/dispatch_state.h
+++ b/modules/filbert_dispatch/dispatch_state.h
@@ -44,14 +44,15 @@
     // While the network loses answers, the lossy values below replace the usual ones: short
     // timeouts and a second attempt then cost less than they save.
     milliseconds answerLossWindow {5'000}; // a lost answer counts for this long
-    // Number of targets whose answers were lost; a single target may be at fault itself.
+    // Number of targets whose answers were lost, and the fraction of all targets: single targets
+    // may be at fault themselves.
     std::size_t lossyTargetThreshold = 2;
-    milliseconds lossyPollWait {250}; // a third of the shortest usual task
     double lossyTargetFraction = 0.04;
-    // Of a target without runs on which a late start may begin one. Two such polls, one of them
+    milliseconds lossyPollWait {250}; // a third of the shortest usual task
     // Polls of all targets while answers get lost. A poll takes the leader and its relay 0.1 ms of
     // processor time each; with more targets than this allows, each is polled more rarely.
     std::int64_t maxLossyPollsPerSecond = 1'500;
+    // Of a target without runs on which a late start may begin one. Two such polls, one of them
     // lost, and a stop fit into the time that an orphan run may take to be stopped.
     milliseconds idlePollWait {1'000};
     milliseconds lossyPollGracePeriod {150};
@@ -71,12 +72,18 @@
     milliseconds initialQuarantine {3'000}; // of a target that failed several jobs in a row
     milliseconds maxQuarantine {12'000};
     int failuresBeforeQuarantine = 3; // in a row, from different jobs
-    milliseconds ticketMargin {250}; // a start must reach its target before its ticket expires
+    // A start must reach its target before its ticket expires. The margin is longer while starts
+    // take longer, up to a fraction of the time for which a ticket is valid.
+    milliseconds ticketMargin {250};
+    std::int64_t maxTicketMarginDivisor = 2;
     // At the latest after this time a target is ticked again, even if nothing was due earlier.
     milliseconds maxTargetPause {1'000};
     // Between reviews of the requests to the policy service, unless one was made, was answered or
     // can be sent.
     milliseconds admissionReviewPeriod {20};
+    // A caller gets further quick requests while those that it has take less than this time. It
+    // then has work until the leader's next turn, also where turns are long.
+    milliseconds maxQueuedAdmissionTime {100};
     milliseconds passPeriod {100}; // between passes while tasks wait and nothing changes
     // A run under which its target was heard after this time does not crash targets by starting.
     milliseconds crashWindow {500};
@@ -96,6 +103,8 @@
     bool isOrderPending = false; // a start or stop was sent and is not answered yet
     bool isAbandonmentProposed = false; // a command that ends it without a report was proposed
     bool mayHaveReachedTarget = true; // at least one start order may have arrived
+    time_point
+        placedAt; // when this leader placed it; 0 = without a ticket, or an earlier leader did
     time_point orderedAt; // when its start was sent first; 0 = not yet
     std::uint64_t startNumber = 0; // starts wait for their target in this order
     int startAttempts = 0;
@@ -179,11 +188,22 @@
     {
         std::string text;
         time_point issuedAt;
+        // Where its target is in the list of a certain version; see service_targets.
+        mutable std::uint64_t listVersion = 0;
+        mutable std::optional<std::size_t> listIndex;
     };
     std::unordered_map<std::string, ticket> tickets; // by target
     std::unordered_set<std::string> requestedTargets; // targets named in answered requests
     std::size_t pendingRequests = 0; // those without an answer yet
     time_point nextRequestAt;
+    bool hasNewTickets = false; // an answer has arrived since a pass last tried the step
+};
+
+/** The ticket of a start that was proposed. */
+struct reserved_ticket
+{
+    std::string text;
+    time_point placedAt;
 };
 
 /** A request to the policy service that waits for a caller or for its answer. */
@@ -192,10 +212,11 @@
     task_name step;
     std::vector<std::string> targets;
     milliseconds expectedDuration; // how long the call should take
-    int priority = 0;
+    int rank = 0; // of the step when it was requested; see pending_step::rank
     time_point requestedAt;
     std::string caller; // the process that makes the call; empty = it waits for one
     time_point sentAt;
+    time_point expectedAt; // when the answer should come, after those of earlier calls
 };
 
 /** A process that can call the policy service. */
@@ -203,7 +224,8 @@
 {
     time_point lastContactAt;
     std::uint64_t process = 0; // distinguishes successive processes of one name
-    std::uint64_t pendingRequest = 0;
+    std::set<std::uint64_t> pendingRequests; // the service handles them one after the other
+    time_point busyUntil; // when the last of these should have been handled
 };
 
 /** What the leader derives from a job to decide which of its steps come next. */
@@ -316,6 +338,7 @@
         std::string_view rack; // points into the labels of the registration
     };
 
+    std::uint64_t version = 0; // differs between all lists that were ever collected
     std::vector<entry> entries;
     std::unordered_map<std::string_view, std::size_t> indexById;
 };
@@ -334,6 +357,7 @@
     std::uint64_t furtherRequests = 0;
     std::uint64_t renewals = 0;
     std::uint64_t namedTargets = 0;
+    std::uint64_t rankedTargets = 0; // targets considered for such a request
     std::uint64_t starts = 0; // orders, with repetitions
     std::uint64_t stops = 0;
     std::uint64_t polls = 0;
@@ -349,6 +373,7 @@
     std::map<std::string, tracked_target> targets; // by id
     // By service; derived from `targets` when a pass needs it, empty while they change.
     std::map<std::string, service_targets> targetsByService;
+    std::uint64_t lastListVersion = 0; // of service_targets
     std::map<std::string, job_view> jobs; // by id; without ended ones
     std::set<std::string> repeatingJobs; // ids of those that begin occurrences at set times
     std::map<task_name, std::string> reservedStarts; // proposed starts: target by task
@@ -356,16 +381,18 @@
     std::map<std::uint64_t, pending_admission> pendingAdmissions;
     std::map<std::string, admission_caller> callers;
     std::map<std::string, resource_amounts> teamReserved;
-    std::map<task_name, std::string> reservedTickets;
+    std::map<task_name, reserved_ticket> reservedTickets; // of proposed starts
     std::map<task_name, std::string> abandonments; // proposed ones: target by task
     std::map<task_name, std::string> suspectStarts; // target by task, see crash_suspects.h
     std::set<std::pair<std::string, std::uint32_t>> proposedOccurrences; // (job, occurrence)
     std::uint64_t lastAdmissionId = 0;
     bool areAdmissionsDue = true; // a request may have become possible, or superfluous
     time_point nextAdmissionReviewAt; // the next review even if nothing has happened
+    time_point lastAdmissionReviewAt;
     std::uint64_t admissionReviews = 0;
     std::map<std::string, time_point> lostAnswers; // by target: when its last answer got lost
     round_trip_estimate startAnswerTime; // from sending a start to its answer, of all targets
+    round_trip_estimate placementTime; // from placing a task to the answer to its start
     double retryTokens = 0; // early retries of starts that are permitted at present
     std::uint64_t lastStartNumber = 0;
     time_point nextCleanupAt;
@@ -380,9 +407,6 @@
     time_point earliestPassAt;
     std::size_t pendingStepCount = 0; // as of the last pass
     dispatch_totals totals;
-    // How often a target was considered for a request to the policy service; shows the cost of
-    // requests.
-    std::uint64_t consideredCandidates = 0;
     dispatch_effects effects;
 };
 
--- a/modules/filbert_dispatch/order_answers.cpp
+++ b/modules/filbert_dispatch/order_answers.cpp
@@ -91,6 +91,9 @@
         run.confirmedAt = now;
         run.mayHaveReachedTarget = true;
         addSample(state.startAnswerTime, now - order.sentAt);
+        if (run.placedAt.ms > 0) {
+            addSample(state.placementTime, now - run.placedAt);
+        }
         if (run.phase == run_phase::Ordered) {
             run.phase = run_phase::Started;
             run.startedAt = now;
--- a/modules/filbert_dispatch/placement_pass.cpp
+++ b/modules/filbert_dispatch/placement_pass.cpp
@@ -65,6 +65,7 @@
         const auto &registration = registered->second.registration;
         const auto &labels = registration.labels();
         auto &service = state.targetsByService[registration.service()];
+        service.version = service.version == 0 ? ++state.lastListVersion : service.version;
         service.indexById.emplace(id, service.entries.size());
         service.entries.push_back({&target, &registered->second,
                                    labels.size() > 1
@@ -119,6 +120,16 @@
     return found == service.targets->indexById.end() ? std::nullopt : std::optional {found->second};
 }
 
+std::optional<std::size_t> candidateIndexOf(const service_view &service, const std::string &target,
+                                            const admission_view::ticket &ticket)
+{
+    if (ticket.listVersion != service.targets->version || ticket.listVersion == 0) {
+        ticket.listVersion = service.targets->version;
+        ticket.listIndex = candidateIndexOf(service, target);
+    }
+    return ticket.listIndex;
+}
+
 std::unordered_map<std::string_view, int> countTasksByTarget(const placement_pass &pass,
                                                              const task_name &step)
 {
--- a/modules/filbert_dispatch/placement_pass.h
+++ b/modules/filbert_dispatch/placement_pass.h
@@ -9,7 +9,9 @@
 
 namespace filbert {
 
-constexpr int lateRankOffset = 3; // added to the priority (0 to 2) of late work: it goes last
+// Added to the priority (0 to 2) of late work, and twice to that of work that is of no use any
+// more: it goes last.
+constexpr int lateRankOffset = 3;
 constexpr int noReservation = std::numeric_limits<int>::max();
 
 /** The configured queues by name. */
@@ -80,6 +82,10 @@
 /** @return the index of the candidate for a target, or nothing if the service has no such target */
 std::optional<std::size_t> candidateIndexOf(const service_view &service, const std::string &target);
 
+/** @return the same for the target that a ticket is for, which is looked up once for each list */
+std::optional<std::size_t> candidateIndexOf(const service_view &service, const std::string &target,
+                                            const admission_view::ticket &ticket);
+
 /** @return by target: how many tasks of the step run there or have a reservation */
 std::unordered_map<std::string_view, int> countTasksByTarget(const placement_pass &pass,
                                                              const task_name &step);
--- a/modules/filbert_dispatch/scheduling.cpp
+++ b/modules/filbert_dispatch/scheduling.cpp
@@ -17,6 +17,9 @@
 // At most one target in so many is reserved for pending steps.
 constexpr std::size_t targetsPerReservation = 4;
 constexpr std::size_t maxUnplacedSteps = 48; // steps without capacity: 2 ms of processor time
+// Of the steps beyond these, so many are tried in a pass, in turn; but each is tried in one of
+// passesPerRetry passes at the most.
+constexpr std::size_t maxRetriedSteps = 32;
 constexpr std::size_t passesPerRetry = 8; // at most 0.3 s if passes are 40 ms apart
 constexpr double acceleratorWeight = 1e6; // accelerators count first, then thousandths of a core
 
@@ -48,7 +51,7 @@
     }
     for (const auto &[id, ticket] : view->tickets) {
         const bool isUsable = isTicketUsable(pass.state, ticket, step.queue->admission(), pass.now);
-        const auto index = isUsable ? candidateIndexOf(service, id) : std::nullopt;
+        const auto index = isUsable ? candidateIndexOf(service, id, ticket) : std::nullopt;
         if (index) {
             consider(*index);
         }
@@ -87,7 +90,7 @@
             findUsableTicket(pass.state, *admissionOf(pass, step), step.queue->admission(),
                              candidate.target->id, pass.now);
         FILBERT_INVARIANT(ticket != nullptr, "a start under a policy has a ticket");
-        pass.state.reservedTickets[task] = *ticket;
+        pass.state.reservedTickets[task] = {*ticket, pass.now};
     }
     log_line {"placed"}
         .with("task", toString(task))
@@ -137,7 +140,7 @@
         }
     } else if (const auto *view = admissionOf(pass, step)) {
         for (const auto &[id, ticket] : view->tickets) {
-            if (const auto index = candidateIndexOf(service, id)) {
+            if (const auto index = candidateIndexOf(service, id, ticket)) {
                 consider(*index);
             }
         }
@@ -275,6 +278,18 @@
     }
 }
 
+/** Whether a step is tried although many steps before it have found no capacity: when it has new
+    tickets, which expire soon, and otherwise in one of several passes. */
+bool isTriedInThisPass(dispatch_state &state, const task_name &step, std::size_t pendingSteps)
+{
+    const auto view = state.admissions.find(step);
+    if (view != state.admissions.end() && std::exchange(view->second.hasNewTickets, false)) {
+        return true;
+    }
+    const auto passes = std::max(passesPerRetry, pendingSteps / maxRetriedSteps);
+    return (std::hash<std::string> {}(step.job) + state.totals.passes) % passes == 0;
+}
+
 } // namespace
 
 void placeWaitingTasks(dispatch_state &state, time_point now)
@@ -282,19 +297,19 @@
     placement_pass pass {state, now, queuesOf(state), {}};
     auto &totals = state.totals;
     ++totals.passes;
-    auto steps = pendingStepsInOrder(state, pass.queues, now);
-    state.pendingStepCount = steps.size();
-    totals.orderedSteps += steps.size();
-    for (auto &step : steps) {
-        auto &service = serviceOf(pass, step.queue->service());
-        // After many steps without capacity, each further step is tried only in one of several
-        // passes.
-        const bool isSkipped = service.unplacedSteps >= maxUnplacedSteps
-            && (std::hash<std::string> {}(step.name.job) + totals.passes) % passesPerRetry != 0;
-        if (isSkipped) {
+    const auto keys = pendingStepsInOrder(state, pass.queues, now);
+    state.pendingStepCount = keys.size();
+    totals.orderedSteps += keys.size();
+    for (const auto &key : keys) {
+        const auto &job = state.work->jobs.at(*key.job);
+        auto &service = serviceOf(pass, queueOfJob(pass.queues, job).service());
+        const task_name name {*key.job, key.occurrence, key.step, 0};
+        if (service.unplacedSteps >= maxUnplacedSteps
+            && !isTriedInThisPass(state, name, keys.size())) {
             continue;
         }
         ++totals.triedSteps;
+        auto step = pendingStepOf(state, pass.queues, name, *key.view, now);
         if (dependsOnTaskCounts(*step.spec)) {
             step.tasksByTarget = countTasksByTarget(pass, step.name);
         }
--- a/modules/filbert_dispatch/step_order.cpp
+++ b/modules/filbert_dispatch/step_order.cpp
@@ -9,6 +9,9 @@
 
 namespace {
 
+// A result that comes later than this many times its objective is of no use to its caller any more.
+constexpr std::int64_t maxUsefulObjectives = 3;
+
 bool isPending(const work_job &job, const occurrence_record &occurrence, std::uint32_t step)
 {
     const auto &record = occurrence.steps[step];
@@ -33,6 +36,31 @@
            });
 }
 
+/** How urgent a step is. */
+struct step_urgency
+{
+    int rank = 0; // see pending_step::rank
+    std::int64_t slackMs = 0;
+};
+
+step_urgency urgencyOf(const messages::work_queue &queue, const messages::step_spec &spec,
+                       const job_view &view, time_point begunAt, std::uint32_t step, time_point now)
+{
+    const auto objective = milliseconds {std::llround(static_cast<double>(view.criticalPath.count)
+                                                      * queue.slack_factor())}
+        + milliseconds {queue.latency_objective_ms()};
+    const auto remaining = view.criticalPathFrom[step];
+    step_urgency urgency;
+    urgency.slackMs = (begunAt + objective - now - remaining).count;
+    urgency.rank = queue.priority();
+    if (spec.lasts() || urgency.slackMs >= -remaining.count / 2) {
+        return urgency;
+    }
+    const bool isOfNoUse = urgency.slackMs < -objective.count * (maxUsefulObjectives - 1);
+    urgency.rank += isOfNoUse ? lateRankOffset * 2 : lateRankOffset;
+    return urgency;
+}
+
 /** Has the targets that run tasks of a job ticked, since these are to be stopped. */
 void markTargetsOfRuns(dispatch_state &state, const work_job &job)
 {
@@ -49,25 +77,26 @@
 
 } // namespace
 
+const messages::work_queue &queueOfJob(const queue_index &queues, const work_job &job)
+{
+    const auto configured = queues.find(job.job.queue());
+    return configured == queues.end() ? job.job.taken_under() : *configured->second;
+}
+
 pending_step pendingStepOf(const dispatch_state &state, const queue_index &queues,
                            const task_name &name, const job_view &view, time_point now)
 {
     pending_step pending;
     const auto &job = state.work->jobs.at(name.job);
-    const auto configured = queues.find(job.job.queue());
     pending.name = name;
     pending.job = &job;
     pending.spec = &stepSpecOf(job, name.step);
-    pending.queue = configured == queues.end() ? &job.job.taken_under() : configured->second;
+    pending.queue = &queueOfJob(queues, job);
     pending.need = targetReservation(*pending.spec);
-    const auto objective = milliseconds {std::llround(static_cast<double>(view.criticalPath.count)
-                                                      * pending.queue->slack_factor())}
-        + milliseconds {pending.queue->latency_objective_ms()};
-    const auto remaining = view.criticalPathFrom[name.step];
-    pending.slackMs =
-        (view.occurrenceBegunAt.at(name.occurrence) + objective - now - remaining).count;
-    const bool isLate = !pending.spec->lasts() && pending.slackMs < -remaining.count / 2;
-    pending.rank = pending.queue->priority() + (isLate ? lateRankOffset : 0);
+    const auto urgency = urgencyOf(*pending.queue, *pending.spec, view,
+                                   view.occurrenceBegunAt.at(name.occurrence), name.step, now);
+    pending.slackMs = urgency.slackMs;
+    pending.rank = urgency.rank;
     return pending;
 }
 
@@ -80,17 +109,26 @@
     return queues;
 }
 
-std::vector<pending_step> pendingStepsInOrder(const dispatch_state &state,
-                                              const queue_index &queues, time_point now)
+std::vector<step_key> pendingStepsInOrder(const dispatch_state &state, const queue_index &queues,
+                                          time_point now)
 {
-    std::vector<pending_step> steps;
+    std::vector<step_key> steps;
     for (const auto &[id, view] : state.jobs) {
+        if (view.pendingSteps.empty()) {
+            continue;
+        }
+        const auto &job = state.work->jobs.at(id);
+        const auto &queue = queueOfJob(queues, job);
         for (const auto &[occurrence, step] : view.pendingSteps) {
-            steps.push_back(pendingStepOf(state, queues, {id, occurrence, step, 0}, view, now));
+            const auto urgency = urgencyOf(queue, stepSpecOf(job, step), view,
+                                           view.occurrenceBegunAt.at(occurrence), step, now);
+            const bool isLate = urgency.rank >= lateRankOffset;
+            steps.push_back({urgency.rank, isLate ? -urgency.slackMs : urgency.slackMs, &id, &view,
+                             occurrence, step});
         }
     }
-    std::sort(steps.begin(), steps.end(), [](const pending_step &a, const pending_step &b) {
-        return std::tie(a.rank, a.slackMs) < std::tie(b.rank, b.slackMs);
+    std::sort(steps.begin(), steps.end(), [](const step_key &a, const step_key &b) {
+        return std::tie(a.rank, a.order) < std::tie(b.rank, b.order);
     });
     return steps;
 }
--- a/modules/filbert_dispatch/step_order.h
+++ b/modules/filbert_dispatch/step_order.h
@@ -7,14 +7,32 @@
 /** @return the configured queues by name */
 queue_index queuesOf(const dispatch_state &state);
 
+/** @return the queue of a job as it is configured now or, if it was removed from the configuration,
+    as it was when the job was accepted */
+const messages::work_queue &queueOfJob(const queue_index &queues, const work_job &job);
+
 /** @param name  of the step, with index 0
     @param view  of its job
     @return the step with its present rank and slack */
 pending_step pendingStepOf(const dispatch_state &state, const queue_index &queues,
                            const task_name &name, const job_view &view, time_point now);
 
-/** @return all steps with waiting tasks, in the order in which a pass places them */
-std::vector<pending_step> pendingStepsInOrder(const dispatch_state &state,
-                                              const queue_index &queues, time_point now);
+/** A step with waiting tasks and what decides its place in the order of a pass. */
+struct step_key
+{
+    int rank = 0;
+    std::int64_t order = 0; // the lowest first among those of a rank
+    const std::string *job = nullptr;
+    const job_view *view = nullptr;
+    std::uint32_t occurrence = 0;
+    std::uint32_t step = 0;
+};
+
+/** @return all steps with waiting tasks, in the order in which a pass places them
+
+    In each rank, the step with the least slack goes first, unless it is late: then the one that is
+    the least late. If more is late than can be served, each would be served too late otherwise. */
+std::vector<step_key> pendingStepsInOrder(const dispatch_state &state, const queue_index &queues,
+                                          time_point now);
 
 } // namespace filbert
--- a/modules/filbert_dispatch/target_tracking.cpp
+++ b/modules/filbert_dispatch/target_tracking.cpp
@@ -472,7 +472,7 @@
 }
 
 void orderStart(dispatch_state &state, const messages::start_run_command &start,
-                const std::string &ticket, time_point now)
+                const reserved_ticket &ticket, time_point now)
 {
     const auto *registered = findRegisteredTarget(state, start.target());
     const auto found = state.targets.find(start.target());
@@ -487,7 +487,8 @@
     run.mayHaveReachedTarget = false;
     run.startNumber = ++state.lastStartNumber;
     run.checkpoint = start.checkpoint();
-    run.ticket = ticket;
+    run.ticket = ticket.text;
+    run.placedAt = ticket.placedAt;
     if (countPendingStarts(found->second) < state.settings.maxPendingStarts) {
         sendStart(state, found->second, *registered, task, run, now);
     }
--- a/modules/filbert_dispatch/target_tracking.h
+++ b/modules/filbert_dispatch/target_tracking.h
@@ -35,7 +35,7 @@
 /** Sends a committed start to its target.
     @param ticket  from the policy service; may be empty */
 void orderStart(dispatch_state &state, const messages::start_run_command &start,
-                const std::string &ticket, time_point now);
+                const reserved_ticket &ticket, time_point now);
 
 /** Requests that a run be stopped; the order is sent with the next tick.
     @param reason  for the log */
--- a/modules/filbert_dispatch/ticket_requests.cpp
+++ b/modules/filbert_dispatch/ticket_requests.cpp
@@ -3,6 +3,7 @@
 #include "admission_requests.h"
 
 #include <algorithm>
+#include <functional>
 
 namespace filbert {
 
@@ -20,7 +21,8 @@
 // uses only a share of the free callers, which leaves some to other steps.
 constexpr std::size_t maxCostlyCalls = 3;
 constexpr std::size_t spareCallersPerCall = 2;
-// Tickets to renew, besides one for each member of a gang.
+// Tickets to renew, besides one for each member of a gang, or each task under a policy that is not
+// costly.
 constexpr std::size_t targetsPerRefresh = 8;
 // If a call takes this long, tickets are renewed before there is capacity.
 constexpr milliseconds slowAdmissionTime {300};
@@ -68,7 +70,7 @@
                          const std::vector<std::string> &targets)
 {
     countRequest(pass.state.totals, kind, targets.size());
-    requestAdmission(pass.state, step.name, *step.queue, targets,
+    requestAdmission(pass.state, step.name, *step.queue, step.rank, targets,
                      isCostly(*step.queue) ? targetsPerCostlyCall : targetsPerRequest, pass.now);
 }
 
@@ -77,7 +79,7 @@
 {
     const auto tasks = static_cast<std::size_t>(step.spec->count());
     if (kind == ticket_request::Renewal) {
-        return targetsPerRefresh + (step.spec->is_gang() ? tasks : 0);
+        return targetsPerRefresh + (step.spec->is_gang() || !isCostly(*step.queue) ? tasks : 0);
     }
     return isCostly(*step.queue)
         ? targetsPerCostlyCall * costlyCallLimit(pass)
@@ -91,16 +93,55 @@
                targetsPerRequest, static_cast<std::size_t>(step.spec->count()) * targetsPerTask);
 }
 
+/** Whether the amount of free cores decides which targets fit a step best. */
+bool isRankedByFreeCores(const pending_step &step)
+{
+    const auto &spec = *step.spec;
+    return step.need.accelerators == 0 && spec.data_rack().empty() && !spec.lasts()
+        && !spec.fills_gaps();
+}
+
+/** Calls a function with the indices of candidates until it has found enough: first those with
+    enough free cores, then others. It begins at a place that differs by step: steps that ask at the
+    same time would otherwise all be admitted to the same few targets, and take them from each
+   other.
+    @param fitsOnly  whether to leave out those with too few free cores
+    @param consider  returns whether it needs more */
+template <typename Consider>
+void considerUntilEnough(const pending_step &step, const service_view &service, bool fitsOnly,
+                         Consider &&consider)
+{
+    const auto &byFreeCores = service.byFreeCores; // the most free cores first
+    const auto fitting = static_cast<std::size_t>(
+        std::partition_point(byFreeCores.begin(), byFreeCores.end(),
+                             [&](const auto &each) { return each.first >= step.need.milliCores; })
+        - byFreeCores.begin());
+    const auto offset = std::hash<std::string> {}(step.name.job);
+    const auto considerRange = [&](std::size_t begin, std::size_t end) {
+        const auto count = end - begin;
+        for (std::size_t i = 0; i < count; ++i) {
+            if (!consider(byFreeCores[begin + (offset + i) % count].second)) {
+                return false;
+            }
+        }
+        return true;
+    };
+    if (considerRange(0, fitting) && !fitsOnly) {
+        considerRange(fitting, byFreeCores.size());
+    }
+}
+
 /** @return targets to name in a request, the best fits with free capacity first */
 std::vector<std::string> targetsToRequest(const placement_pass &pass, const pending_step &step,
                                           const service_view &service, const admission_view &view,
                                           ticket_request kind)
 {
     constexpr double noCapacityCost = 1'000.0; // puts targets without capacity after all others
+    const auto maxTargets = maxTargetsOf(pass, step, kind);
     std::vector<std::pair<double, std::size_t>> ranked;
     const auto consider = [&](std::size_t index) {
         const auto &candidate = service.candidates[index];
-        ++pass.state.consideredCandidates;
+        ++pass.state.totals.rankedTargets;
         const bool isWanted = isEligible(step, candidate)
             && (kind == ticket_request::Renewal
                 || !view.requestedTargets.contains(candidate.target->id));
@@ -112,26 +153,29 @@
     };
     if (kind == ticket_request::Renewal) {
         for (const auto &[id, ticket] : view.tickets) {
-            if (const auto index = candidateIndexOf(service, id)) {
+            if (const auto index = candidateIndexOf(service, id, ticket)) {
                 consider(*index);
             }
         }
     } else if (kind == ticket_request::Further && knowsEnoughTargets(step, view)) {
         // More tickets for targets without capacity would only expire.
-        for (const auto &[freeCores, index] : service.byFreeCores) {
-            if (freeCores < step.need.milliCores) {
-                break;
-            }
+        considerUntilEnough(step, service, true, [&](std::size_t index) {
             if (fits(step.need, service.candidates[index].free)) {
                 consider(index);
             }
-        }
+            return ranked.size() < maxTargets;
+        });
+    } else if (isRankedByFreeCores(step)) {
+        considerUntilEnough(step, service, false, [&](std::size_t index) {
+            consider(index);
+            return ranked.size() < maxTargets;
+        });
     } else {
         for (std::size_t i = 0; i < service.candidates.size(); ++i) {
             consider(i);
         }
     }
-    const auto count = std::min(maxTargetsOf(pass, step, kind), ranked.size());
+    const auto count = std::min(maxTargets, ranked.size());
     std::partial_sort(ranked.begin(), ranked.begin() + static_cast<std::ptrdiff_t>(count),
                       ranked.end());
     std::vector<std::string> ids;
@@ -159,7 +203,7 @@
     const std::int64_t requiredTasks = step.spec->is_gang() ? step.spec->count() : 1;
     std::int64_t fittingTasks = 0;
     for (const auto &[id, ticket] : view.tickets) {
-        const auto index = candidateIndexOf(service, id);
+        const auto index = candidateIndexOf(service, id, ticket);
         if (!index) {
             continue;
         }
