--- a/modules/filbert_dispatch/ticket_requests.cpp
+++ b/modules/filbert_dispatch/ticket_requests.cpp
@@ -102,9 +102,8 @@
 }
 
 /** Calls a function with the indices of candidates until it has found enough: first those with
-    enough free cores, then others. It begins at a place that differs by step: steps that ask at the
-    same time would otherwise all be admitted to the same few targets, and take them from each
-   other.
+    enough free cores, then others. It begins at a place that differs by step. Otherwise steps that
+    ask at the same time would be admitted to the same few targets and take them from each other.
     @param fitsOnly  whether to leave out those with too few free cores
     @param consider  returns whether it needs more */
 template <typename Consider>
