Policy calls: only callers in contact count for those kept free

Cause: a third of the callers is kept free for quick calls, and that third was counted over all callers that were ever registered. None was ever forgotten. Once nine had been seen and three lived, all three were kept free. Ruled out: a lost answer of the policy service (it was never asked), and a full cell (all targets were empty).

Change: the share is one of the callers in contact, which is never all of them. A silent caller is forgotten once its request is overdue; a relay that was lost is forgotten too. A request that waits for two seconds is logged (admission_waits), with the callers in contact and those kept free, once a second.

Test: "a slow policy is called although most callers that ever registered are gone" and "a silent caller is remembered until its request is overdue" failed with the earlier count, and pass.

--- a/modules/filbert_dispatch/admission_requests.cpp
+++ b/modules/filbert_dispatch/admission_requests.cpp
@@ -13,8 +13,12 @@
 // A process without contact for this long, three missed hellos, gets no requests.
 constexpr milliseconds callerTimeout {1'500};
 constexpr milliseconds answerGracePeriod {250}; // added to the expected duration: many round trips
-// One of this many callers is kept free for quick policies.
+// One of this many callers in contact is kept free for quick policies.
 constexpr std::size_t callersPerQuickCaller = 3;
+// A request that still waits for a caller after this time is logged: several times the duration of
+// a call.
+constexpr milliseconds longAdmissionWait {2'000};
+constexpr milliseconds waitLogPeriod {1'000}; // bounds the lines about requests that wait
 // For each level by which its rank is lower, a request counts as made this much later. It thus
 // precedes more urgent requests that are made after that time. Otherwise gangs that renew their
 // tickets all the time would keep work of lower priority from any call.
@@ -23,6 +27,21 @@
 /** A caller that can get a request, by the time until which it has work. */
 using available_caller = std::pair<time_point, std::string>;
 
+bool isInContact(const admission_caller &caller, time_point now)
+{
+    return !caller.isAvoided && now - caller.lastContactAt < callerTimeout;
+}
+
+/** @return how many callers are kept free for quick calls: a share of those in contact, which is
+    never all of them */
+std::size_t countKeptFree(const dispatch_state &state, time_point now)
+{
+    const auto inContact =
+        std::count_if(state.callers.begin(), state.callers.end(),
+                      [&](const auto &each) { return isInContact(each.second, now); });
+    return static_cast<std::size_t>(inContact) / callersPerQuickCaller;
+}
+
 /** @return the callers that are in contact and have at most a certain amount of work left, those
     with the least first */
 std::vector<available_caller> availableCallers(const dispatch_state &state, time_point now,
@@ -32,7 +51,7 @@
     for (const auto &[name, caller] : state.callers) {
         const auto freeAt = caller.pendingRequests.empty() ? now : std::max(caller.busyUntil, now);
         const bool isFree = caller.pendingRequests.empty() || freeAt - now < maxQueuedTime;
-        if (isFree && now - caller.lastContactAt < callerTimeout) {
+        if (isFree && isInContact(caller, now)) {
             available.emplace_back(freeAt, name);
         }
     }
@@ -109,7 +128,7 @@
                 .with("caller", pending.caller);
             const auto caller = state.callers.find(pending.caller);
             if (caller != state.callers.end()) {
-                caller->second.lastContactAt = {}; // no further request before its next hello
+                caller->second.isAvoided = true;
             }
             releaseCaller(state, pending.caller, id);
             pending.caller.clear();
@@ -123,12 +142,52 @@
     }
 }
 
+/** Forgets callers that are silent. Each registers itself again with its next hello. */
+void eraseSilentCallers(dispatch_state &state, time_point now)
+{
+    std::erase_if(state.callers, [&](const auto &each) {
+        const auto &caller = each.second;
+        return now - caller.lastContactAt >= callerTimeout && caller.pendingRequests.empty();
+    });
+}
+
+/** Logs the request that has waited longest for a caller, if that is long. */
+void logLongWait(dispatch_state &state, time_point now)
+{
+    if (now < state.nextAdmissionWaitLogAt) {
+        return;
+    }
+    const pending_admission *oldest = nullptr;
+    std::size_t count = 0;
+    for (const auto &[id, pending] : state.pendingAdmissions) {
+        if (!pending.caller.empty() || now - pending.requestedAt < longAdmissionWait) {
+            continue;
+        }
+        ++count;
+        if (oldest == nullptr || pending.requestedAt < oldest->requestedAt) {
+            oldest = &pending;
+        }
+    }
+    if (oldest == nullptr) {
+        return;
+    }
+    state.nextAdmissionWaitLogAt = now + waitLogPeriod;
+    log_line {"admission_waits", log_line::severity::Warning}
+        .with("step", stepToString(oldest->step))
+        .with("waited_ms", (now - oldest->requestedAt).count)
+        .with("expected_ms", oldest->expectedDuration.count)
+        .with("waiting", count)
+        .with("callers", state.callers.size())
+        .with("free", countFreeCallers(availableCallers(state, now, {}), state))
+        .with("kept_free", countKeptFree(state, now));
+}
+
 } // namespace
 
 std::size_t countSpareCallers(const dispatch_state &state, time_point now)
 {
     const auto free = countFreeCallers(availableCallers(state, now, {}), state);
-    const auto keptFree = state.callers.size() / callersPerQuickCaller;
+    const auto keptFree = countKeptFree(state, now);
     return free > keptFree ? free - keptFree : 0;
 }
 
@@ -187,7 +246,7 @@
                     time_point now)
 {
     auto &caller = state.callers[name];
-    if (now - caller.lastContactAt >= callerTimeout || caller.process != process) {
+    if (!isInContact(caller, now) || caller.process != process) {
         state.areAdmissionsDue = true; // it can be called again
     }
     if (std::exchange(caller.process, process) != process) {
@@ -199,6 +258,7 @@
         caller.pendingRequests.clear();
     }
     caller.lastContactAt = now;
+    caller.isAvoided = false;
 }
 
 void unregisterCaller(dispatch_state &state, const std::string &name)
@@ -248,6 +308,7 @@
     state.nextAdmissionReviewAt = now + state.settings.admissionReviewPeriod;
     ++state.admissionReviews;
     reviewPending(state, now);
+    eraseSilentCallers(state, now);
     std::vector<std::pair<time_point, std::uint64_t>> waiting; // by the time that decides the order
     for (const auto &[id, pending] : state.pendingAdmissions) {
         if (pending.caller.empty()) {
@@ -261,7 +322,7 @@
     std::sort(waiting.begin(), waiting.end());
     const auto available = availableCallers(state, now, state.settings.maxQueuedAdmissionTime);
     auto freeCount = countFreeCallers(available, state);
-    const auto keptFree = state.callers.size() / callersPerQuickCaller;
+    const auto keptFree = countKeptFree(state, now);
     std::priority_queue<available_caller, std::vector<available_caller>, std::greater<>> callers {
         std::greater<> {}, available};
     for (const auto &[time, id] : waiting) {
@@ -282,6 +343,7 @@
             callers.emplace(freeAt, name);
         }
     }
+    logLongWait(state, now);
 }
 
 } // namespace filbert
--- a/modules/filbert_dispatch/dispatch_state.h
+++ b/modules/filbert_dispatch/dispatch_state.h
@@ -223,6 +223,7 @@
 struct admission_caller
 {
     time_point lastContactAt;
+    bool isAvoided = false; // a request got no answer: it gets no other one before its next hello
     std::uint64_t process = 0; // distinguishes successive processes of one name
     std::set<std::uint64_t> pendingRequests; // the service handles them one after the other
     time_point busyUntil; // when the last of these should have been handled
@@ -379,7 +380,7 @@
     std::map<task_name, std::string> reservedStarts; // proposed starts: target by task
     std::map<task_name, admission_view> admissions; // by step (index 0)
     std::map<std::uint64_t, pending_admission> pendingAdmissions;
-    std::map<std::string, admission_caller> callers;
+    std::map<std::string, admission_caller> callers; // those heard from recently, by name
     std::map<std::string, resource_amounts> teamReserved;
     std::map<task_name, reserved_ticket> reservedTickets; // of proposed starts
     std::map<task_name, std::string> abandonments; // proposed ones: target by task
@@ -389,6 +390,7 @@
     bool areAdmissionsDue = true; // a request may have become possible, or superfluous
     time_point nextAdmissionReviewAt; // the next review even if nothing has happened
     time_point lastAdmissionReviewAt;
+    time_point nextAdmissionWaitLogAt;
     std::uint64_t admissionReviews = 0;
     std::map<std::string, time_point> lostAnswers; // by target: when its last answer got lost
     round_trip_estimate startAnswerTime; // from sending a start to its answer, of all targets
--- a/modules/filbert_dispatch/tests/scheduling_test.cpp
+++ b/modules/filbert_dispatch/tests/scheduling_test.cpp
@@ -684,6 +684,46 @@
     CHECK(cell.leader->callers.at("gateway-1").pendingRequests.empty());
 }
 
+// Guards against accepted work that never runs: a third of all callers ever seen was kept free for
+// quick calls. Once others had been lost or renamed, these were all that lived.
+TEST_CASE("a slow policy is called although most callers that ever registered are gone",
+          "[dispatch]")
+{
+    const int alive = GENERATE(1, 2, 3);
+    dispatch_fixture cell;
+    requireTickets(cell, 150);
+    cell.accept("j", {cell.step(1)});
+    leadWithTargets(cell, 1);
+    for (int i = 0; i < 9; ++i) {
+        registerCaller(*cell.leader, "gone-" + std::to_string(i), 1,
+                       cell.now - milliseconds {1'500});
+    }
+    for (int i = 0; i < alive; ++i) {
+        registerCaller(*cell.leader, "gateway-" + std::to_string(i), 1, cell.now);
+    }
+    cell.runFor({50});
+    REQUIRE(cell.admissions.size() == 1);
+    CHECK(cell.admissions[0].caller.starts_with("gateway-"));
+    CHECK(cell.leader->callers.size() == static_cast<std::size_t>(alive));
+}
+
+// Guards against a caller that loses its request when it is silent for a moment.
+TEST_CASE("a silent caller is remembered until its request is overdue", "[dispatch]")
+{
+    dispatch_fixture cell;
+    requireTickets(cell, 2'000);
+    cell.accept("j", {cell.step(1)});
+    leadWithTargets(cell, 1);
+    registerCaller(*cell.leader, "gateway-1", 1, cell.now);
+    cell.tickOnce();
+    REQUIRE(cell.admissions.size() == 1);
+    cell.runFor({1'900});
+    CHECK(cell.leader->callers.contains("gateway-1"));
+    cell.runFor({600});
+    CHECK(cell.leader->callers.empty());
+    CHECK(cell.leader->pendingAdmissions.begin()->second.caller.empty());
+}
+
 // Guards against requests for work that is late anyway, which delay those for work that is not.
 TEST_CASE("requests for late steps wait behind those for steps that can be in time", "[dispatch]")
 {
--- a/modules/filbert_node/order_router.cpp
+++ b/modules/filbert_node/order_router.cpp
@@ -37,7 +37,7 @@
 void order_router::registerRelay(const std::string &name, const relay_info &info, time_point now)
 {
     const auto known = relays.find(name);
-    const bool isNew = known == relays.end() || known->second.lastContactAt.ms == 0;
+    const bool isNew = known == relays.end();
     const bool isReplaced = known != relays.end() && known->second.info.process != info.process;
     if (isReplaced) {
         markRelayLost(name, "its process was replaced by a new one", now);
@@ -168,8 +168,7 @@
         }
     }
     for (const auto &[name, relay] : relays) {
-        if (relay.lastContactAt.ms != 0
-            && readUntil - relay.lastContactAt >= settings.relayTimeout) {
+        if (readUntil - relay.lastContactAt >= settings.relayTimeout) {
             lost.emplace(name, "no hello within the timeout");
         }
     }
@@ -190,15 +189,13 @@
         entry = pendingOrders.erase(entry);
     }
     const auto found = relays.find(name);
-    auto *relay = found == relays.end() ? nullptr : &found->second;
     log_line {"carrier_lost", log_line::severity::Warning}
         .with("carrier", name)
         .with("reason", reason)
         .with("orders", orders.size())
-        .with("heard_ms_ago", relay == nullptr ? -1 : (now - relay->lastContactAt).count);
-    if (relay != nullptr) {
-        relay->lastContactAt = {};
-    }
+        .with("heard_ms_ago",
+              found == relays.end() ? -1 : (now - found->second.lastContactAt).count);
+    relays.erase(name); // it registers itself again with its next hello
     relayByTarget.clear();
     order_answer lostAnswer;
     lostAnswer.result = order_result::RelayLost;
--- a/modules/filbert_node/order_router.h
+++ b/modules/filbert_node/order_router.h
@@ -102,7 +102,7 @@
     struct relay_state
     {
         relay_info info;
-        time_point lastContactAt; // its last hello; 0 = lost, not used before its next hello
+        time_point lastContactAt; // its last hello
     };
 
     struct pending_order
@@ -128,7 +128,7 @@
 
     order_router_settings settings;
     hooks callbacks;
-    std::map<std::string, relay_state> relays;
+    std::map<std::string, relay_state> relays; // without lost ones
     // Relay by target; cleared when the set of relays changes.
     std::unordered_map<std::string, std::string> relayByTarget;
     std::map<std::uint64_t, pending_order> pendingOrders;
