Messages on a replaced connection belong to their sender

Where a controller waited for its disk, gateways replaced their silent connections. Answers to requests that came so were sent to a name that nobody has, and answers of a relay matched no order: all orders of that relay then counted as lost.

Cause: the name that a connection has was taken for the sender's.

Change: the sender that a message names counts; relays name themselves in their answers. A controller keeps one record for each process that has sent a hello, and forgets those that are silent; a new leader takes over none of them.

Tests: "a message on a replaced connection is its sender's, and its hello is outdated" failed with the name of the connection, and passes.

--- a/modules/filbert_node/tests/work_controller_test.cpp
+++ b/modules/filbert_node/tests/work_controller_test.cpp
@@ -19,13 +19,18 @@
     work_metrics metrics;
     std::vector<target_order> orders;
     std::map<std::uint64_t, messages::work_answer> answers; // by exchange
+    std::map<std::uint64_t, std::string> answeredPeers; // by exchange
+    std::vector<messages::carried_order> relayedOrders;
+    std::size_t maxDirectTargets = 100;
     std::vector<std::pair<std::string, messages::admission_request>> admissions; // by process
     std::vector<std::string> notifiedPeers; // processes that got a welcome which names a leader
     std::unique_ptr<work_controller> controller;
     std::uint64_t lastExchange = 0;
 
     explicit controller_fixture(int faultTolerance = 0, bool isGreetedBeforeLeading = false,
-                                const std::vector<std::string> &storedPayloads = {})
+                                const std::vector<std::string> &storedPayloads = {},
+                                std::size_t maxDirectTargets = 100)
+        : maxDirectTargets {maxDirectTargets}
     {
         REQUIRE(!store->initialise("a"));
         stored_state stored;
@@ -64,6 +69,7 @@
         settings.name = "controller-a";
         settings.address = "tcp://host-a";
         settings.membership.faultTolerance = faultTolerance;
+        settings.router.maxDirectTargets = maxDirectTargets;
         work_controller_hooks hooks;
         hooks.sendToMember = [](const messages::member &, const messages::work_envelope &) {};
         hooks.sendToPeer = [this](const std::string &peer,
@@ -75,7 +81,13 @@
                 admissions.emplace_back(peer, envelope.admission());
                 return;
             }
+            if (envelope.has_carried()) {
+                const auto &orders = envelope.carried().orders();
+                relayedOrders.insert(relayedOrders.end(), orders.begin(), orders.end());
+                return;
+            }
             answers[envelope.exchange()] = envelope.answer();
+            answeredPeers[envelope.exchange()] = peer;
         };
         hooks.callTarget = [this](const target_order &order) { orders.push_back(order); };
         hooks.controllerAddresses = [] { return std::vector<std::string> {}; };
@@ -333,6 +345,67 @@
     CHECK(fixture.notifiedPeers[0] == "gateway-1");
 }
 
+// Guards against processes that are counted twice and answers that get lost: what is left on a
+// connection that was replaced comes under a name that the sender does not have.
+TEST_CASE("a message on a replaced connection is its sender's, and its hello is outdated",
+          "[controller]")
+{
+    controller_fixture fixture;
+    REQUIRE(fixture.configure(1).kind() == messages::ANSWER_OK);
+    fixture.notifiedPeers.clear();
+    const std::string replaced {"\0abcd", 5};
+    messages::work_envelope hello;
+    hello.set_from("gateway-1");
+    hello.mutable_hello()->set_name("gateway-1");
+    hello.mutable_hello()->set_asks_admission(true);
+    fixture.controller->handleEnvelope(replaced, hello, fixture.now, 1'000);
+    CHECK(fixture.controller->leadersState()->callers.empty());
+    CHECK(fixture.notifiedPeers.empty());
+    fixture.controller->handleEnvelope("gateway-1", hello, fixture.now, 1'000);
+    CHECK(fixture.controller->leadersState()->callers.size() == 1);
+    CHECK(fixture.notifiedPeers == std::vector<std::string> {"gateway-1"});
+    messages::work_envelope request;
+    request.set_from("gateway-1");
+    request.set_exchange(99);
+    *request.mutable_request() = controller_fixture::jobRequest(messages::JOB_SUBMIT);
+    fixture.controller->handleEnvelope(replaced, request, fixture.now, 1'000);
+    fixture.runTurn();
+    CHECK(fixture.answers.at(99).kind() == messages::ANSWER_OK);
+    CHECK(fixture.answeredPeers.at(99) == "gateway-1");
+}
+
+// Guards against orders that count as lost with all others of their relay, although it has answered
+// them: the answer came on a connection that was replaced.
+TEST_CASE("an answer on a replaced connection ends the order of its relay", "[controller]")
+{
+    controller_fixture fixture {0, false, {}, 0};
+    REQUIRE(fixture.configure(1).kind() == messages::ANSWER_OK);
+    messages::work_envelope hello;
+    hello.set_from("gateway-1");
+    hello.mutable_hello()->set_name("gateway-1");
+    hello.mutable_hello()->set_carries_orders(true);
+    fixture.controller->handleEnvelope("gateway-1", hello, fixture.now, 1'000);
+    messages::work_request report;
+    *report.mutable_report() = work_fixture::targetRegistration("t1", 1);
+    report.mutable_report()->set_clock_ms(1);
+    report.mutable_report()->set_sequence(1);
+    REQUIRE(fixture.sendRequest(report).kind() == messages::ANSWER_OK);
+    fixture.runTurn();
+    fixture.runTurn();
+    REQUIRE(fixture.relayedOrders.size() == 1); // the first poll
+    messages::work_envelope answers;
+    answers.set_from("gateway-1");
+    order_answer polled;
+    polled.result = order_result::Done;
+    polled.clockMs = 2;
+    auto *answer = answers.mutable_carried_answers()->add_answers();
+    *answer = toAnswerMessage(polled);
+    answer->set_id(fixture.relayedOrders[0].id());
+    REQUIRE(fixture.controller->leadersState()->targets.at("t1").isInventoryStale);
+    fixture.controller->handleEnvelope({"\0abcd", 5}, answers, fixture.now, 1'000);
+    CHECK_FALSE(fixture.controller->leadersState()->targets.at("t1").isInventoryStale);
+}
+
 TEST_CASE("a stopping controller rejects requests", "[controller]")
 {
     controller_fixture fixture;
--- a/modules/filbert_node/work_controller.cpp
+++ b/modules/filbert_node/work_controller.cpp
@@ -57,6 +57,9 @@
                                      std::int64_t wallMs)
 {
     using body = messages::work_envelope::BodyCase;
+    // What is left on a connection that was replaced comes under another name than its sender's.
+    // Answers are addressed to the sender, which is connected under its own name by then.
+    const auto &sender = envelope.from().empty() ? peer : envelope.from();
     switch (envelope.body_case()) {
     case body::kReplication: {
         const activity_scope scope {metrics.activities(), activity::Replication};
@@ -64,13 +67,15 @@
         break;
     }
     case body::kHello:
-        handleHello(peer, envelope.hello(), now);
+        if (sender == peer) { // else it is outdated: the next one comes on the new connection
+            handleHello(sender, envelope.hello(), now);
+        }
         break;
     case body::kJoin:
         pendingJoins[envelope.join().self().identity()] = {envelope.join().self(), now};
         break;
     case body::kRequest:
-        handleRequest({peer, envelope.exchange()}, envelope.request(), now, wallMs);
+        handleRequest({sender, envelope.exchange()}, envelope.request(), now, wallMs);
         break;
     case body::kAdmissionAnswer:
         if (dispatch) {
@@ -79,11 +84,11 @@
         break;
     case body::kCarriedAnswers: {
         const activity_scope scope {metrics.activities(), activity::Orders};
-        router.handleAnswers(peer, envelope.carried_answers());
+        router.handleAnswers(sender, envelope.carried_answers());
         break;
     }
     default:
-        log_line {"message_unexpected", log_line::severity::Warning}.with("peer", peer);
+        log_line {"message_unexpected", log_line::severity::Warning}.with("peer", sender);
     }
 }
 
@@ -91,11 +96,7 @@
                                   time_point now)
 {
     // Followers record these too: a new leader sends admission requests before the next hellos.
-    if (hello.asks_admission()) {
-        policyCallers[peer] = {hello.process(), now};
-    } else {
-        policyCallers.erase(peer);
-    }
+    peers[peer] = {hello.process(), hello.asks_admission(), now};
     if (dispatch && hello.asks_admission()) {
         registerCaller(*dispatch, peer, hello.process(), now);
     } else if (dispatch) {
@@ -109,7 +110,6 @@
     } else {
         router.unregisterRelay(peer);
     }
-    lastHelloByPeer[peer] = now;
     sendWelcome(peer, now);
 }
 
@@ -134,15 +134,20 @@
     hooks.sendToPeer(peer, envelope);
 }
 
+void work_controller::forgetSilentPeers(time_point now)
+{
+    std::erase_if(peers,
+                  [&](const auto &each) { return now - each.second.lastHelloAt >= peerTimeout; });
+}
+
 /** Sends a welcome to every process that has sent a hello recently. Otherwise it would hold its
     requests until its next hello.
 */
 void work_controller::announceLeadership(time_point now)
 {
-    std::erase_if(lastHelloByPeer,
-                  [&](const auto &entry) { return now - entry.second >= peerTimeout; });
-    for (const auto &[peer, lastContactAt] : lastHelloByPeer) {
-        sendWelcome(peer, now);
+    forgetSilentPeers(now);
+    for (const auto &[name, peer] : peers) {
+        sendWelcome(name, now);
     }
 }
 
@@ -404,6 +409,10 @@
 {
     log.tick(now);
     router.tick(now);
+    if (now >= nextPeerReviewAt) {
+        nextPeerReviewAt = now + peerTimeout;
+        forgetSilentPeers(now);
+    }
     if (isStopping) {
         log.transferLeadership(now);
     }
@@ -497,8 +506,11 @@
         rejectPendingRequests();
         router.startTerm(now);
         dispatch = startDispatch(state, settings.dispatch, view.term, now, wallMs);
-        for (const auto &[name, caller] : policyCallers) {
-            registerCaller(*dispatch, name, caller.process, caller.lastContactAt);
+        forgetSilentPeers(now);
+        for (const auto &[name, peer] : peers) {
+            if (peer.canCallPolicy) {
+                registerCaller(*dispatch, name, peer.process, peer.lastHelloAt);
+            }
         }
         leadingSince = now;
         announceLeadership(now);
--- a/modules/filbert_node/work_controller.h
+++ b/modules/filbert_node/work_controller.h
@@ -114,6 +114,7 @@
                              const messages::work_configuration &document);
     void handleHello(const std::string &peer, const messages::peer_hello &hello, time_point now);
     void sendWelcome(const std::string &peer, time_point now);
+    void forgetSilentPeers(time_point now);
     void announceLeadership(time_point now);
     void answer(const answer_address &to, messages::work_answer &&content);
     void answerKind(const answer_address &to, messages::work_answer_kind kind,
@@ -141,11 +142,12 @@
         answer_address replyTo;
     };
 
-    /** A process that can call the policy service. Followers keep these for their next term. */
-    struct policy_caller
+    /** A process that has sent a hello recently. Followers keep these for their next term. */
+    struct known_peer
     {
-        std::uint64_t process = 0;
-        time_point lastContactAt;
+        std::uint64_t process = 0; // distinguishes successive processes of one name
+        bool canCallPolicy = false;
+        time_point lastHelloAt;
     };
 
     struct proposed_batch
@@ -166,8 +168,8 @@
     std::vector<pending_command> pending;
     std::map<std::uint64_t, proposed_batch> inFlight; // proposed, not applied yet; by log index
     std::map<std::string, pending_join> pendingJoins; // for membership; by identity
-    std::map<std::string, policy_caller> policyCallers; // by name
-    std::map<std::string, time_point> lastHelloByPeer; // last hello, by name of the process
+    std::map<std::string, known_peer> peers; // by name of the process
+    time_point nextPeerReviewAt;
     time_point leadingSince;
     time_point nextJoinAt;
     event_limit refusalLimit; // of log lines
--- a/modules/filbert_transport/member_sockets.cpp
+++ b/modules/filbert_transport/member_sockets.cpp
@@ -12,7 +12,9 @@
     : silenceTimeout {silenceTimeout}
     , server {loop, context, endpoint, site.serverKeys(),
               [this, onMessage](const std::string &peer, std::string &&text) {
-                  lastContactAt[peer] = monotonicNow();
+                  if (!isGeneratedPeerName(peer)) {
+                      lastContactAt[peer] = monotonicNow();
+                  }
                   onMessage(peer, std::move(text));
               }}
     , clients {loop, context, identity, site, onMessage}
--- a/modules/filbert_transport/message_socket.cpp
+++ b/modules/filbert_transport/message_socket.cpp
@@ -61,6 +61,11 @@
 
 } // namespace
 
+bool isGeneratedPeerName(std::string_view name)
+{
+    return name.starts_with('\0'); // the library reserves these names for itself
+}
+
 message_server::message_server(event_loop &loop, zmq::context_t &context,
                                const std::string &endpoint, const curve_keys &keys,
                                message_handler onMessage)
@@ -107,6 +112,11 @@
     }
 }
 
+std::string message_server::endpoint() const
+{
+    return socket.get(zmq::sockopt::last_endpoint);
+}
+
 /** Owned by the client. The input of the loop may outlive the client, so that it has only a weak
     reference. */
 struct message_client::socket_state
--- a/modules/filbert_transport/message_socket.h
+++ b/modules/filbert_transport/message_socket.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <string_view>
 #include <vector>
 #include <zmq.hpp>
 
@@ -19,6 +20,13 @@
     std::string serverKey; // public key of the server that a message_client connects to
 };
 
+/** Whether a peer's name was made up by the server and not chosen by the peer.
+
+    When a peer connects again, what is left on its previous connection is received under such a
+    name. Nothing can be sent to that name, and it says nothing about who the peer is.
+*/
+bool isGeneratedPeerName(std::string_view name);
+
 /** The listening side of a message connection (ROUTER). It receives messages from many peers and
     sends to each of them by its name.
 
@@ -31,9 +39,10 @@
 
     /** @param loop       the event loop; must outlive the server
         @param context    the ZeroMQ context of the process
-        @param endpoint   address to listen on, "tcp://IP:port"
+        @param endpoint   address to listen on, "tcp://IP:port"; port "*" is any free one
         @param keys       keys of this process; a curve_authenticator decides who may connect
-        @param onMessage  called for each message
+        @param onMessage  called for each message with the name of its peer, which may be a
+                          generated one, see isGeneratedPeerName()
     */
     message_server(event_loop &loop, zmq::context_t &context, const std::string &endpoint,
                    const curve_keys &keys, message_handler onMessage);
@@ -47,6 +56,9 @@
     */
     bool send(const std::string &peer, const std::string &message);
 
+    /** @return the address on which it listens, with the port that was chosen if none was given */
+    std::string endpoint() const;
+
 private:
     input_source::outcome receiveMessages();
 
