Policy calls: quick ones do not keep a slow one waiting for ever

Change: if no slow request has a caller, the one that has waited longest goes first and to any caller, once it has waited for two seconds.

Test: "quick policy calls do not keep a slow one waiting for ever" failed before (no slow call in 50 rounds of quick ones), and passes.

--- a/modules/filbert_dispatch/admission_requests.cpp
+++ b/modules/filbert_dispatch/admission_requests.cpp
@@ -15,8 +15,8 @@
 constexpr milliseconds answerGracePeriod {250}; // added to the expected duration: many round trips
 // One of this many callers in contact is kept free for quick policies.
 constexpr std::size_t callersPerQuickCaller = 3;
-// A request that still waits for a caller after this time is logged: several times the duration of
-// a call.
+// A request that still waits for a caller after this time, several times the duration of a call, is
+// logged. If it is a slow one, see starvedRequest().
 constexpr milliseconds longAdmissionWait {2'000};
 constexpr milliseconds waitLogPeriod {1'000}; // bounds the lines about requests that wait
 // For each level by which its rank is lower, a request counts as made this much later. It thus
@@ -142,6 +142,32 @@
     }
 }
 
+bool isQuick(const pending_admission &pending)
+{
+    return pending.expectedDuration <= maxQuickAdmissionTime;
+}
+
+/** @return the id of the slow request that has waited for a caller longest, if that is long and no
+    slow one has a caller; else 0. Quick ones could keep it waiting for ever. */
+std::uint64_t starvedRequest(const dispatch_state &state, time_point now)
+{
+    std::uint64_t oldest = 0;
+    for (const auto &[id, pending] : state.pendingAdmissions) {
+        if (isQuick(pending)) {
+            continue;
+        }
+        if (!pending.caller.empty()) {
+            return 0;
+        }
+        if (now - pending.requestedAt >= longAdmissionWait
+            && (oldest == 0
+                || pending.requestedAt < state.pendingAdmissions.at(oldest).requestedAt)) {
+            oldest = id;
+        }
+    }
+    return oldest;
+}
+
 /** Forgets callers that are silent. Each registers itself again with its next hello. */
 void eraseSilentCallers(dispatch_state &state, time_point now)
 {
@@ -309,11 +335,13 @@
     ++state.admissionReviews;
     reviewPending(state, now);
     eraseSilentCallers(state, now);
+    const auto starved = starvedRequest(state, now);
     std::vector<std::pair<time_point, std::uint64_t>> waiting; // by the time that decides the order
     for (const auto &[id, pending] : state.pendingAdmissions) {
         if (pending.caller.empty()) {
             const milliseconds handicap {agePerRank.count * pending.rank};
-            waiting.emplace_back(pending.requestedAt + handicap, id);
+            waiting.emplace_back(id == starved ? time_point {} : pending.requestedAt + handicap,
+                                 id);
         }
     }
     if (waiting.empty()) {
@@ -330,8 +358,7 @@
             break;
         }
         auto &pending = state.pendingAdmissions[id];
-        const bool isQuick = pending.expectedDuration <= maxQuickAdmissionTime;
-        if (!isQuick && freeCount <= keptFree) {
+        if (!isQuick(pending) && id != starved && freeCount <= keptFree) {
             continue;
         }
         const auto name = callers.top().second;
--- a/modules/filbert_dispatch/tests/scheduling_test.cpp
+++ b/modules/filbert_dispatch/tests/scheduling_test.cpp
@@ -707,6 +707,40 @@
     CHECK(cell.leader->callers.size() == static_cast<std::size_t>(alive));
 }
 
+// Guards against accepted work that never runs: the only caller that lives always had quick calls.
+TEST_CASE("quick policy calls do not keep a slow one waiting for ever", "[dispatch]")
+{
+    dispatch_fixture cell;
+    requireTickets(cell, 90);
+    auto slowQueue = *firstQueue(cell);
+    slowQueue.mutable_admission()->set_decide_ms(150);
+    cell.accept("slow", {cell.step(1)});
+    for (int i = 0; i < 60; ++i) {
+        cell.accept("quick-" + std::to_string(i), {cell.step(1)});
+    }
+    leadWithTargets(cell, 1);
+    requestAdmission(*cell.leader, {"slow", 0, 0, 0}, slowQueue, lateRankOffset, {"t0"}, 1,
+                     cell.now);
+    int quickCalls = 0;
+    bool isSlowCallMade = false;
+    for (int i = 0; i < 50 && !isSlowCallMade; ++i) {
+        cell.reportTarget("t0");
+        registerCaller(*cell.leader, "gateway-1", 1, cell.now);
+        cell.runFor({90});
+        REQUIRE_FALSE(cell.admissions.empty());
+        isSlowCallMade = cell.admissions.back().request.step().job() == "slow";
+        messages::admission_answer answer;
+        answer.set_id(cell.admissions.front().request.id());
+        answer.set_is_answered(true);
+        cell.admissions.erase(cell.admissions.begin());
+        handleAdmissionAnswer(*cell.leader, answer, cell.now);
+        ++quickCalls;
+    }
+    CHECK(isSlowCallMade);
+    CHECK(quickCalls > 10); // they have been made all the time
+    CHECK(cell.now < time_point {102'500});
+}
+
 // Guards against a caller that loses its request when it is silent for a moment.
 TEST_CASE("a silent caller is remembered until its request is overdue", "[dispatch]")
 {
