A run is missing only once all ends before have been listed

A target had been cut off, and listed 500 of its ends afterwards; the others were behind these.

Cause: a run that was neither listed as running nor among the listed ends was taken for one that its target does not have. It was stopped, and given up as soon as that was confirmed, before its end came. Ruled out: an expired lease (the check excludes it), and a lost or late order: each of these runs was started once and confirmed.

Change: absence is concluded only from what proves it: an answer without any end, or the end of a run that was listed as running after the other had gone missing. Ends are listed in the order in which they occur, so all earlier ones have then been listed. This does not depend on how many ends an answer may hold. A new leader's first polls are judged alike. Answers that overtake each other change nothing: the times that are compared are those at which polls were sent.

Tests: "a run whose end is behind a list that was cut short is not given up", "a new leader concludes nothing from a list that was cut short" and "a run that was missing before its stop is not given up for that" failed before or with a mend that forgets one of these conditions; "a run that its target does not have is given up while other runs end there" guards against waiting for ever.

--- a/modules/filbert_dispatch/dispatch_state.h
+++ b/modules/filbert_dispatch/dispatch_state.h
@@ -117,6 +117,11 @@
     int percentDone = 0;
     time_point lastProgressAt;
     time_point lastListedAt; // when a poll last listed it; 0 = never
+    // When the latest poll was sent whose answer listed it as running: it had not ended before.
+    time_point hadNotEndedAt;
+    // When a poll sent after confirmedAt was first answered without listing it; it counts only if
+    // it is later than confirmedAt.
+    time_point unlistedSince;
     std::int64_t tailLatencyMs = 0; // of a task with a latency target
     std::int64_t milliCoresInUse = 0; // of any other task
     int workRate = 100; // in percent, as last ordered
@@ -159,6 +164,7 @@
     time_point pollAnsweredAt; // when the last poll was answered; 0 = it was not
     std::uint64_t lastProposedEnd = 0; // number of the last reported end proposed to the log
     std::uint64_t lastAcknowledgedEnd = 0; // number of the last end that a poll acknowledged
+    time_point allEndsListedUntil; // all ends that occurred before this time have been listed
     std::uint64_t reportSequence = 0; // of the last report
     resource_amounts reservedResources; // by proposed starts
     std::int64_t reservedBestEffortCores = 0;
--- a/modules/filbert_dispatch/order_answers.cpp
+++ b/modules/filbert_dispatch/order_answers.cpp
@@ -13,8 +13,8 @@
 constexpr milliseconds failedPollDelay {250};
 // Nothing waits for a stop; a lease outlasts several tries.
 constexpr milliseconds stopRetryDelay {400};
-// Between the last end that was taken and the next one. A target lists all that are not
-// acknowledged, in the order of their numbers.
+// Between the last end that was taken and the next one. A target lists those that are not
+// acknowledged in the order of their numbers.
 constexpr std::uint64_t maxEndGap = 1'000'000;
 
 /** Records that an answer of a target got lost, although the target is available. */
@@ -203,8 +203,8 @@
     });
 }
 
-void handleReportedRuns(dispatch_state &state, tracked_target &target, const order_answer &answer,
-                        std::set<task_name> *listed, time_point now)
+void handleReportedRuns(dispatch_state &state, tracked_target &target, const target_order &poll,
+                        const order_answer &answer, std::set<task_name> *listed, time_point now)
 {
     for (const auto &report : answer.runs) {
         const auto found = target.runs.find(report.task);
@@ -217,6 +217,7 @@
         const bool isLatencySensitive = job != state.work->jobs.end()
             && stepSpecOf(job->second, report.task.step).latency_target_ms() > 0;
         updateRun(report, isLatencySensitive, found->second, now);
+        found->second.hadNotEndedAt = std::max(found->second.hadNotEndedAt, poll.sentAt);
     }
 }
 
@@ -260,20 +261,55 @@
     }
 }
 
-/** Handles runs that a target lists neither as running nor as ended. */
+/** Updates the time until which all ends of a target have been listed.
+
+    A list of ends may be cut short, but ends are listed in the order in which they occurred. So one
+    without any end lists all, and the end of a run that was running at a certain time comes after
+    all ends that occurred before that time.
+*/
+void updateListedEnds(tracked_target &target, const target_order &poll, const order_answer &answer)
+{
+    auto &listedUntil = target.allEndsListedUntil;
+    if (answer.ends.empty()) {
+        listedUntil = std::max(listedUntil, poll.sentAt);
+    }
+    for (const auto &end : answer.ends) {
+        const auto run = target.runs.find(end.task);
+        if (run != target.runs.end() && run->second.run == end.run) {
+            listedUntil = std::max(listedUntil, run->second.hadNotEndedAt);
+        }
+    }
+}
+
+/** Handles runs that a target lists neither as running nor as ended, once it is certain that it
+    does not have them: until then they may have ended. */
 void reviewUnlistedRuns(dispatch_state &state, tracked_target &target, const target_order &poll,
-                        const std::set<task_name> &listed, time_point now)
+                        const order_answer &answer, const std::set<task_name> &listed,
+                        time_point now)
 {
     for (auto &[task, run] : target.runs) {
-        if (listed.contains(task) || run.isOrderPending || run.isAbandonmentProposed
-            || run.phase == run_phase::Ordered) {
+        if (listed.contains(task)) {
+            run.unlistedSince = {};
+            continue;
+        }
+        if (run.isOrderPending || run.isAbandonmentProposed || run.phase == run_phase::Ordered) {
             continue;
         }
         const bool wasConfirmedBeforePoll = run.confirmedAt < poll.sentAt && run.confirmedAt.ms > 0;
-        if (run.phase == run_phase::Stopping && wasConfirmedBeforePoll) {
+        const bool isStopping = run.phase == run_phase::Stopping;
+        const bool isNeverConfirmed = !isStopping && run.confirmedAt.ms == 0;
+        if (!wasConfirmedBeforePoll && !isNeverConfirmed) {
+            continue; // it may have begun or ended since the poll was sent
+        }
+        if (run.unlistedSince <= run.confirmedAt) {
+            run.unlistedSince = now;
+        }
+        if (!answer.ends.empty() && run.unlistedSince > target.allEndsListedUntil) {
+            continue; // its end may be among those that the answer does not list
+        }
+        if (isStopping) {
             proposeAbandonment(state, task, run, target.id, "stopped or never started");
-        } else if (run.phase == run_phase::Started
-                   && (wasConfirmedBeforePoll || run.confirmedAt.ms == 0)) {
+        } else {
             // A start order of the previous leader may still arrive; a stop makes it void.
             requestStop(state, task, "the target does not list it", now);
         }
@@ -303,10 +339,11 @@
     target.lostRuns.clear(); // it is the same incarnation: it was only silent
     target.lastAcknowledgedEnd = std::max(target.lastAcknowledgedEnd, order.lastAppliedEnd);
     std::set<task_name> listed;
-    handleReportedRuns(state, target, answer, &listed, now);
+    handleReportedRuns(state, target, order, answer, &listed, now);
     eraseStoppedOrphans(target, order, answer);
+    updateListedEnds(target, order, answer);
     handleReportedEnds(state, target, registered, answer, &listed, now);
-    reviewUnlistedRuns(state, target, order, listed, now);
+    reviewUnlistedRuns(state, target, order, answer, listed, now);
     reviewInterference(state, target, now);
 }
 
--- a/modules/filbert_dispatch/tests/target_tracking_test.cpp
+++ b/modules/filbert_dispatch/tests/target_tracking_test.cpp
@@ -1069,3 +1069,143 @@
     cell.runFor({100});
     CHECK(cell.pendingOrders(order_kind::Poll).size() == count);
 }
+
+namespace {
+
+/** Tasks of one job at one target, which lists one end at a time. */
+struct short_list_fixture : dispatch_fixture
+{
+    std::vector<reported_run> running;
+    std::vector<reported_end> endsToList;
+    std::uint64_t lastEnd = 0;
+
+    static task_name task(std::uint32_t index) { return {"j", 0, 0, index}; }
+
+    explicit short_list_fixture(int tasks)
+    {
+        registerTarget("t1");
+        accept("j", {step(tasks, 100)});
+        startLeading();
+        reportTarget("t1");
+        for (int i = 0; i < tasks; ++i) { // a few starts at a time are sent to a target
+            runFor({20});
+            answerOrders(order_kind::Start, order_result::Done);
+            running.push_back({task(static_cast<std::uint32_t>(i)), 1, {}, 50, 0});
+        }
+        runFor({20});
+        answerPolls();
+    }
+
+    void endRun(std::uint32_t index, messages::end_kind kind)
+    {
+        std::erase_if(running, [&](const auto &each) { return each.task == task(index); });
+        endsToList.push_back({++lastEnd, task(index), 1, kind, {}});
+    }
+
+    /** Answers the pending polls with the first end that is not acknowledged. */
+    void answerPolls()
+    {
+        for (const auto &poll : pendingOrders(order_kind::Poll, "t1")) {
+            std::erase_if(endsToList,
+                          [&](const auto &end) { return end.number <= poll.lastAppliedEnd; });
+        }
+        order_answer list;
+        list.runs = running;
+        if (!endsToList.empty()) {
+            list.ends.push_back(endsToList.front());
+        }
+        answerOrders(order_kind::Poll, order_result::Done, "t1", list);
+    }
+
+    /** Lets the target answer stops at once, and polls after that. */
+    void answerStopsFirst()
+    {
+        runFor({20});
+        answerOrders(order_kind::Stop, order_result::Done);
+        runFor({20});
+        answerPolls();
+    }
+};
+
+} // namespace
+
+// Guards against a task that runs again although it has ended as done: its end was behind a list
+// that was cut short, so that its target seemed not to have it.
+TEST_CASE("a run whose end is behind a list that was cut short is not given up", "[dispatch]")
+{
+    constexpr std::uint32_t tasks = 6;
+    short_list_fixture cell {tasks};
+    for (std::uint32_t i = 0; i < tasks; ++i) {
+        cell.endRun(i, messages::END_DONE);
+    }
+    for (int i = 0; i < 30 && cell.statusOf("j") != job_status::Completed; ++i) {
+        cell.answerStopsFirst();
+        CHECK(cell.pendingOrders(order_kind::Start).empty());
+    }
+    CHECK(cell.statusOf("j") == job_status::Completed);
+}
+
+// Guards against a new leader that stops what it has not been told of.
+TEST_CASE("a new leader concludes nothing from a list that was cut short", "[dispatch]")
+{
+    constexpr std::uint32_t tasks = 6;
+    short_list_fixture cell {tasks};
+    for (std::uint32_t i = 0; i < tasks; ++i) {
+        cell.endRun(i, messages::END_DONE);
+    }
+    cell.orders.clear();
+    cell.startLeading(2);
+    cell.reportTarget("t1");
+    cell.runFor({300});
+    cell.answerPolls();
+    cell.runFor({20});
+    CHECK(cell.pendingOrders(order_kind::Stop).empty());
+    for (int i = 0; i < 30 && cell.statusOf("j") != job_status::Completed; ++i) {
+        cell.answerStopsFirst();
+    }
+    CHECK(cell.statusOf("j") == job_status::Completed);
+    CHECK(cell.pendingOrders(order_kind::Start).empty());
+}
+
+// Guards against a task that never runs again since its target always lists some end of another.
+TEST_CASE("a run that its target does not have is given up while other runs end there",
+          "[dispatch]")
+{
+    constexpr std::uint32_t tasks = 40;
+    short_list_fixture cell {tasks};
+    std::erase_if(cell.running, [](const auto &each) { return each.task.index == 0; }); // lost
+    for (std::uint32_t i = 1; i < tasks && cell.pendingOrders(order_kind::Start).empty(); ++i) {
+        cell.endRun(i, messages::END_DONE);
+        cell.answerStopsFirst();
+        cell.reportTarget("t1");
+    }
+    const auto starts = cell.pendingOrders(order_kind::Start);
+    REQUIRE(starts.size() == 1);
+    CHECK(starts[0].task == cell.task(0));
+    CHECK(starts[0].run == 2);
+    CHECK(cell.running.size() > tasks / 2); // long before the others have ended
+}
+
+// Guards against a run that is given up since it was missing before its stop: the stop ended it,
+// and this end is not listed yet.
+TEST_CASE("a run that was missing before its stop is not given up for that", "[dispatch]")
+{
+    constexpr std::uint32_t tasks = 6;
+    short_list_fixture cell {tasks};
+    const auto lateRun = cell.running.front();
+    cell.running.erase(cell.running.begin()); // its start arrives late
+    for (std::uint32_t i = 1; i < 4; ++i) {
+        cell.endRun(i, messages::END_DONE);
+        cell.answerStopsFirst();
+    }
+    cell.runFor({20});
+    REQUIRE(cell.pendingOrders(order_kind::Stop).size() == 1); // it is missing for certain
+    cell.endRun(4, messages::END_DONE); // listed to a poll that was sent before the stop
+    cell.endRun(5, messages::END_DONE);
+    cell.endsToList.push_back({++cell.lastEnd, lateRun.task, 1, messages::END_DONE, {}});
+    for (int i = 0; i < 30 && cell.statusOf("j") != job_status::Completed; ++i) {
+        cell.answerStopsFirst();
+    }
+    CHECK(cell.statusOf("j") == job_status::Completed);
+    CHECK(cell.pendingOrders(order_kind::Start).empty());
+}
