Nothing follows from what is missing in a list with unreadable rows

Kin of the lists that are cut short, found by reading: a row of a target's lists that cannot be read is left out, so that the run in it seemed to be absent. It was stopped and given up, and its task started again.

Change: an answer says whether rows were left out, also through a relay, and then concludes nothing from absence: no run is given up and no orphan forgotten. Counted with it, as kin of callers that are gone: a mode that shortens polls where answers get lost begins at a fraction of the targets in contact, not of all that were ever seen.

--- a/modules/filbert_dispatch/dispatch_state.cpp
+++ b/modules/filbert_dispatch/dispatch_state.cpp
@@ -224,6 +224,7 @@
     for (const auto &[id, registered] : work.targets) {
         syncTarget(state, id, now);
     }
+    state.targetsInContact = state.targets.size();
     std::size_t polled = 0;
     for (auto &[id, target] : state.targets) {
         target.lateOrdersUntil = lateOrdersEnd(settings, target.incarnation, now, wallMs);
--- a/modules/filbert_dispatch/dispatch_state.h
+++ b/modules/filbert_dispatch/dispatch_state.h
@@ -44,8 +44,8 @@
     // While the network loses answers, the lossy values below replace the usual ones: short
     // timeouts and a second attempt then cost less than they save.
     milliseconds answerLossWindow {5'000}; // a lost answer counts for this long
-    // Number of targets whose answers were lost, and the fraction of all targets: single targets
-    // may be at fault themselves.
+    // Number of targets whose answers were lost, and the fraction of the targets in contact: single
+    // targets may be at fault themselves.
     std::size_t lossyTargetThreshold = 2;
     double lossyTargetFraction = 0.04;
     milliseconds lossyPollWait {250}; // a third of the shortest usual task
@@ -318,6 +318,7 @@
     std::optional<std::int64_t> incarnation;
     std::vector<reported_run> runs;
     std::vector<reported_end> ends;
+    bool hasUnreadableRows = false; // the target listed more, which could not be read
 };
 
 /** A request for the process that is to call the policy service with it. */
@@ -399,6 +400,10 @@
     time_point nextAdmissionWaitLogAt;
     std::uint64_t admissionReviews = 0;
     std::map<std::string, time_point> lostAnswers; // by target: when its last answer got lost
+    // As of the last count. Others may be gone for good, and are known as long as nothing takes
+    // their place.
+    std::size_t targetsInContact = 0;
+    time_point nextContactCountAt;
     round_trip_estimate startAnswerTime; // from sending a start to its answer, of all targets
     round_trip_estimate placementTime; // from placing a task to the answer to its start
     double retryTokens = 0; // early retries of starts that are permitted at present
--- a/modules/filbert_dispatch/order_answers.cpp
+++ b/modules/filbert_dispatch/order_answers.cpp
@@ -340,10 +340,12 @@
     target.lastAcknowledgedEnd = std::max(target.lastAcknowledgedEnd, order.lastAppliedEnd);
     std::set<task_name> listed;
     handleReportedRuns(state, target, order, answer, &listed, now);
-    eraseStoppedOrphans(target, order, answer);
-    updateListedEnds(target, order, answer);
     handleReportedEnds(state, target, registered, answer, &listed, now);
-    reviewUnlistedRuns(state, target, order, answer, listed, now);
+    if (!answer.hasUnreadableRows) { // else nothing follows from what is not listed
+        eraseStoppedOrphans(target, order, answer);
+        updateListedEnds(target, order, answer);
+        reviewUnlistedRuns(state, target, order, answer, listed, now);
+    }
     reviewInterference(state, target, now);
 }
 
--- a/modules/filbert_dispatch/target_orders.cpp
+++ b/modules/filbert_dispatch/target_orders.cpp
@@ -159,7 +159,7 @@
 {
     constexpr std::int64_t millisecondsPerSecond = 1'000;
     const auto &settings = state.settings;
-    const milliseconds affordable {static_cast<std::int64_t>(state.targets.size())
+    const milliseconds affordable {static_cast<std::int64_t>(state.targetsInContact)
                                    * millisecondsPerSecond / settings.maxLossyPollsPerSecond};
     return std::clamp(affordable, settings.lossyPollWait, settings.pollWait);
 }
@@ -225,7 +225,7 @@
 {
     const auto &settings = state.settings;
     const auto fraction = static_cast<std::size_t>(
-        std::llround(static_cast<double>(state.targets.size()) * settings.lossyTargetFraction));
+        std::llround(static_cast<double>(state.targetsInContact) * settings.lossyTargetFraction));
     return state.lostAnswers.size() >= std::max(settings.lossyTargetThreshold, fraction);
 }
 
--- a/modules/filbert_dispatch/target_tracking.cpp
+++ b/modules/filbert_dispatch/target_tracking.cpp
@@ -586,8 +586,24 @@
 
 } // namespace
 
+namespace {
+
+void countTargetsInContact(dispatch_state &state, time_point now)
+{
+    if (now < state.nextContactCountAt) {
+        return;
+    }
+    state.nextContactCountAt = now + state.settings.maxTargetPause;
+    state.targetsInContact = static_cast<std::size_t>(
+        std::count_if(state.targets.begin(), state.targets.end(),
+                      [&](const auto &each) { return isInContact(state, each.second, now); }));
+}
+
+} // namespace
+
 void tickTargets(dispatch_state &state, time_point now)
 {
+    countTargetsInContact(state, now);
     std::erase_if(state.lostAnswers, [&](const auto &each) {
         return now - each.second >= state.settings.answerLossWindow;
     });
--- a/modules/filbert_dispatch/tests/target_tracking_test.cpp
+++ b/modules/filbert_dispatch/tests/target_tracking_test.cpp
@@ -1034,6 +1034,29 @@
     CHECK(isLosingAnswers(state)); // 4 percent
 }
 
+// Guards against a mode that no longer begins after enough targets were replaced: a fraction was
+// taken of all targets that were ever seen.
+TEST_CASE("targets that are gone for good do not count where answers get lost", "[dispatch]")
+{
+    dispatch_fixture cell;
+    for (int i = 0; i < 200; ++i) {
+        cell.registerTarget("gone-" + std::to_string(i));
+    }
+    cell.registerTarget("t1");
+    cell.registerTarget("t2");
+    cell.startLeading();
+    auto &state = *cell.leader;
+    for (int i = 0; i < 6; ++i) {
+        cell.reportTarget("t1");
+        cell.reportTarget("t2");
+        cell.runFor({1'000});
+    }
+    state.lostAnswers["t1"] = cell.now;
+    CHECK_FALSE(isLosingAnswers(state));
+    state.lostAnswers["t2"] = cell.now;
+    CHECK(isLosingAnswers(state));
+}
+
 // Guards against more polls than the leader and its relays have time for, while answers get lost.
 TEST_CASE("the polls of all targets together stay within a rate while answers get lost",
           "[dispatch]")
@@ -1209,3 +1232,23 @@
     CHECK(cell.statusOf("j") == job_status::Completed);
     CHECK(cell.pendingOrders(order_kind::Start).empty());
 }
+
+// Guards against a task that runs again although it runs, or has ended, in a row of its target's
+// lists that could not be read.
+TEST_CASE("nothing follows from what is missing in a list with unreadable rows", "[dispatch]")
+{
+    const bool hasUnreadableRows = GENERATE(true, false);
+    dispatch_fixture cell;
+    cell.placeOneTask();
+    cell.answerOrders(order_kind::Start, order_result::Done);
+    cell.runFor({20});
+    order_answer list;
+    list.hasUnreadableRows = hasUnreadableRows;
+    for (int i = 0; i < 5; ++i) {
+        cell.answerOrders(order_kind::Poll, order_result::Done, "t1", list);
+        cell.runFor({20});
+        cell.answerOrders(order_kind::Stop, order_result::Done);
+        cell.runFor({20});
+    }
+    CHECK((findTask(cell.state, firstTask)->run == 1) == hasUnreadableRows);
+}
--- a/modules/filbert_node/order_router.cpp
+++ b/modules/filbert_node/order_router.cpp
@@ -285,6 +285,7 @@
         out->set_kind(end.kind);
         out->set_checkpoint(end.checkpoint);
     }
+    message.set_rows_unreadable(answer.hasUnreadableRows);
     return message;
 }
 
@@ -309,6 +310,7 @@
         answer.ends.push_back(
             {end.number(), taskFrom(end.task()), end.run(), end.kind(), end.checkpoint()});
     }
+    answer.hasUnreadableRows = message.rows_unreadable();
     return answer;
 }
 
--- a/modules/filbert_node/tests/order_router_test.cpp
+++ b/modules/filbert_node/tests/order_router_test.cpp
@@ -238,7 +238,9 @@
     answer.incarnation = 5;
     answer.runs.push_back({order.task, 3, "cp", 41, 7});
     answer.ends.push_back({9, order.task, 3, messages::END_ALONE, "x"});
+    answer.hasUnreadableRows = true;
     const auto read = toOrderAnswer(toAnswerMessage(answer));
+    CHECK(read.hasUnreadableRows);
     CHECK(read.result == order_result::NoCapacity);
     CHECK(read.incarnation == 5);
     CHECK_FALSE(read.clockMs);
