--- a/modules/filbert_dispatch/admission_requests.h
+++ b/modules/filbert_dispatch/admission_requests.h
@@ -9,10 +9,9 @@
 
 /** Requests tickets for a step from the policy service, unless a request for that step is pending.
 
-    The service takes one call at a time from each process, so calls are spread over the
-    callers that are in contact. Some of these are kept free for quick calls, see
-   maxQuickAdmissionTime. Quick calls also wait at busy callers, so that these need not wait for the
-   leader between two calls.
+    The service takes one call at a time from each process, so calls are spread over the callers in
+    contact. Some of these are kept free for quick calls, see maxQuickAdmissionTime. Quick calls
+    also wait at busy callers, so that these need not wait for the leader between two calls.
 
     @param step        the step, as a task name with index 0
     @param rank        of the step, see pending_step::rank
