A run that goes on after its stop was confirmed is stopped again

Found by reading: a stop that was confirmed was never sent again. Where a run is still listed as running later, since the confirmation came from elsewhere or the run began after it, nothing ended it but its lease, which is renewed as long as its target has runs.

Change: a run, or an orphan run, that a poll sent a second after the confirmation still lists as running is stopped again, and logged (run_outlived_stop).

--- a/modules/filbert_dispatch/order_answers.cpp
+++ b/modules/filbert_dispatch/order_answers.cpp
@@ -13,6 +13,9 @@
 constexpr milliseconds failedPollDelay {250};
 // Nothing waits for a stop; a lease outlasts several tries.
 constexpr milliseconds stopRetryDelay {400};
+// A run that is still listed as running this long after the confirmation of its stop is stopped
+// again: a stop takes less than a second.
+constexpr milliseconds stopDuration {1'000};
 // Between the last end that was taken and the next one. A target lists those that are not
 // acknowledged in the order of their numbers.
 constexpr std::uint64_t maxEndGap = 1'000'000;
@@ -177,11 +180,32 @@
     (isLatencySensitive ? run.tailLatencyMs : run.milliCoresInUse) = report.gauge;
 }
 
-void noteOrphan(tracked_target &target, const reported_run &report, time_point now)
+/** Whether a run that a poll lists as running should have been stopped before. */
+bool hasOutlivedStop(time_point confirmedAt, const target_order &poll)
+{
+    return confirmedAt.ms > 0 && poll.sentAt - confirmedAt >= stopDuration;
+}
+
+void logOutlivedStop(const tracked_target &target, const reported_run &report,
+                     time_point confirmedAt, time_point now)
+{
+    log_line {"run_outlived_stop", log_line::severity::Warning}
+        .with("task", toString(report.task))
+        .with("run", report.run)
+        .with("target", target.id)
+        .with("confirmed_ms_ago", (now - confirmedAt).count);
+}
+
+void noteOrphan(tracked_target &target, const target_order &poll, const reported_run &report,
+                time_point now)
 {
     auto &orphan = target.orphanRuns[report.task];
     if (orphan.run < report.run) {
         orphan = {report.run, now};
+    } else if (hasOutlivedStop(orphan.confirmedAt, poll)) {
+        logOutlivedStop(target, report, orphan.confirmedAt, now);
+        orphan.confirmedAt = {};
+        orphan.nextStopAt = now;
     }
     if (!std::exchange(orphan.isListed, true)) {
         log_line {"stray_run", log_line::severity::Warning}
@@ -209,15 +233,21 @@
     for (const auto &report : answer.runs) {
         const auto found = target.runs.find(report.task);
         if (found == target.runs.end() || found->second.run != report.run) {
-            noteOrphan(target, report, now);
+            noteOrphan(target, poll, report, now);
             continue;
         }
         listed->insert(report.task);
+        auto &run = found->second;
+        if (run.phase == run_phase::Stopping && hasOutlivedStop(run.confirmedAt, poll)) {
+            logOutlivedStop(target, report, run.confirmedAt, now);
+            run.confirmedAt = {};
+            run.retryAt = now;
+        }
         const auto job = state.work->jobs.find(report.task.job);
         const bool isLatencySensitive = job != state.work->jobs.end()
             && stepSpecOf(job->second, report.task.step).latency_target_ms() > 0;
-        updateRun(report, isLatencySensitive, found->second, now);
-        found->second.hadNotEndedAt = std::max(found->second.hadNotEndedAt, poll.sentAt);
+        updateRun(report, isLatencySensitive, run, now);
+        run.hadNotEndedAt = std::max(run.hadNotEndedAt, poll.sentAt);
     }
 }
 
--- a/modules/filbert_dispatch/tests/target_tracking_test.cpp
+++ b/modules/filbert_dispatch/tests/target_tracking_test.cpp
@@ -1252,3 +1252,34 @@
     }
     CHECK((findTask(cell.state, firstTask)->run == 1) == hasUnreadableRows);
 }
+
+// Guards against tasks that run on after the cancelling of their job: a stop that was confirmed was
+// never sent again, although the run went on.
+TEST_CASE("a run that goes on after its stop was confirmed is stopped again", "[dispatch]")
+{
+    const bool isOrphan = GENERATE(true, false);
+    dispatch_fixture cell;
+    cell.placeOneTask();
+    cell.answerOrders(order_kind::Start, order_result::Done);
+    cell.runFor({20});
+    order_answer list;
+    list.runs.push_back({isOrphan ? task_name {"gone", 0, 0, 0} : firstTask, 1, {}, 50, 0});
+    if (!isOrphan) {
+        messages::work_command cancel;
+        cancel.set_cancel("j");
+        cell.apply(cancel);
+        handleCommittedCommand(*cell.leader, cancel, false, cell.now);
+    }
+    int stops = 0;
+    for (int i = 0; i < 25; ++i) {
+        cell.answerOrders(order_kind::Poll, order_result::Done, "t1", list);
+        cell.runFor({100});
+        cell.reportTarget("t1");
+        for (const auto &stop : cell.pendingOrders(order_kind::Stop)) {
+            stops += stop.task == list.runs[0].task ? 1 : 0;
+        }
+        cell.answerOrders(order_kind::Stop, order_result::Done);
+    }
+    CHECK(stops >= 2);
+    CHECK(stops <= 3); // not before a stop has had the time that it takes
+}
