--- a/modules/filbert_dispatch/tests/target_tracking_test.cpp
+++ b/modules/filbert_dispatch/tests/target_tracking_test.cpp
@@ -1034,8 +1034,8 @@
     CHECK(isLosingAnswers(state)); // 4 percent
 }
 
-// Guards against a mode that no longer begins after enough targets were replaced: a fraction was
-// taken of all targets that were ever seen.
+// Guards against a mode that cannot begin once many targets have been replaced: its threshold was a
+// fraction of all targets ever seen.
 TEST_CASE("targets that are gone for good do not count where answers get lost", "[dispatch]")
 {
     dispatch_fixture cell;
