--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -5,9 +5,11 @@
 cd "$(dirname "$0")/.."
 mkdir -p build-review-2
 sources=review/stand_ins_2
-for program in standing_job long_tasks; do
+for program in standing_job long_tasks mixed_snapshot; do
     g++ -std=c++20 -O1 -pthread -o "build-review-2/$program" "$sources/$program.cpp" \
         "$sources/cell.cpp" "$sources/worker.cpp" "$sources/http.cpp" &
 done
-wait -n
-wait -n
+
+for job in $(jobs -p); do
+    wait "$job"
+done
--- a/review/stand_ins_2/cell.cpp
+++ b/review/stand_ins_2/cell.cpp
@@ -26,6 +26,7 @@
 constexpr int gateways = 2;
 constexpr int firstGatewayNumber = 20;
 constexpr int firstWorkerNumber = 30;
+constexpr std::size_t longestShownBody = 300; // in the record
 constexpr int callTimeoutMs = 3'000; // the deadline of the sites' clients
 constexpr int controlTimeoutMs = 1'000;
 constexpr std::int64_t startTimeoutMs = 15'000;
@@ -48,6 +49,11 @@
     }
 }
 
+std::string controllerName(int number)
+{
+    return "controller-" + std::to_string(number + 1);
+}
+
 std::string configuration()
 {
     json route {{"name", "queue"},      {"host", host},
@@ -130,9 +136,13 @@
 cell::~cell()
 {
     workers.clear();
-    for (const auto process : processes) {
-        kill(process, SIGKILL);
-        waitpid(process, nullptr, 0);
+    for (const auto &processes : {controllerProcesses, gatewayProcesses}) {
+        for (const auto process : processes) {
+            if (process > 0) {
+                kill(process, SIGKILL);
+                waitpid(process, nullptr, 0);
+            }
+        }
     }
     std::filesystem::remove_all(folder);
 }
@@ -145,8 +155,8 @@
         + std::to_string(number);
 }
 
-void cell::startProcess(const std::string &name, const std::string &program,
-                        const std::string &flagsFile, int number)
+pid_t cell::startProcess(const std::string &name, const std::string &program,
+                         const std::string &flagsFile, int number, bool isFirstStart)
 {
     auto settings = readFile(flagsFile);
     const auto data = folder / (name + "-data");
@@ -163,7 +173,7 @@
         {"{{seeds}}", seeds},
         {"{{internalPorts.0}}", std::to_string(messagePort)},
         {"{{internalPorts.1}}", std::to_string(messagePort + 15)},
-        {"{{bootstrap}}", "true"},
+        {"{{bootstrap}}", isFirstStart ? "true" : "false"},
         {"{{faultTolerance.machines}}", "1"},
         {"{{bounds.holdMaxMs}}", "6000"},
         {"{{zone}}", "zone-a"},
@@ -190,19 +200,79 @@
                const_cast<char *const *>(variables));
         _exit(127);
     }
-    processes.push_back(process);
     record.write("process " + name + " is started: " + program);
+    return process;
+}
+
+void cell::startController(int number, bool isFirstStart)
+{
+    controllerProcesses.resize(controllers, 0);
+    controllerProcesses[static_cast<std::size_t>(number)] =
+        startProcess(controllerName(number), "target/bin/filbert-platform-controller",
+                     "deploy/controller.flags", 10 + number, isFirstStart);
+}
+
+void cell::endController(int number, int signal)
+{
+    auto &process = controllerProcesses[static_cast<std::size_t>(number)];
+    if (process > 0) {
+        kill(process, signal);
+        waitpid(process, nullptr, 0);
+        process = 0;
+    }
+    record.write("process " + controllerName(number)
+                 + (signal == SIGKILL ? " is killed" : " is stopped with SIGTERM"));
+}
+
+void cell::wipeDisk(int number)
+{
+    std::filesystem::remove_all(folder / (controllerName(number) + "-data"));
+    record.write("the disk of " + controllerName(number) + " is lost");
+}
+
+bool cell::hasEndedByItself(int number)
+{
+    auto &process = controllerProcesses[static_cast<std::size_t>(number)];
+    if (process > 0 && waitpid(process, nullptr, WNOHANG) == process) {
+        process = 0;
+        return true;
+    }
+    return false;
+}
+
+std::string cell::logOf(int number) const
+{
+    return readFile((folder / (controllerName(number) + ".log")).string());
+}
+
+int cell::leader() const
+{
+    constexpr std::string_view mark = "event=leading term=";
+    int found = -1;
+    long highest = -1;
+    for (int i = 0; i < controllers; ++i) {
+        const auto text = logOf(i);
+        const auto at = text.rfind(mark);
+        const auto term = at == std::string::npos
+            ? -1
+            : std::strtol(text.c_str() + at + mark.size(), nullptr, 10);
+        if (term > highest) {
+            highest = term;
+            found = i;
+        }
+    }
+    return found;
 }
 
 bool cell::start()
 {
     for (int i = 0; i < controllers; ++i) {
-        startProcess("controller-" + std::to_string(i + 1),
-                     "target/bin/filbert-platform-controller", "deploy/controller.flags", 10 + i);
+        startController(i, true);
     }
     for (int i = 0; i < gateways; ++i) {
-        startProcess("gateway-" + std::to_string(i + 1), "target/bin/filbert-platform-gateway",
-                     "deploy/gateway.flags", firstGatewayNumber + i);
+        gatewayProcesses.push_back(
+            startProcess("gateway-" + std::to_string(i + 1), "target/bin/filbert-platform-gateway",
+                         "deploy/gateway.flags", firstGatewayNumber + i, true));
     }
     for (const auto &each : workers) {
         each->start();
@@ -236,7 +306,9 @@
     response answer;
     for (int attempt = 0; attempt < 5; ++attempt) {
         answer = callFront({"POST", prefix + job, {}, body});
-        record.write("client: POST " + job + " " + body + " -> " + std::to_string(answer.status));
+        const auto shown =
+            body.size() <= longestShownBody ? body : "(" + std::to_string(body.size()) + " bytes)";
+        record.write("client: POST " + job + " " + shown + " -> " + std::to_string(answer.status));
         if (answer.status != 0 && answer.status != 502 && answer.status != 504) {
             break;
         }
@@ -255,6 +327,11 @@
     return state;
 }
 
+int cell::statusOf(const std::string &job)
+{
+    return callFront({"GET", prefix + job, {}, {}}).status;
+}
+
 std::vector<run_record> cell::runsOf(const std::string &task) const
 {
     std::vector<run_record> runs;
