--- a/review/stand_ins_2/cell.cpp
+++ b/review/stand_ins_2/cell.cpp
@@ -115,7 +115,7 @@
     folder = mkdtemp(name.data());
     for (int i = 0; i < controllers; ++i) {
         control.push_back(address(10 + i) + ":" + std::to_string(controlPort));
-        seeds += (i == 0 ? "" : ",") + control.back();
+        seeds.append(i == 0 ? "" : ",").append(control.back());
     }
     for (int i = 0; i < gateways; ++i) {
         fronts.push_back(address(firstGatewayNumber + i) + ":" + std::to_string(frontPort));
@@ -308,7 +308,9 @@
         answer = callFront({"POST", prefix + job, {}, body});
         const auto shown =
             body.size() <= longestShownBody ? body : "(" + std::to_string(body.size()) + " bytes)";
-        record.write("client: POST " + job + " " + shown + " -> " + std::to_string(answer.status));
+        std::string line {"client: POST "};
+        line.append(job).append(" ").append(shown).append(" -> ");
+        record.write(line.append(std::to_string(answer.status)));
         if (answer.status != 0 && answer.status != 502 && answer.status != 504) {
             break;
         }
--- a/review/stand_ins_2/http.cpp
+++ b/review/stand_ins_2/http.cpp
@@ -216,7 +216,8 @@
     const auto name =
         socketAddress(endpoint.substr(0, colon), std::atoi(endpoint.c_str() + colon + 1));
     const int connection = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
-    connect(connection, reinterpret_cast<const sockaddr *>(&name), sizeof name);
+    // The outcome comes with poll(), since the socket doesn't block.
+    static_cast<void>(connect(connection, reinterpret_cast<const sockaddr *>(&name), sizeof name));
     pollfd waiting {connection, POLLOUT, 0};
     response answer;
     if (poll(&waiting, 1, timeoutMs) > 0 && (waiting.revents & (POLLERR | POLLHUP)) == 0) {
