--- a/review/stand_ins_2/cell.cpp
+++ b/review/stand_ins_2/cell.cpp
@@ -31,6 +31,7 @@
 constexpr int controlTimeoutMs = 1'000;
 constexpr std::int64_t startTimeoutMs = 15'000;
 constexpr std::int64_t knownAfterMs = 3'500; // two heartbeats
+constexpr int firstTimeoutMs = 3'000; // of the route
 constexpr const char *host = "case.example";
 constexpr const char *prefix = "/queue/";
 constexpr const char *key = "key-of-the-only-tenant";
@@ -49,18 +50,13 @@
     }
 }
 
-std::string controllerName(int number)
+std::string configuration(int version, const std::string &routeName, int timeoutMs)
 {
-    return "controller-" + std::to_string(number + 1);
-}
-
-std::string configuration()
-{
-    json route {{"name", "queue"},      {"host", host},
-                {"pathPrefix", prefix}, {"kind", "non_idempotent"},
-                {"timeoutMs", 3'000},   {"targetLatencyMs", 2'500},
-                {"priority", 1},        {"service", "service"},
-                {"maxAttempts", 3},     {"slackFactor", 2.2},
+    json route {{"name", routeName},      {"host", host},
+                {"pathPrefix", prefix},   {"kind", "non_idempotent"},
+                {"timeoutMs", timeoutMs}, {"targetLatencyMs", 2'500},
+                {"priority", 1},          {"service", "service"},
+                {"maxAttempts", 3},       {"slackFactor", 2.2},
                 {"anonymous", false}};
     json service {{"name", "service"}, {"healthPath", "/healthz"}, {"maxConns", 64},
                   {"protocol", "h1"},  {"tlsEnabled", false},      {"rejectsOverload", false},
@@ -73,7 +69,7 @@
                  {"maxBodyBytes", 262'144},
                  {"headerTimeoutMs", 3'000},
                  {"idleTimeoutMs", 15'000}};
-    return json {{"version", 1},
+    return json {{"version", version},
                  {"routes", json::array({route})},
                  {"services", json::array({service})},
                  {"limits", limits},
@@ -136,13 +132,9 @@
 cell::~cell()
 {
     workers.clear();
-    for (const auto &processes : {controllerProcesses, gatewayProcesses}) {
-        for (const auto process : processes) {
-            if (process > 0) {
-                kill(process, SIGKILL);
-                waitpid(process, nullptr, 0);
-            }
-        }
+    for (const auto process : processes) {
+        kill(process, SIGKILL);
+        waitpid(process, nullptr, 0);
     }
     std::filesystem::remove_all(folder);
 }
@@ -155,8 +147,8 @@
         + std::to_string(number);
 }
 
-pid_t cell::startProcess(const std::string &name, const std::string &program,
-                         const std::string &flagsFile, int number, bool isFirstStart)
+void cell::startProcess(const std::string &name, const std::string &program,
+                        const std::string &flagsFile, int number)
 {
     auto settings = readFile(flagsFile);
     const auto data = folder / (name + "-data");
@@ -173,7 +165,7 @@
         {"{{seeds}}", seeds},
         {"{{internalPorts.0}}", std::to_string(messagePort)},
         {"{{internalPorts.1}}", std::to_string(messagePort + 15)},
-        {"{{bootstrap}}", isFirstStart ? "true" : "false"},
+        {"{{bootstrap}}", "true"},
         {"{{faultTolerance.machines}}", "1"},
         {"{{bounds.holdMaxMs}}", "6000"},
         {"{{zone}}", "zone-a"},
@@ -200,91 +192,38 @@
                const_cast<char *const *>(variables));
         _exit(127);
     }
+    processes.push_back(process);
     record.write("process " + name + " is started: " + program);
-    return process;
-}
-
-void cell::startController(int number, bool isFirstStart)
-{
-    controllerProcesses.resize(controllers, 0);
-    controllerProcesses[static_cast<std::size_t>(number)] =
-        startProcess(controllerName(number), "target/bin/filbert-platform-controller",
-                     "deploy/controller.flags", 10 + number, isFirstStart);
-}
-
-void cell::endController(int number, int signal)
-{
-    auto &process = controllerProcesses[static_cast<std::size_t>(number)];
-    if (process > 0) {
-        kill(process, signal);
-        waitpid(process, nullptr, 0);
-        process = 0;
-    }
-    record.write("process " + controllerName(number)
-                 + (signal == SIGKILL ? " is killed" : " is stopped with SIGTERM"));
-}
-
-void cell::wipeDisk(int number)
-{
-    std::filesystem::remove_all(folder / (controllerName(number) + "-data"));
-    record.write("the disk of " + controllerName(number) + " is lost");
-}
-
-bool cell::hasEndedByItself(int number)
-{
-    auto &process = controllerProcesses[static_cast<std::size_t>(number)];
-    if (process > 0 && waitpid(process, nullptr, WNOHANG) == process) {
-        process = 0;
-        return true;
-    }
-    return false;
-}
-
-std::string cell::logOf(int number) const
-{
-    return readFile((folder / (controllerName(number) + ".log")).string());
-}
-
-int cell::leader() const
-{
-    constexpr std::string_view mark = "event=leading term=";
-    int found = -1;
-    long highest = -1;
-    for (int i = 0; i < controllers; ++i) {
-        const auto text = logOf(i);
-        const auto at = text.rfind(mark);
-        const auto term = at == std::string::npos
-            ? -1
-            : std::strtol(text.c_str() + at + mark.size(), nullptr, 10);
-        if (term > highest) {
-            highest = term;
-            found = i;
-        }
-    }
-    return found;
 }
 
 bool cell::start()
 {
     for (int i = 0; i < controllers; ++i) {
-        startController(i, true);
+        startProcess("controller-" + std::to_string(i + 1),
+                     "target/bin/filbert-platform-controller", "deploy/controller.flags", 10 + i);
     }
     for (int i = 0; i < gateways; ++i) {
-        gatewayProcesses.push_back(
-            startProcess("gateway-" + std::to_string(i + 1), "target/bin/filbert-platform-gateway",
-                         "deploy/gateway.flags", firstGatewayNumber + i, true));
+        startProcess("gateway-" + std::to_string(i + 1), "target/bin/filbert-platform-gateway",
+                     "deploy/gateway.flags", firstGatewayNumber + i);
     }
     for (const auto &each : workers) {
         each->start();
     }
+    const bool isConfigured = configure(1, "queue", firstTimeoutMs);
+    sleepMs(knownAfterMs);
+    return isConfigured;
+}
+
+bool cell::configure(int version, const std::string &routeName, int timeoutMs)
+{
+    const auto body = configuration(version, routeName, timeoutMs);
     const auto deadline = wallMs() + startTimeoutMs;
     for (std::size_t i = 0; wallMs() < deadline; ++i) {
         const auto &endpoint = control[i % control.size()];
         const auto status =
-            call(endpoint, {"PUT", "/v1/config", {}, configuration()}, controlTimeoutMs).status;
-        record.write("operator: PUT /v1/config -> " + std::to_string(status));
+            call(endpoint, {"PUT", "/v1/config", {}, body}, controlTimeoutMs).status;
+        record.write("operator: PUT /v1/config " + body + " -> " + std::to_string(status));
         if (status == 200) {
-            sleepMs(knownAfterMs);
             return true;
         }
         sleepMs(300);
@@ -331,7 +270,16 @@
 
 int cell::statusOf(const std::string &job)
 {
-    return callFront({"GET", prefix + job, {}, {}}).status;
+    const auto status = callFront({"GET", prefix + job, {}, {}}).status;
+    record.write("client: GET " + job + " -> " + std::to_string(status));
+    return status;
+}
+
+int cell::cancel(const std::string &job)
+{
+    const auto status = callFront({"DELETE", prefix + job, {}, {}}).status;
+    record.write("client: DELETE " + job + " -> " + std::to_string(status));
+    return status;
 }
 
 std::vector<run_record> cell::runsOf(const std::string &task) const
--- a/review/stand_ins_2/cell.h
+++ b/review/stand_ins_2/cell.h
@@ -39,25 +39,6 @@
         @return whether it was acknowledged and all workers are known */
     bool start();
 
-    /** Starts a controller, on an empty disk or on the one that it had.
-        @param isFirstStart  whether the whole cell starts for the first time */
-    void startController(int number, bool isFirstStart);
-
-    /** Ends a controller: SIGKILL ends it at once, SIGTERM as a planned stop. */
-    void endController(int number, int signal);
-
-    /** Empties the disk of a controller that has ended. */
-    void wipeDisk(int number);
-
-    /** @return the number of the controller that said last that it leads, or -1 */
-    int leader() const;
-
-    /** @return what a controller has written, of all its lives */
-    std::string logOf(int number) const;
-
-    /** @return whether a controller's process has ended by itself since it was started */
-    bool hasEndedByItself(int number);
-
     worker &workerAt(std::size_t index) { return *workers[index]; }
     std::size_t workerCount() const { return workers.size(); }
 
@@ -67,9 +48,17 @@
     /** Hands a job in, and again after no answer. @return the last status */
     int submit(const std::string &job, const std::string &body);
 
-    /** @return the status of a GET of a job, without a line in the record */
+    /** @return the status of a GET of a job */
     int statusOf(const std::string &job);
 
+    /** Cancels a job. @return the status of the DELETE */
+    int cancel(const std::string &job);
+
+    /** Sends a configuration with one route until it is acknowledged.
+        @param routeName  of the route, which has the same host, path prefix and service each time
+        @return whether it was acknowledged in time */
+    bool configure(int version, const std::string &routeName, int timeoutMs);
+
     /** @return all runs of a task, by their start */
     std::vector<run_record> runsOf(const std::string &task) const;
 
@@ -80,8 +69,8 @@
 
 private:
     std::string address(int number) const;
-    pid_t startProcess(const std::string &name, const std::string &program,
-                       const std::string &flagsFile, int number, bool isFirstStart);
+    void startProcess(const std::string &name, const std::string &program,
+                      const std::string &flagsFile, int number);
     response callFront(const request &message);
 
     case_record &record;
@@ -90,8 +79,7 @@
     std::vector<std::string> fronts;
     std::string seeds;
     std::vector<std::unique_ptr<worker>> workers;
-    std::vector<pid_t> controllerProcesses;
-    std::vector<pid_t> gatewayProcesses;
+    std::vector<pid_t> processes;
     std::size_t nextFront = 0;
 };
 
