--- a/review/9/run.sh
+++ b/review/9/run.sh
@@ -5,10 +5,10 @@
 folder=$(cd "$(dirname "$0")" && pwd)
 cd "$folder/../.."
 for program in target/bin/filbert-platform-controller target/bin/filbert-platform-gateway \
-    build-review-2/long_tasks; do
+    build-review-2/one_per_worker; do
     [ -x "$program" ] || { echo "not built: $program"; exit 2; }
 done
-timeout 115 "build-review-2/long_tasks" "${RECORD:-$folder/record.txt}"
+timeout 115 "build-review-2/one_per_worker" "${RECORD:-$folder/record.txt}"
 code=$?
 [ "$code" -le 1 ] || code=2
 exit "$code"
