--- a/review/stand_ins_2/cell.cpp
+++ b/review/stand_ins_2/cell.cpp
@@ -124,6 +124,7 @@
         settings.service = "service";
         settings.control = control;
         settings.milliCores = milliCores;
+        settings.kind = i == 0 ? "b" : "a"; // its first label
         workers.push_back(std::make_unique<worker>(
             settings, [&record](const std::string &line) { record.write(line); }));
     }
--- a/review/stand_ins_2/worker.cpp
+++ b/review/stand_ins_2/worker.cpp
@@ -17,6 +17,8 @@
 constexpr auto tickPeriod = std::chrono::milliseconds {20};
 constexpr int ticksPerBeat = 75; // heartbeatMs, 1500
 constexpr int beatTimeoutMs = 1'000;
+constexpr std::int64_t lateMs = 3'000; // an order without an answer: 2 to 12 s
+constexpr std::int64_t remainingMs = 10'000; // while it drains
 constexpr std::size_t endsInList = 500;
 
 std::int64_t steadyMs()
@@ -156,8 +158,10 @@
     if (expected != message.headers.end() && expected->second != id) {
         return answer(421, {});
     }
+    ++orders;
     if (message.path == "/v1/run-start") {
-        return handleStart(message.body);
+        return clock() < unansweredUntil ? carryOutLate(lock, message.body)
+                                         : handleStart(message.body, false);
     }
     if (message.path == "/v1/run-stop") {
         return handleStop(message.body);
@@ -179,7 +183,42 @@
     leaseUntil = std::max(leaseUntil, std::min(until, clock() + longestLeaseMs));
 }
 
-response worker::handleStart(const std::string &text)
+response worker::carryOutLate(std::unique_lock<std::mutex> &lock, const std::string &text)
+{
+    ++unansweredOrders;
+    const auto life = id;
+    hasEnds.wait_for(lock, std::chrono::milliseconds {lateMs},
+                     [&] { return !isAlive || isClosing; });
+    if (isAlive && !isClosing && life == id) {
+        handleStart(text, true);
+    }
+    return {};
+}
+
+std::int64_t worker::drain()
+{
+    isDraining = true;
+    const bool isAcknowledged = sendHeartbeat();
+    record("worker " + settings.name + " reports that it is draining: "
+           + (isAcknowledged ? "acknowledged" : "not acknowledged"));
+    return isAcknowledged ? wallMs() : 0;
+}
+
+void worker::leaveStartsUnanswered(std::int64_t forMs)
+{
+    const std::lock_guard lock {mutex};
+    unansweredUntil = clock() + forMs;
+    record("worker " + settings.name + " leaves starts unanswered for " + std::to_string(forMs)
+           + " ms");
+}
+
+std::pair<int, int> worker::orderCounts() const
+{
+    const std::lock_guard lock {mutex};
+    return {orders, unansweredOrders};
+}
+
+response worker::handleStart(const std::string &text, bool isLate)
 {
     const auto body = json::parse(text);
     const auto task = body.at("task").get<std::string>();
@@ -212,8 +251,9 @@
     started.milliCores =
         cores == std::string::npos ? 0 : std::strtoll(spec.c_str() + cores + 6, nullptr, 10);
     started.record = records.size();
-    records.push_back({task, run, id, wallMs(), 0, {}, 0});
-    record("run " + task + " " + std::to_string(run) + " has started on " + id);
+    records.push_back({task, run, id, wallMs(), 0, {}, 0, isLate});
+    record("run " + task + " " + std::to_string(run) + " has started on " + id
+           + (isLate ? ", late" : ""));
     return answer(200, {});
 }
 
@@ -310,7 +350,7 @@
     }
 }
 
-void worker::sendHeartbeat()
+bool worker::sendHeartbeat()
 {
     request message;
     {
@@ -321,7 +361,10 @@
         body["zone"] = "zone-a";
         body["version"] = "v1";
         body["slots"] = 8;
-        body["state"] = "ready";
+        body["state"] = isDraining ? "draining" : "ready";
+        if (isDraining) {
+            body["remainingMs"] = remainingMs;
+        }
         body["coldLeftMs"] = 0;
         body["capacity"] = {{"cpu", settings.milliCores}, {"memMb", 65'536}, {"gpu", 0}};
         body["labels"] = {settings.kind, "rack-" + settings.name};
@@ -335,10 +378,11 @@
         const auto &endpoint = settings.control[controlIndex % settings.control.size()];
         const auto status = call(endpoint, message, beatTimeoutMs).status;
         if (status >= 200 && status < 300) {
-            return;
+            return true;
         }
         ++controlIndex;
     }
+    return false;
 }
 
 } // namespace review
--- a/review/stand_ins_2/worker.h
+++ b/review/stand_ins_2/worker.h
@@ -9,6 +9,7 @@
 #include <memory>
 #include <string>
 #include <thread>
+#include <utility>
 #include <vector>
 
 namespace review {
@@ -40,6 +41,7 @@
     std::int64_t endedAt = 0; // 0 = still running
     std::string end; // "crashed" if the worker crashed
     int percent = 0; // of the work, when it ended
+    bool isLate = false; // its order got no answer and was carried out late
 };
 
 /** A sound worker. It runs what it is told to, keeps the leases and lists the ends until they are
@@ -58,6 +60,15 @@
     /** Ends without a word, with all that runs. */
     void crash();
 
+    /** Reports from now on that it is draining. @return when that was acknowledged, by wallMs() */
+    std::int64_t drain();
+
+    /** Leaves orders to start a run unanswered for a time, and carries them out 3 s later. */
+    void leaveStartsUnanswered(std::int64_t forMs);
+
+    /** @return how many orders came, and how many of them got no answer */
+    std::pair<int, int> orderCounts() const;
+
     bool isUp() const { return isAlive; }
     const std::string &name() const { return settings.name; }
     std::vector<run_record> history() const;
@@ -88,7 +99,8 @@
     };
 
     response handle(const request &message);
-    response handleStart(const std::string &text);
+    response handleStart(const std::string &text, bool isLate);
+    response carryOutLate(std::unique_lock<std::mutex> &lock, const std::string &text);
     response handleStop(const std::string &text);
     response handleHold(std::unique_lock<std::mutex> &lock, const std::string &text);
     response answer(int status, const std::string &reason) const;
@@ -98,7 +110,7 @@
     int percentOf(const current_run &run) const;
     void end(const std::string &task, const std::string &how);
     void tick();
-    void sendHeartbeat();
+    bool sendHeartbeat();
     std::int64_t clock() const;
 
     worker_settings settings;
@@ -118,6 +130,10 @@
     std::vector<listed_end> ends;
     std::vector<run_record> records;
     std::size_t controlIndex = 0;
+    std::int64_t unansweredUntil = 0; // on the worker's clock
+    int orders = 0;
+    int unansweredOrders = 0;
+    std::atomic<bool> isDraining {false};
     std::atomic<bool> isAlive {false};
     std::atomic<bool> isClosing {false};
     std::thread ticker;
