--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -9,7 +9,6 @@
     g++ -std=c++20 -O1 -pthread -o "build-review-2/$program" "$sources/$program.cpp" \
         "$sources/cell.cpp" "$sources/worker.cpp" "$sources/http.cpp" &
 done
-
 for job in $(jobs -p); do
     wait "$job"
 done
--- a/review/stand_ins_2/cell.cpp
+++ b/review/stand_ins_2/cell.cpp
@@ -26,6 +26,8 @@
 constexpr int gateways = 2;
 constexpr int firstGatewayNumber = 20;
 constexpr int firstWorkerNumber = 30;
+constexpr unsigned longestSeconds = 115; // of a case
+constexpr int exitCouldNotRun = 2;
 constexpr std::size_t longestShownBody = 300; // in the record
 constexpr int callTimeoutMs = 3'000; // the deadline of the sites' clients
 constexpr int controlTimeoutMs = 1'000;
@@ -107,6 +109,9 @@
 cell::cell(case_record &record, int workerCount, std::int64_t milliCores)
     : record {record}
 {
+    // The processes of the cell end with this one, see startProcess().
+    std::signal(SIGALRM, [](int) { _exit(exitCouldNotRun); });
+    alarm(longestSeconds);
     auto name = (std::filesystem::temp_directory_path() / "filbert-case-XXXXXX").string();
     folder = mkdtemp(name.data());
     for (int i = 0; i < controllers; ++i) {
