--- a/review/stand_ins_2/late_starts.cpp
+++ b/review/stand_ins_2/late_starts.cpp
@@ -7,7 +7,7 @@
 
 using namespace review;
 
-constexpr int workerCount = 8;
+constexpr int workerCount = 16; // one of them is 0.0625 of the service
 constexpr std::int64_t milliCores = 16'000;
 constexpr std::int64_t drainMs = 2'000;
 constexpr std::int64_t unansweredMs = 2'400; // of 5.5 s in the site file
--- a/review/stand_ins_2/one_per_worker.cpp
+++ b/review/stand_ins_2/one_per_worker.cpp
@@ -9,14 +9,14 @@
 
 using namespace review;
 
-constexpr int workerCount = 7; // one of them is 0.143 of the service
+constexpr int workerCount = 8; // one of them is 0.125 of the service
 constexpr std::int64_t milliCores = 16'000;
 constexpr std::int64_t startMs = 6'000;
 constexpr std::int64_t observedMs = 20'000; // longer than a lease, 6,000
 constexpr std::int64_t samplePeriodMs = 50;
 constexpr const char *job = "0aef111c0ffee001";
 constexpr const char *body =
-    R"({"spec":"lasting cores:4000","phases":[{"count":7,"cpu":4000,"memMb":1024,)"
+    R"({"spec":"lasting cores:4000","phases":[{"count":8,"cpu":4000,"memMb":1024,)"
     R"("estimateMs":400,"longRunning":true,"fillCount":true,"maxPerServer":1}]})";
 
 /** @return the highest number of tasks of the job on one worker */
