Identify queues by their place and teams by their keys

If another, open queue got the old name, its callers could see and cancel the jobs of the team without a key.

Cause: the name of a queue, a label of the operator, was taken for its identity: by GET, DELETE, the count of waiting jobs and the search for a job's settings. The same for a team that gets another name, and for a submission under the id of another team's job, which was answered as accepted.

Change: a queue is its host and path prefix; a job keeps the place of the queue that accepted it, which has been in each log entry from the start, so that older jobs are found too and no entry means anything else. One function, isVisible(), says who may see and cancel a job; renaming widens it for nobody. Jobs of a renamed team follow its keys (team_succession). A submission under the id of a job that the caller may not see is a conflict (409).

Three fixtures configured two queues at one place, or accepted jobs without their queue, which no leader does; they name the place now. An emptied count of waiting jobs is removed, so that the check reads empty().

--- a/modules/filbert_dispatch/dispatch_state.cpp
+++ b/modules/filbert_dispatch/dispatch_state.cpp
@@ -128,6 +128,19 @@
     refreshJob(state, task.job, now);
 }
 
+/** Charges the reservations of proposed starts to the teams that their jobs have now. */
+void chargeReservationsAnew(dispatch_state &state)
+{
+    state.teamReserved.clear();
+    for (const auto &[task, target] : state.reservedStarts) {
+        const auto job = state.work->jobs.find(task.job);
+        if (job != state.work->jobs.end()) {
+            state.teamReserved[job->second.job.team()] +=
+                taskDemand(stepSpecOf(job->second, task.step));
+        }
+    }
+}
+
 void beginDueOccurrences(dispatch_state &state, std::int64_t wallMs)
 {
     for (const auto &id : state.repeatingJobs) {
@@ -287,6 +300,8 @@
         }
         break;
     case body::kConfigure:
+        chargeReservationsAnew(state); // teams may have other names
+        break;
     case body::kForget:
     case body::BODY_NOT_SET:
         break;
--- a/modules/filbert_dispatch/placement_pass.h
+++ b/modules/filbert_dispatch/placement_pass.h
@@ -14,9 +14,6 @@
 constexpr int lateRankOffset = 3;
 constexpr int noReservation = std::numeric_limits<int>::max();
 
-/** The configured queues by name. */
-using queue_index = std::unordered_map<std::string_view, const messages::work_queue *>;
-
 /** A step with waiting tasks, as a placement pass sees it. */
 struct pending_step
 {
--- a/modules/filbert_dispatch/scheduling.cpp
+++ b/modules/filbert_dispatch/scheduling.cpp
@@ -302,7 +302,7 @@
     totals.orderedSteps += keys.size();
     for (const auto &key : keys) {
         const auto &job = state.work->jobs.at(*key.job);
-        auto &service = serviceOf(pass, queueOfJob(pass.queues, job).service());
+        auto &service = serviceOf(pass, queueOf(pass.queues, job).service());
         const task_name name {*key.job, key.occurrence, key.step, 0};
         if (service.unplacedSteps >= maxUnplacedSteps
             && !isTriedInThisPass(state, name, keys.size())) {
--- a/modules/filbert_dispatch/step_order.cpp
+++ b/modules/filbert_dispatch/step_order.cpp
@@ -77,12 +77,6 @@
 
 } // namespace
 
-const messages::work_queue &queueOfJob(const queue_index &queues, const work_job &job)
-{
-    const auto configured = queues.find(job.job.queue());
-    return configured == queues.end() ? job.job.taken_under() : *configured->second;
-}
-
 pending_step pendingStepOf(const dispatch_state &state, const queue_index &queues,
                            const task_name &name, const job_view &view, time_point now)
 {
@@ -91,7 +85,7 @@
     pending.name = name;
     pending.job = &job;
     pending.spec = &stepSpecOf(job, name.step);
-    pending.queue = &queueOfJob(queues, job);
+    pending.queue = &queueOf(queues, job);
     pending.need = targetReservation(*pending.spec);
     const auto urgency = urgencyOf(*pending.queue, *pending.spec, view,
                                    view.occurrenceBegunAt.at(name.occurrence), name.step, now);
@@ -104,7 +98,7 @@
 {
     queue_index queues;
     for (const auto &queue : state.work->configuration.queues()) {
-        queues.emplace(queue.name(), &queue);
+        queues.emplace(placeOf(queue), &queue);
     }
     return queues;
 }
@@ -118,7 +112,7 @@
             continue;
         }
         const auto &job = state.work->jobs.at(id);
-        const auto &queue = queueOfJob(queues, job);
+        const auto &queue = queueOf(queues, job);
         for (const auto &[occurrence, step] : view.pendingSteps) {
             const auto urgency = urgencyOf(queue, stepSpecOf(job, step), view,
                                            view.occurrenceBegunAt.at(occurrence), step, now);
--- a/modules/filbert_dispatch/step_order.h
+++ b/modules/filbert_dispatch/step_order.h
@@ -4,13 +4,9 @@
 
 namespace filbert {
 
-/** @return the configured queues by name */
+/** @return the configured queues by place */
 queue_index queuesOf(const dispatch_state &state);
 
-/** @return the queue of a job as it is configured now or, if it was removed from the configuration,
-    as it was when the job was accepted */
-const messages::work_queue &queueOfJob(const queue_index &queues, const work_job &job);
-
 /** @param name  of the step, with index 0
     @param view  of its job
     @return the step with its present rank and slack */
--- a/modules/filbert_dispatch/tests/overload_model.cpp
+++ b/modules/filbert_dispatch/tests/overload_model.cpp
@@ -37,6 +37,7 @@
     for (const bool isQuick : {true, false}) {
         auto *queue = configuration->add_queues();
         queue->set_name(isQuick ? "quick" : "batch");
+        queue->set_path_prefix(isQuick ? "/quick/" : "/batch/");
         queue->set_service("orders");
         queue->set_priority(isQuick ? 0 : 2);
         queue->set_max_attempts(4);
--- a/modules/filbert_dispatch/tests/scheduling_test.cpp
+++ b/modules/filbert_dispatch/tests/scheduling_test.cpp
@@ -98,6 +98,7 @@
     *command.mutable_accept() = cell.state.jobs.at("large").job;
     command.mutable_accept()->set_id("low");
     command.mutable_accept()->set_queue("bulk");
+    *command.mutable_accept()->mutable_taken_under() = *findQueue(cell.state.configuration, "bulk");
     command.mutable_accept()->mutable_steps(0)->mutable_need()->set_milli_cores(1'000);
     cell.apply(command);
     cell.startLeading();
@@ -426,6 +427,7 @@
     auto *job = command.mutable_accept();
     job->set_id("timed");
     job->set_queue("quotes");
+    *job->mutable_taken_under() = *findQueue(cell.state.configuration, "quotes");
     *job->add_steps() = cell.step(1);
     job->set_repeat_count(2);
     job->set_first_due_wall_ms(cell.wallMs + 500);
@@ -520,6 +522,7 @@
     auto *job = command.mutable_accept();
     job->set_id("j");
     job->set_queue("quotes");
+    *job->mutable_taken_under() = *findQueue(cell.state.configuration, "quotes");
     job->set_team("desk");
     *job->add_steps() = cell.step(1);
     job->set_repeat_count(3);
@@ -876,6 +879,7 @@
         auto *job = command.mutable_accept();
         job->set_id(id);
         job->set_queue("quotes");
+        *job->mutable_taken_under() = *findQueue(cell.state.configuration, "quotes");
         job->set_team("desk");
         job->set_accepted_wall_ms(cell.wallMs - ageMs);
         *job->add_steps() = cell.step(1); // a second; its objective is 1,750 ms
--- a/modules/filbert_node/tests/work_controller_test.cpp
+++ b/modules/filbert_node/tests/work_controller_test.cpp
@@ -10,6 +10,18 @@
 
 constexpr const char *jobPath = "/quotes/5c0e7a21d94b36f8";
 
+messages::work_queue queueAt(const std::string &name, const std::string &pathPrefix,
+                             bool isOpen = false)
+{
+    messages::work_queue queue;
+    queue.set_name(name);
+    queue.set_host("cell.example");
+    queue.set_path_prefix(pathPrefix);
+    queue.set_service("orders");
+    queue.set_is_open(isOpen);
+    return queue;
+}
+
 /** The only controller of a cell, in virtual time. */
 struct controller_fixture
 {
@@ -129,6 +141,33 @@
         return sendRequest(request);
     }
 
+    void configureQueues(std::uint64_t version, const std::vector<messages::work_queue> &queues)
+    {
+        work_fixture content;
+        messages::work_request request;
+        *request.mutable_configure() = content.state.configuration;
+        request.mutable_configure()->set_version(version);
+        request.mutable_configure()->mutable_queues()->Assign(queues.begin(), queues.end());
+        REQUIRE(sendRequest(request).kind() == messages::ANSWER_OK);
+    }
+
+    /** @param teams  name and key of each */
+    void configureTeams(std::uint64_t version,
+                        const std::vector<std::pair<std::string, std::string>> &teams)
+    {
+        work_fixture content;
+        messages::work_request request;
+        *request.mutable_configure() = content.state.configuration;
+        request.mutable_configure()->set_version(version);
+        request.mutable_configure()->clear_teams();
+        for (const auto &[name, key] : teams) {
+            auto *team = request.mutable_configure()->add_teams();
+            team->set_name(name);
+            team->add_keys(key);
+        }
+        REQUIRE(sendRequest(request).kind() == messages::ANSWER_OK);
+    }
+
     /** Configures a second team, with the key "key-of-others". */
     void configureTwoTeams(std::uint64_t version)
     {
@@ -247,6 +286,125 @@
     CHECK(fixture.callJob(messages::JOB_STATE, another).name() == "cancelled");
 }
 
+// Guards against accepted work that nobody can find or stop any more: the queue of a job was known
+// by its name alone.
+TEST_CASE("jobs stay known, counted and cancellable when their queue gets another name",
+          "[controller]")
+{
+    controller_fixture fixture;
+    fixture.configure(1);
+    REQUIRE(fixture.callJob(messages::JOB_SUBMIT).kind() == messages::ANSWER_OK);
+    fixture.configureQueues(2, {queueAt("renamed", "/quotes/")});
+    CHECK(fixture.callJob(messages::JOB_STATE).name() == "queued");
+    CHECK(fixture.callJob(messages::JOB_STATE, "/quotes/").number() == 1);
+    CHECK(fixture.callJob(messages::JOB_SUBMIT).kind() == messages::ANSWER_OK);
+    CHECK(fixture.controller->work().jobs.size() == 1);
+    CHECK(fixture.callJob(messages::JOB_CANCEL).kind() == messages::ANSWER_OK);
+    CHECK(fixture.callJob(messages::JOB_STATE).name() == "cancelled");
+    CHECK(fixture.callJob(messages::JOB_STATE, "/quotes/").number() == 0);
+}
+
+// Guards against strangers who see and cancel a team's jobs because an open queue has the name that
+// the team's queue had.
+TEST_CASE("a queue that gets the name of another one opens the jobs of that one to nobody",
+          "[controller]")
+{
+    controller_fixture fixture;
+    fixture.configure(1);
+    REQUIRE(fixture.callJob(messages::JOB_SUBMIT).kind() == messages::ANSWER_OK);
+    const std::string elsewhere = "/elsewhere/5c0e7a21d94b36f8";
+    SECTION("while the other has a new name")
+    {
+        fixture.configureQueues(
+            2, {queueAt("renamed", "/quotes/"), queueAt("quotes", "/elsewhere/", true)});
+        CHECK(fixture.callJob(messages::JOB_STATE).name() == "queued");
+    }
+    SECTION("while the other is gone")
+    {
+        fixture.configureQueues(2, {queueAt("quotes", "/elsewhere/", true)});
+        CHECK(fixture.callJob(messages::JOB_STATE, elsewhere).name() == "queued"); // its own team
+    }
+    CHECK(fixture.callJob(messages::JOB_STATE, elsewhere, "").kind() == messages::ANSWER_NO_JOB);
+    CHECK(fixture.callJob(messages::JOB_CANCEL, elsewhere, "").kind() == messages::ANSWER_NO_JOB);
+    CHECK(fixture.callJob(messages::JOB_SUBMIT, elsewhere, "").kind() == messages::ANSWER_CONFLICT);
+    CHECK(fixture.controller->work().jobs.begin()->second.status == job_status::Queued);
+}
+
+TEST_CASE("two queues that exchange their names keep their jobs", "[controller]")
+{
+    controller_fixture fixture;
+    const std::string other = "/batch/5c0e7a21d94b36f9";
+    fixture.configureQueues(1, {queueAt("quotes", "/quotes/"), queueAt("batch", "/batch/")});
+    REQUIRE(fixture.callJob(messages::JOB_SUBMIT).kind() == messages::ANSWER_OK);
+    REQUIRE(fixture.callJob(messages::JOB_SUBMIT, other).kind() == messages::ANSWER_OK);
+    fixture.configureQueues(2, {queueAt("batch", "/quotes/"), queueAt("quotes", "/batch/")});
+    CHECK(fixture.callJob(messages::JOB_STATE).name() == "queued");
+    CHECK(fixture.callJob(messages::JOB_STATE, other).name() == "queued");
+    CHECK(fixture.callJob(messages::JOB_STATE, "/batch/5c0e7a21d94b36f8").kind()
+          == messages::ANSWER_NO_JOB);
+    CHECK(fixture.callJob(messages::JOB_CANCEL, other).kind() == messages::ANSWER_OK);
+    CHECK(fixture.callJob(messages::JOB_STATE).name() == "queued");
+}
+
+TEST_CASE("a queue that leaves and comes back under another name has its jobs again",
+          "[controller]")
+{
+    controller_fixture fixture;
+    fixture.configure(1);
+    REQUIRE(fixture.callJob(messages::JOB_SUBMIT).kind() == messages::ANSWER_OK);
+    fixture.configureQueues(2, {queueAt("batch", "/batch/")});
+    CHECK(fixture.callJob(messages::JOB_STATE).kind() == messages::ANSWER_NO_QUEUE);
+    fixture.configureQueues(3, {queueAt("batch", "/batch/"), queueAt("again", "/quotes/")});
+    CHECK(fixture.callJob(messages::JOB_STATE).name() == "queued");
+}
+
+// Guards against callers who lose their jobs when their queue begins to require a key.
+TEST_CASE("jobs of an open queue stay known when it requires a key, and the other way round",
+          "[controller]")
+{
+    controller_fixture fixture;
+    const bool isOpenAtFirst = GENERATE(true, false);
+    fixture.configureQueues(1, {queueAt("quotes", "/quotes/", isOpenAtFirst)});
+    const std::string firstKey = isOpenAtFirst ? "" : "key-of-desk";
+    const std::string laterKey = isOpenAtFirst ? "key-of-desk" : "";
+    REQUIRE(fixture.callJob(messages::JOB_SUBMIT, jobPath, firstKey).kind() == messages::ANSWER_OK);
+    fixture.configureQueues(2, {queueAt("quotes", "/quotes/", !isOpenAtFirst)});
+    CHECK(fixture.callJob(messages::JOB_STATE, jobPath, laterKey).name() == "queued");
+    CHECK(fixture.callJob(messages::JOB_CANCEL, jobPath, laterKey).kind() == messages::ANSWER_OK);
+}
+
+// Guards against a submission that is answered as accepted although its job will never run.
+TEST_CASE("a submission under the id of another team's job is refused", "[controller]")
+{
+    controller_fixture fixture;
+    fixture.configureTwoTeams(1);
+    const auto foreign = fixture.jobRequest(messages::JOB_SUBMIT, jobPath, "key-of-others");
+    messages::work_envelope envelope;
+    envelope.set_exchange(++fixture.lastExchange);
+    *envelope.mutable_request() = fixture.jobRequest(messages::JOB_SUBMIT);
+    fixture.controller->handleEnvelope("gateway-1", envelope, fixture.now, 1'000);
+    // Once while the first one is on its way to the log, once when it is accepted.
+    CHECK(fixture.sendRequest(foreign).kind() == messages::ANSWER_CONFLICT);
+    CHECK(fixture.sendRequest(foreign).kind() == messages::ANSWER_CONFLICT);
+    CHECK(fixture.callJob(messages::JOB_SUBMIT).kind() == messages::ANSWER_OK);
+    CHECK(fixture.callJob(messages::JOB_STATE).name() == "queued");
+}
+
+// Guards against callers who lose their jobs because the operator has renamed their team.
+TEST_CASE("the jobs of a team stay with its keys when it gets another name", "[controller]")
+{
+    controller_fixture fixture;
+    fixture.configureTwoTeams(1);
+    REQUIRE(fixture.callJob(messages::JOB_SUBMIT).kind() == messages::ANSWER_OK);
+    fixture.configureTeams(2, {{"renamed", "key-of-desk"}, {"desk", "key-of-others"}});
+    CHECK(fixture.callJob(messages::JOB_STATE).name() == "queued");
+    CHECK(fixture.callJob(messages::JOB_STATE, jobPath, "key-of-others").kind()
+          == messages::ANSWER_NO_JOB);
+    CHECK(fixture.callJob(messages::JOB_CANCEL, jobPath, "key-of-others").kind()
+          == messages::ANSWER_NO_JOB);
+    CHECK(fixture.callJob(messages::JOB_CANCEL).kind() == messages::ANSWER_OK);
+}
+
 TEST_CASE("invalid requests are rejected with the matching kind of answer", "[controller]")
 {
     controller_fixture fixture;
--- a/modules/filbert_node/work_controller.cpp
+++ b/modules/filbert_node/work_controller.cpp
@@ -197,7 +197,7 @@
     for (auto &command : std::exchange(pending, {})) {
         if (command.command.has_accept()) {
             const auto &job = command.command.accept();
-            proposed.submissions.push_back({job.id(), job.queue(), job.team()});
+            proposed.submissions.push_back({job.id(), accessOf(job)});
         }
         *batch.add_commands() = std::move(command.command);
         proposed.replies.push_back(std::move(command.replyTo));
@@ -305,6 +305,9 @@
         if (dispatch && command.has_crashed()) {
             logCrash(command.crashed());
         }
+        if (command.has_configure()) {
+            logSuccessors(command.configure());
+        }
         const auto outcome = applyCommand(state, command, batch.wall_ms());
         metrics.countCommand(command);
         const bool isOwnEntry = !proposed.empty() && entry.term() == log.state().term;
@@ -314,6 +317,20 @@
     }
 }
 
+/** Logs which teams a configuration renames before it is applied, as their jobs move with them. */
+void work_controller::logSuccessors(const messages::work_configuration &configuration)
+{
+    if (configuration.version() <= state.configuration.version()) {
+        return;
+    }
+    for (const auto &[team, successor] : findSuccessors(state.configuration, configuration)) {
+        log_line {"team_succeeded"}
+            .with("team", team)
+            .with("successor", successor)
+            .with("version", configuration.version());
+    }
+}
+
 /** Logs a crash before it is applied, with what it changes. */
 void work_controller::logCrash(const messages::target_crashed_command &crash)
 {
--- a/modules/filbert_node/work_controller.h
+++ b/modules/filbert_node/work_controller.h
@@ -95,12 +95,11 @@
         std::uint64_t exchange = 0; // id of the request; 0 = no answer is expected
     };
 
-    /** A submission on its way to the log, with what decides who may cancel its job. */
+    /** A submission on its way to the log. */
     struct pending_submission
     {
         std::string id;
-        std::string queue;
-        std::string team;
+        job_access access;
     };
 
     void handleRequest(const answer_address &from, const messages::work_request &request,
@@ -120,7 +119,7 @@
     void answerKind(const answer_address &to, messages::work_answer_kind kind,
                     const std::string &detail = {}, std::int64_t number = 0);
     void propose(messages::work_command &&command, const answer_address &to);
-    std::optional<pending_submission> findPendingSubmission(const std::string &id) const;
+    std::optional<job_access> findJobAccess(const std::string &id) const;
     void proposePending(time_point now, std::int64_t wallMs);
     void removeUnreadableCommands(messages::work_batch *batch, std::vector<answer_address> *replies,
                                   time_point now);
@@ -128,6 +127,7 @@
                        time_point now);
     void applyEntry(const messages::log_entry &entry);
     void logCrash(const messages::target_crashed_command &crash);
+    void logSuccessors(const messages::work_configuration &configuration);
     void handleAppliedCommand(const messages::work_command &command, const command_outcome &outcome,
                               const answer_address &to);
     void updateLeadership(time_point now, std::int64_t wallMs);
--- a/modules/filbert_node/work_requests.cpp
+++ b/modules/filbert_node/work_requests.cpp
@@ -104,30 +104,29 @@
     const auto id = call.path().substr(queue->path_prefix().size());
     const auto teamName = team != nullptr ? team->name() : std::string {};
     if (call.kind() == messages::JOB_STATE && id.empty()) {
-        const auto found = state.pendingByQueue.find(queue->name());
-        answerKind(from, messages::ANSWER_PENDING, {},
-                   found == state.pendingByQueue.end() ? 0 : found->second);
+        std::int64_t count = 0;
+        for (const auto &[accepting, jobs] : state.pendingByQueue) {
+            count += hasJobsOf(configuration, *queue, accepting) ? jobs : 0;
+        }
+        answerKind(from, messages::ANSWER_PENDING, {}, count);
         return;
     }
     if (call.kind() == messages::JOB_SUBMIT) {
         handleSubmission(from, call, *queue, teamName, id, wallMs);
         return;
     }
-    const auto isVisible = [&](const std::string &jobQueue, const std::string &jobTeam) {
-        return jobQueue == queue->name() && (queue->is_open() || jobTeam == teamName);
-    };
-    const auto job = state.jobs.find(id);
-    const bool isKnown =
-        job != state.jobs.end() && isVisible(job->second.job.queue(), job->second.job.team());
+    const auto access = findJobAccess(id);
+    const bool isFound = access && isVisible(configuration, *queue, teamName, *access);
     if (call.kind() == messages::JOB_STATE) {
+        const auto job = state.jobs.find(id);
+        const bool isKnown = isFound && job != state.jobs.end();
         messages::work_answer content;
         content.set_kind(isKnown ? messages::ANSWER_STATE : messages::ANSWER_NO_JOB);
         content.set_name(isKnown ? std::string {statusName(job->second.status)} : std::string {});
         answer(from, std::move(content));
         return;
     }
-    const auto submission = job == state.jobs.end() ? findPendingSubmission(id) : std::nullopt;
-    if (!isKnown && !(submission && isVisible(submission->queue, submission->team))) {
+    if (!isFound) {
         answerKind(from, messages::ANSWER_NO_JOB);
         return;
     }
@@ -136,20 +135,24 @@
     propose(std::move(command), from);
 }
 
-std::optional<work_controller::pending_submission>
-work_controller::findPendingSubmission(const std::string &id) const
+/** @return who may see and cancel a job that was accepted or is on its way to the log, or nothing
+   if there is none of that id */
+std::optional<job_access> work_controller::findJobAccess(const std::string &id) const
 {
+    if (const auto job = state.jobs.find(id); job != state.jobs.end()) {
+        return accessOf(job->second.job);
+    }
     for (const auto &[index, batch] : inFlight) {
         for (const auto &submission : batch.submissions) {
             if (submission.id == id) {
-                return submission;
+                return submission.access;
             }
         }
     }
     for (const auto &entry : pending) {
         const auto &job = entry.command.accept();
         if (entry.command.has_accept() && job.id() == id) {
-            return pending_submission {id, job.queue(), job.team()};
+            return accessOf(job);
         }
     }
     return std::nullopt;
@@ -159,6 +162,12 @@
                                        const messages::work_queue &queue, const std::string &team,
                                        const std::string &id, std::int64_t wallMs)
 {
+    const auto access = findJobAccess(id);
+    if (access && !isVisible(state.configuration, queue, team, *access)) {
+        // A success would leave the caller with a job that it cannot see and that is not its own.
+        answerKind(from, messages::ANSWER_CONFLICT, "another job has this id");
+        return;
+    }
     if (state.jobs.contains(id)) {
         answerKind(from, messages::ANSWER_OK); // a repeated submission of an accepted job
         return;
--- a/modules/filbert_work/filbert_work.h
+++ b/modules/filbert_work/filbert_work.h
@@ -31,6 +31,7 @@
 #include "queue_lookup.h"
 #include "target_checks.h"
 #include "task_name.h"
+#include "team_succession.h"
 #include "value_limits.h"
 #include "work_commands.h"
 #include "work_snapshot.h"
--- a/modules/filbert_work/queue_lookup.cpp
+++ b/modules/filbert_work/queue_lookup.cpp
@@ -117,6 +117,21 @@
     return nullptr;
 }
 
+job_access accessOf(const messages::staged_job &job)
+{
+    return {acceptingQueueOf(job), job.team(), job.taken_under().is_open()};
+}
+
+bool isVisible(const messages::work_configuration &configuration, const messages::work_queue &queue,
+               const std::string &team, const job_access &access)
+{
+    const bool isOwnTeam = !team.empty() && team == access.team;
+    const bool isOpenNow = queue.is_open()
+        && placeOf(queue) == queue_place {access.queue.host, access.queue.pathPrefix};
+    return (isOwnTeam || access.isOpenToAll || isOpenNow)
+        && hasJobsOf(configuration, queue, access.queue);
+}
+
 std::optional<std::string> findProblem(const messages::work_configuration &configuration)
 {
     std::set<std::string> services;
--- a/modules/filbert_work/queue_lookup.h
+++ b/modules/filbert_work/queue_lookup.h
@@ -18,6 +18,29 @@
 const messages::work_team *findTeamByKey(const messages::work_configuration &configuration,
                                          const std::string &key);
 
+/** What decides where callers find a job, and which of them. */
+struct job_access
+{
+    accepting_queue queue;
+    std::string team; // empty = none
+    bool isOpenToAll = false; // it was accepted by a queue that required no key
+};
+
+/** @return who finds an accepted job, and where */
+job_access accessOf(const messages::staged_job &job);
+
+/** Whether a caller may see and cancel a job.
+
+    The team of a job may do so wherever its queue is now. Everybody may if the queue required no
+   key when it accepted the job, or requires none now at the place where it did. A queue that got
+   the name of the job's queue opens the job to nobody.
+
+    @param queue  that the caller has called
+    @param team   name of the caller's team; empty if it has none
+*/
+bool isVisible(const messages::work_configuration &configuration, const messages::work_queue &queue,
+               const std::string &team, const job_access &access);
+
 /** Validates a configuration: queues must refer to known services, no two queues may have the same
     host and path prefix, nor two teams the same key, and all numbers must be within their limits.
 
--- a/modules/filbert_work/tests/work_commands_test.cpp
+++ b/modules/filbert_work/tests/work_commands_test.cpp
@@ -101,7 +101,7 @@
     cancel.set_cancel("j");
     cell.apply(cancel);
     CHECK(cell.start({"j", 0, 0, 0}, 1, "t1").error == conflict);
-    CHECK(cell.state.pendingByQueue.at("quotes") == 0);
+    CHECK(cell.state.pendingByQueue.empty());
     cancel.set_cancel("unknown");
     CHECK(cell.apply(cancel).error == error_kind::NotFound);
 }
--- a/modules/filbert_work/work_commands.cpp
+++ b/modules/filbert_work/work_commands.cpp
@@ -1,6 +1,7 @@
 #include "work_commands.h"
 
 #include "task_name.h"
+#include "team_succession.h"
 
 #include <algorithm>
 
@@ -10,8 +11,12 @@
 
 void removeFromPending(work_state &state, work_job &job)
 {
-    if (!job.hasStarted) {
-        --state.pendingByQueue[job.job.queue()];
+    if (job.hasStarted) {
+        return;
+    }
+    const auto pending = state.pendingByQueue.find(acceptingQueueOf(job.job));
+    if (pending != state.pendingByQueue.end() && --pending->second == 0) {
+        state.pendingByQueue.erase(pending);
     }
 }
 
@@ -65,6 +70,7 @@
                                    const messages::work_configuration &configuration)
 {
     if (configuration.version() > state.configuration.version()) {
+        moveJobsToSuccessors(state, findSuccessors(state.configuration, configuration));
         state.configuration = configuration;
     }
     return {};
@@ -80,7 +86,7 @@
     if (job.repeat_count() == 0) {
         beginOccurrence(record, 0);
     }
-    ++state.pendingByQueue[job.queue()];
+    ++state.pendingByQueue[acceptingQueueOf(job)];
     return {};
 }
 
--- a/modules/filbert_work/work_state.cpp
+++ b/modules/filbert_work/work_state.cpp
@@ -1,6 +1,7 @@
 #include "work_state.h"
 
 #include <algorithm>
+#include <functional>
 #include <utility>
 
 namespace filbert {
@@ -114,6 +115,24 @@
     return found == teams.end() ? nullptr : &*found;
 }
 
+std::size_t queue_place_hash::operator()(const queue_place &place) const
+{
+    constexpr std::size_t factor = 31;
+    const std::hash<std::string_view> hash;
+    return hash(place.host) * factor + hash(place.pathPrefix);
+}
+
+queue_place placeOf(const messages::work_queue &queue)
+{
+    return {queue.host(), queue.path_prefix()};
+}
+
+accepting_queue acceptingQueueOf(const messages::staged_job &job)
+{
+    const auto &queue = job.taken_under();
+    return {queue.host(), queue.path_prefix(), queue.name()};
+}
+
 const messages::work_queue *findQueue(const messages::work_configuration &configuration,
                                       const std::string &name)
 {
@@ -123,12 +142,35 @@
     return found == queues.end() ? nullptr : &*found;
 }
 
+const messages::work_queue *findQueueAt(const messages::work_configuration &configuration,
+                                        const queue_place &place)
+{
+    const auto &queues = configuration.queues();
+    const auto found = std::find_if(queues.begin(), queues.end(),
+                                    [&](const auto &each) { return placeOf(each) == place; });
+    return found == queues.end() ? nullptr : &*found;
+}
+
 const messages::work_queue &queueOf(const work_state &state, const work_job &job)
 {
-    const auto *queue = findQueue(state.configuration, job.job.queue());
+    const auto *queue = findQueueAt(state.configuration, placeOf(job.job.taken_under()));
     return queue != nullptr ? *queue : job.job.taken_under();
 }
 
+const messages::work_queue &queueOf(const queue_index &queues, const work_job &job)
+{
+    const auto configured = queues.find(placeOf(job.job.taken_under()));
+    return configured == queues.end() ? job.job.taken_under() : *configured->second;
+}
+
+bool hasJobsOf(const messages::work_configuration &configuration, const messages::work_queue &queue,
+               const accepting_queue &accepting)
+{
+    const queue_place place {accepting.host, accepting.pathPrefix};
+    return placeOf(queue) == place
+        || (queue.name() == accepting.name && findQueueAt(configuration, place) == nullptr);
+}
+
 bool isWithinCap(const resource_amounts &usage, const messages::resources &cap)
 {
     const auto within = [](std::int64_t used, std::int64_t limit) {
@@ -193,7 +235,7 @@
             }
         }
         if (!job.hasStarted && !job.hasEnded()) {
-            ++state.pendingByQueue[job.job.queue()];
+            ++state.pendingByQueue[acceptingQueueOf(job.job)];
         }
     }
 }
--- a/modules/filbert_work/work_state.h
+++ b/modules/filbert_work/work_state.h
@@ -4,10 +4,12 @@
 #include "filbert_policy/resource_amounts.h"
 #include "task_name.h"
 
+#include <compare>
 #include <cstdint>
 #include <map>
 #include <set>
 #include <string>
+#include <string_view>
 #include <unordered_map>
 #include <vector>
 
@@ -20,6 +22,34 @@
 /** @return the name of a job's status as clients see it, e.g. "active" */
 std::string_view statusName(job_status status);
 
+/** Where callers reach a queue, which identifies it for as long as it is configured there. Its name
+    is a label of the operator, who may change it or give it to another queue. */
+struct queue_place
+{
+    std::string_view host;
+    std::string_view pathPrefix;
+
+    bool operator==(const queue_place &other) const = default;
+};
+
+struct queue_place_hash
+{
+    std::size_t operator()(const queue_place &place) const;
+};
+
+/** The configured queues by place. */
+using queue_index = std::unordered_map<queue_place, const messages::work_queue *, queue_place_hash>;
+
+/** What a job keeps of the queue that accepted it. */
+struct accepting_queue
+{
+    std::string host;
+    std::string pathPrefix;
+    std::string name;
+
+    auto operator<=>(const accepting_queue &other) const = default;
+};
+
 /** A task: its current run, if it has one, and what the next run needs. */
 struct work_task
 {
@@ -117,7 +147,8 @@
 
     // Derived:
     std::map<std::string, resource_amounts> teamUsage; // by team, of its running tasks
-    std::map<std::string, std::int64_t> pendingByQueue; // accepted jobs without a started task
+    // Accepted jobs without a started task; without queues that have none.
+    std::map<accepting_queue, std::int64_t> pendingByQueue;
 };
 
 /** @return the specification of a step, which must exist in the job */
@@ -149,14 +180,33 @@
 const messages::work_team *findTeam(const messages::work_configuration &configuration,
                                     const std::string &name);
 
+/** @return the place of a queue; refers to the queue's strings */
+queue_place placeOf(const messages::work_queue &queue);
+
+/** @return the queue that accepted the job */
+accepting_queue acceptingQueueOf(const messages::staged_job &job);
+
 /** @return the queue of that name, or nullptr */
 const messages::work_queue *findQueue(const messages::work_configuration &configuration,
                                       const std::string &name);
 
-/** @return the queue of a job as it is configured now or, if it was removed from the configuration,
-    as it was when the job was accepted */
+/** @return the queue at that place, or nullptr */
+const messages::work_queue *findQueueAt(const messages::work_configuration &configuration,
+                                        const queue_place &place);
+
+/** @return the queue of a job as it is configured now or, if no queue is configured at its place
+   any more, as it was when the job was accepted */
 const messages::work_queue &queueOf(const work_state &state, const work_job &job);
 
+/** @return the same, found with an index of the configured queues */
+const messages::work_queue &queueOf(const queue_index &queues, const work_job &job);
+
+/** Whether callers find the jobs that one queue has accepted at another: at the same place,
+   whatever its name, or where the queue of that name has moved, if none is left at its place.
+    @param queue  a configured queue */
+bool hasJobsOf(const messages::work_configuration &configuration, const messages::work_queue &queue,
+               const accepting_queue &accepting);
+
 /** @return whether a usage is within a cap
     @param cap  a field of 0 is unlimited */
 bool isWithinCap(const resource_amounts &usage, const messages::resources &cap);
