Ask again whether a start may go out right before it is sent

Cause: whether a target takes work was asked once, when a pass placed the task. Starts then wait for one of four connections of their target, for another attempt, for the commit, the leader's lease or a relay, and were sent without another look.

Change: findStartObstacle() says why a start may not be sent any more: its target drains, has left, is avoided or silent, its job has ended, its ticket has expired. It is asked in each tick, and last for each order right before it leaves the leader. A start of which no attempt has left is given up at once, without a stop, a failure or a suspicion; one that may have arrived is stopped. Members of a gang are withdrawn together. What entries of the log mean is unchanged.

--- a/modules/filbert_dispatch/dispatch_state.h
+++ b/modules/filbert_dispatch/dispatch_state.h
@@ -102,7 +102,8 @@
     run_phase phase = run_phase::Started;
     bool isOrderPending = false; // a start or stop was sent and is not answered yet
     bool isAbandonmentProposed = false; // a command that ends it without a report was proposed
-    bool mayHaveReachedTarget = true; // at least one start order may have arrived
+    // At least one start order may have arrived, apart from one that is pending.
+    bool mayHaveReachedTarget = true;
     time_point
         placedAt; // when this leader placed it; 0 = without a ticket, or an earlier leader did
     time_point orderedAt; // when its start was sent first; 0 = not yet
@@ -114,6 +115,7 @@
     // Until then a late order to the previous incarnation may still start the run in this one.
     time_point mayStartLateUntil;
     std::string ticket;
+    time_point ticketExpiresAt; // 0 = it needs no ticket, or an earlier leader has sent it
     int percentDone = 0;
     time_point lastProgressAt;
     time_point lastListedAt; // when a poll last listed it; 0 = never
@@ -210,6 +212,7 @@
 {
     std::string text;
     time_point placedAt;
+    time_point expiresAt; // 0 = none is needed
 };
 
 /** A request to the policy service that waits for a caller or for its answer. */
--- a/modules/filbert_dispatch/filbert_dispatch.h
+++ b/modules/filbert_dispatch/filbert_dispatch.h
@@ -38,4 +38,5 @@
 #include "interference.h"
 #include "report_checks.h"
 #include "scheduling.h"
+#include "start_checks.h"
 #include "target_tracking.h"
--- a/modules/filbert_dispatch/order_answers.cpp
+++ b/modules/filbert_dispatch/order_answers.cpp
@@ -86,6 +86,13 @@
         .with("heard_ms_ago", (now - target.lastContactAt).count);
 }
 
+/** Whether a target may have carried out an order, or may still do so. */
+bool mayHaveArrived(order_result result)
+{
+    return result == order_result::Done || result == order_result::Superseded
+        || result == order_result::Unanswered || result == order_result::RelayLost;
+}
+
 void handleStartAnswer(dispatch_state &state, tracked_target &target, const target_order &order,
                        order_result result, run_view &run, time_point now)
 {
@@ -114,8 +121,7 @@
     if (isTargetFault(result) && !mayBeNetworkLoss(state, result)) {
         recordFailure(state, target, order.task, "starts fail there", now);
     }
-    run.mayHaveReachedTarget = run.mayHaveReachedTarget || result == order_result::Unanswered
-        || result == order_result::RelayLost;
+    run.mayHaveReachedTarget = run.mayHaveReachedTarget || mayHaveArrived(result);
     const bool canRetry = (result == order_result::Unanswered || result == order_result::Unreachable
                            || result == order_result::RelayLost)
         && now - run.orderedAt < state.settings.startRetryPeriod;
@@ -164,6 +170,7 @@
 
 void updateRun(const reported_run &report, bool isLatencySensitive, run_view &run, time_point now)
 {
+    run.mayHaveReachedTarget = true;
     if (run.phase == run_phase::Ordered) {
         run.phase = run_phase::Started;
         run.startedAt = now;
@@ -435,6 +442,8 @@
                 handleStartAnswer(state, target, order, answer.result, run->second, now);
             } else {
                 run->second.isOrderPending = false;
+                run->second.mayHaveReachedTarget =
+                    run->second.mayHaveReachedTarget || mayHaveArrived(answer.result);
             }
         }
         break;
--- a/modules/filbert_dispatch/scheduling.cpp
+++ b/modules/filbert_dispatch/scheduling.cpp
@@ -90,7 +90,9 @@
             findUsableTicket(pass.state, *admissionOf(pass, step), step.queue->admission(),
                              candidate.target->id, pass.now);
         FILBERT_INVARIANT(ticket != nullptr, "a start under a policy has a ticket");
-        pass.state.reservedTickets[task] = {*ticket, pass.now};
+        const milliseconds validity {step.queue->admission().ticket_ms()};
+        const auto &issued = admissionOf(pass, step)->tickets.at(candidate.target->id);
+        pass.state.reservedTickets[task] = {*ticket, pass.now, issued.issuedAt + validity};
     }
     log_line {"placed"}
         .with("task", toString(task))
--- a/modules/filbert_dispatch/target_tracking.cpp
+++ b/modules/filbert_dispatch/target_tracking.cpp
@@ -1,6 +1,7 @@
 #include "target_tracking.h"
 
 #include "crash_suspects.h"
+#include "start_checks.h"
 #include "target_orders.h"
 
 #include <algorithm>
@@ -77,12 +78,20 @@
             run.confirmedAt = {};
             run.retryAt = now;
         }
-        if (run.isOrderPending || run.isAbandonmentProposed || now < run.retryAt) {
+        if (run.isOrderPending || run.isAbandonmentProposed) {
             continue;
         }
         if (run.phase == run_phase::Ordered) {
-            dueStarts.emplace_back(run.startNumber, task);
-        } else if (run.phase == run_phase::Stopping && run.confirmedAt.ms == 0) {
+            const auto obstacle = findStartObstacle(state, target, registered, task, run, now);
+            if (obstacle) {
+                withdrawStart(state, target, task, *obstacle, now);
+            } else if (now >= run.retryAt) {
+                dueStarts.emplace_back(run.startNumber, task);
+            }
+        } else if (run.phase == run_phase::Stopping && !run.mayHaveReachedTarget) {
+            proposeAbandonment(state, task, run, target.id, "its start was never sent");
+        } else if (run.phase == run_phase::Stopping && run.confirmedAt.ms == 0
+                   && now >= run.retryAt) {
             run.isOrderPending = true;
             sendStop(state, target, registered, task, run.run, now);
         }
@@ -241,6 +250,7 @@
     target.reservedBestEffortCores = previous.reservedBestEffortCores;
     target.runs = previous.runs; // stopped in the new incarnation too, see tickRuns()
     for (auto &[task, run] : target.runs) {
+        run.mayHaveReachedTarget = run.mayHaveReachedTarget || run.isOrderPending;
         run.isOrderPending = false; // its answer would come from the previous incarnation
         run.confirmedAt = {}; // by the previous incarnation
         run.retryAt = now;
@@ -488,8 +498,11 @@
     run.startNumber = ++state.lastStartNumber;
     run.checkpoint = start.checkpoint();
     run.ticket = ticket.text;
+    run.ticketExpiresAt = ticket.expiresAt;
     run.placedAt = ticket.placedAt;
-    if (countPendingStarts(found->second) < state.settings.maxPendingStarts) {
+    // One that may not be sent is withdrawn with the next tick, when all of its gang is committed.
+    if (countPendingStarts(found->second) < state.settings.maxPendingStarts
+        && !findStartObstacle(state, found->second, *registered, task, run, now)) {
         sendStart(state, found->second, *registered, task, run, now);
     }
 }
--- a/modules/filbert_dispatch/tests/dispatch_fixture.h
+++ b/modules/filbert_dispatch/tests/dispatch_fixture.h
@@ -71,7 +71,9 @@
             }
         }
         for (auto &order : std::exchange(leader->effects.orders, {})) {
-            orders.push_back(std::move(order));
+            if (mayStillSend(*leader, order, now)) {
+                orders.push_back(std::move(order));
+            }
         }
         for (auto &call : std::exchange(leader->effects.admissions, {})) {
             admissions.push_back(std::move(call));
--- a/modules/filbert_node/order_router.cpp
+++ b/modules/filbert_node/order_router.cpp
@@ -127,6 +127,9 @@
         return;
     }
     for (const auto &[order, failureDomain] : std::exchange(waitingOrders, {})) {
+        if (!callbacks.mayStillSend(order, now)) {
+            continue;
+        }
         const auto &relay = relayFor(order.target, failureDomain, now);
         if (relay.empty()) {
             callbacks.callTarget(order);
--- a/modules/filbert_node/order_router.h
+++ b/modules/filbert_node/order_router.h
@@ -58,6 +58,9 @@
         std::function<void(const std::string &relay, const messages::work_envelope &)> send;
         /** Calls the target directly; its answer does not pass through the router. */
         std::function<void(const target_order &)> callTarget;
+        /** Asked about each order that has waited for a relay; one that may not be sent is dropped.
+         */
+        std::function<bool(const target_order &, time_point now)> mayStillSend;
         /** Called once for each order that was sent to a relay, unless its term ends before. */
         std::function<void(const target_order &, const order_answer &)> onAnswer;
     };
--- a/modules/filbert_node/tests/order_router_test.cpp
+++ b/modules/filbert_node/tests/order_router_test.cpp
@@ -12,6 +12,7 @@
     std::vector<std::pair<std::string, messages::work_envelope>> sent;
     std::vector<target_order> directCalls;
     std::vector<std::pair<target_order, order_answer>> answered;
+    std::string drainingTarget; // gets no starts any more
     order_router router;
 
     explicit router_fixture(std::uint64_t idBase = 0)
@@ -20,6 +21,9 @@
                        sent.emplace_back(relayName, envelope);
                    },
                    [this](const target_order &order) { directCalls.push_back(order); },
+                   [this](const target_order &order, time_point) {
+                       return order.target != drainingTarget;
+                   },
                    [this](const target_order &order, const order_answer &answer) {
                        answered.emplace_back(order, answer);
                    }}}
@@ -280,3 +284,19 @@
     fixture.router.tick(fixture.now);
     CHECK(fixture.answered.size() == 1);
 }
+
+// Guards against starts that reach a target after it began to drain, because no relay was known.
+TEST_CASE("an order that waits for a relay is dropped if it may not be sent any more", "[relay]")
+{
+    router_fixture fixture;
+    fixture.router.startTerm(fixture.now);
+    fixture.send("t1");
+    fixture.send("t2");
+    CHECK(fixture.sent.empty());
+    fixture.drainingTarget = "t1";
+    fixture.router.registerRelay("gateway-1", {"a", 1, 0}, fixture.now);
+    fixture.router.flush(fixture.now);
+    REQUIRE(fixture.sent.size() == 1);
+    REQUIRE(fixture.sent[0].second.carried().orders_size() == 1);
+    CHECK(fixture.sent[0].second.carried().orders(0).target() == "t2");
+}
--- a/modules/filbert_node/work_controller.cpp
+++ b/modules/filbert_node/work_controller.cpp
@@ -46,6 +46,9 @@
                    hooks.sendToPeer(relay, envelope);
                },
                [this](const target_order &order) { hooks.callTarget(order); },
+               [this](const target_order &order, time_point at) {
+                   return dispatch && mayStillSend(*dispatch, order, at);
+               },
                [this](const target_order &order, const order_answer &answer) {
                    handleOrderAnswer(order, answer, monotonicNow());
                }}}
@@ -558,6 +561,9 @@
     }
     const bool wereOrdersHeld = std::exchange(areOrdersHeld, false);
     for (auto &order : std::exchange(dispatch->effects.orders, {})) {
+        if (!mayStillSend(*dispatch, order, now)) {
+            continue;
+        }
         order.sentAt = wereOrdersHeld ? now : order.sentAt;
         const auto target = state.targets.find(order.target);
         const auto failureDomain = target == state.targets.end()
