Check the limit of tasks per target for best-effort steps too

Cause: hasCapacityFor() returned early for best-effort steps, before it looked at the limit. A table of tests, kinds of step by limits, shows that only these steps skip only this limit, also without the loss of a target.

Change: the limit is one function that counts, besides the runs of the log, those that a target has without it. It is checked before the branches for kinds of steps, and for reserved targets, preemption and tickets as well: a gang whose limit was below the free capacity of its admitted targets renewed their tickets for ever. Applying a start does not check it, since that would change what the entries of an existing log mean.

--- a/modules/filbert_dispatch/placement_pass.cpp
+++ b/modules/filbert_dispatch/placement_pass.cpp
@@ -74,10 +74,17 @@
     }
 }
 
-int countTasksOnTarget(const pending_step &step, const std::string &target)
+/** @return how many tasks of the step a target has or gets, with those that it runs although the
+    log does not have them there, and that have yet to be stopped */
+int countTasksOnTarget(const pending_step &step, const tracked_target &target)
 {
-    const auto found = step.tasksByTarget.find(target);
-    return found == step.tasksByTarget.end() ? 0 : found->second;
+    const auto found = step.tasksByTarget.find(target.id);
+    int count = found == step.tasksByTarget.end() ? 0 : found->second;
+    for (auto orphan = target.orphanRuns.lower_bound(step.name);
+         orphan != target.orphanRuns.end() && stepNameOf(orphan->first) == step.name; ++orphan) {
+        count += target.runs.contains(orphan->first) ? 0 : 1;
+    }
+    return count;
 }
 
 } // namespace
@@ -156,16 +163,26 @@
     return spec.lasts() || spec.max_per_target() > 0;
 }
 
+std::int64_t remainingTasksAllowed(const pending_step &step, const placement_candidate &candidate)
+{
+    const auto limit = step.spec->max_per_target();
+    return limit > 0 ? std::max(limit - countTasksOnTarget(step, *candidate.target), 0)
+                     : std::numeric_limits<std::int64_t>::max();
+}
+
 bool isEligible(const pending_step &step, const placement_candidate &candidate)
 {
     return candidate.isAvailable && candidate.reservedRank >= step.rank
-        && fits(step.need, candidate.capacity) && hasLabel(candidate, step.spec->required_label());
+        && fits(step.need, candidate.capacity) && hasLabel(candidate, step.spec->required_label())
+        && remainingTasksAllowed(step, candidate) > 0;
 }
 
 bool hasCapacityFor(const placement_pass &pass, const pending_step &step,
                     const service_view &service, const placement_candidate &candidate)
 {
-    if (!fits(step.need, candidate.free) || !mayBeTried(step, service, candidate)) {
+    // What holds for all kinds of steps comes before the branches for some of them.
+    if (!fits(step.need, candidate.free) || !mayBeTried(step, service, candidate)
+        || remainingTasksAllowed(step, candidate) == 0) {
         return false;
     }
     const auto &spec = *step.spec;
@@ -179,10 +196,6 @@
         && candidate.registered->bestEffortCores + candidate.target->reservedBestEffortCores > 0) {
         return false;
     }
-    if (spec.max_per_target() > 0
-        && countTasksOnTarget(step, candidate.target->id) >= spec.max_per_target()) {
-        return false;
-    }
     const bool isUrgent = step.queue->priority() <= service.urgentPriority;
     if (service.urgentPriority > 0 || isUrgent || spec.lasts()) {
         return true;
@@ -208,7 +221,7 @@
         cost += remoteDataCost;
     }
     if (spec.lasts()) {
-        cost += sameTargetCost * countTasksOnTarget(step, candidate.target->id);
+        cost += sameTargetCost * countTasksOnTarget(step, *candidate.target);
     }
     if (step.isSuspect) {
         cost += trialCost(pass, candidate);
--- a/modules/filbert_dispatch/placement_pass.h
+++ b/modules/filbert_dispatch/placement_pass.h
@@ -90,8 +90,12 @@
 /** Whether placement depends on how many tasks of the step a target already has. */
 bool dependsOnTaskCounts(const messages::step_spec &spec);
 
-/** Whether a target could take a task of the step if it were empty: by capacity, label and
-    reservations, not by policy. */
+/** @return how many more tasks of the step its limit of tasks per target allows on a target. Runs
+    that the target has without the log count too. */
+std::int64_t remainingTasksAllowed(const pending_step &step, const placement_candidate &candidate);
+
+/** Whether a target could take a task of the step if it had no other work: by capacity, label,
+    reservations and tasks per target, not by policy. */
 bool isEligible(const pending_step &step, const placement_candidate &candidate);
 
 /** Whether a target has free capacity for a task of the step now, also under the rules for
--- a/modules/filbert_dispatch/ticket_requests.cpp
+++ b/modules/filbert_dispatch/ticket_requests.cpp
@@ -208,7 +208,9 @@
         }
         const auto &candidate = service.candidates[*index];
         if (isEligible(step, candidate) && hasCapacityFor(pass, step, service, candidate)) {
-            fittingTasks += countFitting(step.need, candidate.free, requiredTasks);
+            fittingTasks +=
+                countFitting(step.need, candidate.free,
+                             std::min(requiredTasks, remainingTasksAllowed(step, candidate)));
         }
     }
     return fittingTasks >= requiredTasks;
