--- a/modules/filbert_replication/replicated_log.cpp
+++ b/modules/filbert_replication/replicated_log.cpp
@@ -266,9 +266,13 @@
         effects->messagesAfterSync.push_back(answer);
         return;
     }
-    if (state.incomingSnapshotHeader.index() != chunk.header().index()
-        || state.incomingSnapshotHeader.term() != chunk.header().term()) {
+    const bool isOfOtherSnapshot = state.incomingSnapshotHeader.index() != chunk.header().index()
+        || state.incomingSnapshotHeader.term() != chunk.header().term()
+        || state.incomingSnapshotFrom != from || state.incomingSnapshotTerm != chunk.term();
+    if (isOfOtherSnapshot) {
         state.incomingSnapshotHeader = chunk.header();
+        state.incomingSnapshotFrom = from;
+        state.incomingSnapshotTerm = chunk.term();
         state.incomingSnapshot.clear();
     }
     if (chunk.offset() == state.incomingSnapshot.size()) {
--- a/modules/filbert_replication/replicated_log.h
+++ b/modules/filbert_replication/replicated_log.h
@@ -89,6 +89,10 @@
     std::string transferee; // identity of the member that leadership is transferred to
     std::string incomingSnapshot; // the part of a snapshot that was received so far
     messages::snapshot_header incomingSnapshotHeader;
+    // The leader that sends it and its term. Snapshots of one index differ in their bytes, although
+    // they hold the same state, so that parts of two members' do not fit together.
+    std::string incomingSnapshotFrom;
+    std::uint64_t incomingSnapshotTerm = 0;
 
     std::uint64_t digestIndex = 0; // the index at which the digest was computed
     std::uint64_t digest = 0; // of the applied state; followers compare theirs with the leader's
--- a/modules/filbert_replication/tests/replicated_log_test.cpp
+++ b/modules/filbert_replication/tests/replicated_log_test.cpp
@@ -246,6 +246,39 @@
     CHECK(lastIndex(state) == 2);
 }
 
+// Guards against accepted work that is lost: a member that caught up while the leader changed put
+// parts of two snapshots together.
+TEST_CASE("parts of two leaders' snapshots are not put together, though they have the same index")
+{
+    auto state = memberOf("b");
+    replication_effects effects;
+    const auto receive = [&](const std::string &leader, std::uint64_t term, std::uint64_t offset,
+                             const std::string &data, bool isLast) {
+        messages::replication_message message;
+        message.set_from(leader);
+        message.set_to("b");
+        auto *chunk = message.mutable_snapshot();
+        chunk->set_term(term);
+        chunk->mutable_header()->set_index(5);
+        chunk->mutable_header()->set_term(2);
+        *chunk->mutable_header()->mutable_members() = threeMembers();
+        chunk->set_offset(offset);
+        chunk->set_data(data);
+        chunk->set_last(isLast);
+        effects = {};
+        handleReplicationMessage(state, message, {static_cast<std::int64_t>(term)}, &effects);
+        return effects.messagesAfterSync.back().snapshot_reply().offset();
+    };
+    const auto nextLeader = GENERATE(as<std::string> {}, "c", "a"); // also the same one, restarted
+    CHECK(receive("a", 3, 0, "old-", false) == 4);
+    CHECK(receive(nextLeader, 4, 4, "mixed", false) == 0); // it starts over
+    CHECK_FALSE(effects.mustInstall);
+    receive(nextLeader, 4, 0, "new-", false);
+    receive(nextLeader, 4, 4, "data", true);
+    CHECK(effects.mustInstall);
+    CHECK(*state.snapshotData == "new-data");
+}
+
 TEST_CASE(
     "a member that lost acknowledged entries is probed once per heartbeat, not in an endless loop")
 {
