Send entries to a follower again once a heartbeat round at the most

Cause: the follower answers all messages of the stall at once, by turns with success and rejection, since they came on several connections. Each rejection moved the next entry back and sent up to 1 MB again, without a bound.

Change: after a rejection only one from a later heartbeat round counts; the others answer messages that had left before the probe.

--- a/modules/filbert_replication/replicated_log.cpp
+++ b/modules/filbert_replication/replicated_log.cpp
@@ -100,17 +100,21 @@
 bool handleRejection(const replicated_log_state &state, const std::string &from,
                      const messages::append_reply &reply, follower_progress *progress)
 {
+    // Only a reply from a round after that of the last rejection answers the probe that followed
+    // it. Others answer messages that were sent before: a member that has stalled answers many of
+    // them at once, and sending entries again for each of these would fill this member's memory.
+    if (reply.round() <= progress->rejectedRound) {
+        return false;
+    }
+    progress->rejectedRound = state.heartbeatRound;
+    progress->isAwaitingReply = false;
     const auto retryIndex =
         std::max(progress->matchIndex + 1, std::min(progress->nextIndex, reply.match() + 1));
     const bool hasMoved = retryIndex != progress->nextIndex;
     progress->isProbing = true;
     progress->nextIndex = retryIndex;
-    // A reply from a round after that of the last rejection answers a probe at this entry. Other
-    // replies answer messages that were sent before the probe.
-    const bool isProbeReply = reply.round() > progress->rejectedRound;
-    progress->rejectedRound = state.heartbeatRound;
-    if (hasMoved || !isProbeReply) {
-        return hasMoved;
+    if (hasMoved) {
+        return true;
     }
     if (++progress->rejections == lostEntriesThreshold) {
         log_line {"member_lost_entries", log_line::severity::Error}
@@ -132,9 +136,9 @@
     }
     auto &progress = found->second;
     progress.ackedRound = std::max(progress.ackedRound, reply.round());
-    progress.isAwaitingReply = false;
     extendLease(state);
     if (reply.accepted()) {
+        progress.isAwaitingReply = false;
         FILBERT_INVARIANT(reply.match() <= lastIndex(state),
                           "a follower acknowledges no entry that its leader lacks");
         progress.matchIndex = std::max(progress.matchIndex, reply.match());
--- a/modules/filbert_replication/tests/replicated_log_test.cpp
+++ b/modules/filbert_replication/tests/replicated_log_test.cpp
@@ -246,6 +246,45 @@
     CHECK(lastIndex(state) == 2);
 }
 
+// Guards against a leader that exceeds its memory: a member whose disk had stalled answered all
+// that had come meanwhile, by turns with success and rejection, and got the same entries again each
+// time.
+TEST_CASE("a member that answers many old messages at once gets its entries again once a heartbeat")
+{
+    auto leader = leaderAt({2'000});
+    replication_effects effects;
+    constexpr std::size_t entryBytes = 50'000;
+    constexpr int entries = 40;
+    const std::vector<std::string> payloads(entries, std::string(entryBytes, 'x'));
+    REQUIRE_FALSE(propose(leader, payloads, {2'000}, &effects));
+    handlePersisted(leader, lastIndex(leader), {2'000}, &effects);
+    for (std::int64_t at = 2'100; at < 5'000; at += 100) { // the rounds that the member missed
+        tickLog(leader, {at}, &effects);
+        handleReplicationMessage(leader, acceptedReply(leader, "c", lastIndex(leader)), {at},
+                                 &effects);
+    }
+    REQUIRE(leader.role == replica_role::Leader);
+    const auto firstMissed = leader.heartbeatRound - 10;
+    effects = {};
+    std::size_t bytesSent = 0;
+    for (std::uint64_t i = 0; i < 10; ++i) {
+        const auto match = 2 + i;
+        for (const bool isAccepted : {true, false}) {
+            auto reply = acceptedReply(leader, "b", match);
+            reply.mutable_append_reply()->set_accepted(isAccepted);
+            reply.mutable_append_reply()->set_round(firstMissed + i);
+            handleReplicationMessage(leader, reply, {5'000}, &effects);
+        }
+        for (const auto &message : std::exchange(effects.messagesBeforeSync, {})) {
+            for (const auto &entry : message.append().entries()) {
+                bytesSent += entry.payload().size();
+            }
+        }
+    }
+    // All entries once, and two messages again: the first one, and one in this heartbeat round.
+    CHECK(bytesSent <= entries * entryBytes + 2 * (leader.settings.maxAppendBytes + entryBytes));
+}
+
 // Guards against accepted work that is lost: a member that caught up while the leader changed put
 // parts of two snapshots together.
 TEST_CASE("parts of two leaders' snapshots are not put together, though they have the same index")
