Send heartbeats of message sockets from clients only

Cause: a connection that another one of the same name has replaced, and that breaks afterwards, fails an assertion when the server's heartbeat is due on it.

Change: servers send none. Clients' heartbeats name the time after which a server closes a silent connection, so that both ends still notice silence.

--- a/modules/filbert_transport/message_socket.cpp
+++ b/modules/filbert_transport/message_socket.cpp
@@ -22,12 +22,19 @@
     socket.set(zmq::sockopt::sndhwm, maxQueuedMessages);
     socket.set(zmq::sockopt::rcvhwm, maxQueuedMessages);
     socket.set(zmq::sockopt::maxmsgsize, maxMessageBytes);
-    socket.set(zmq::sockopt::heartbeat_ivl, heartbeatIntervalMs);
-    socket.set(zmq::sockopt::heartbeat_timeout, heartbeatTimeoutMs);
-    socket.set(zmq::sockopt::heartbeat_ttl, heartbeatTimeoutMs);
     socket.set(zmq::sockopt::handshake_ivl, handshakeTimeoutMs);
 }
 
+/** Has a client close a connection on which the server is silent, and the server one on which the
+    client is. Only clients send heartbeats: the library ends the process if one of a server is due
+   on a connection that failed after another one of the same client has replaced it. */
+void sendHeartbeats(zmq::socket_t &client)
+{
+    client.set(zmq::sockopt::heartbeat_ivl, heartbeatIntervalMs);
+    client.set(zmq::sockopt::heartbeat_timeout, heartbeatTimeoutMs);
+    client.set(zmq::sockopt::heartbeat_ttl, heartbeatTimeoutMs);
+}
+
 /** Calls a function that receives one message until it finds none.
     @param receiveOne  returns whether there was a message */
 template <typename ReceiveOne>
@@ -135,6 +142,7 @@
 {
     auto &socket = state->socket;
     setCommonOptions(socket);
+    sendHeartbeats(socket);
     socket.set(zmq::sockopt::routing_id, name);
     socket.set(zmq::sockopt::immediate, true);
     socket.set(zmq::sockopt::reconnect_ivl, reconnectIntervalMs);
--- a/modules/filbert_transport/tests/message_socket_test.cpp
+++ b/modules/filbert_transport/tests/message_socket_test.cpp
@@ -48,3 +48,40 @@
         CHECK((peer == "gateway-1") == (message == "second"));
     }
 }
+
+// Guards against a process that ends because another one has replaced a silent connection: the
+// library failed an assertion when a heartbeat was due on the previous one, which had broken since.
+TEST_CASE("a replaced connection that breaks afterwards does no harm", "[transport]")
+{
+    event_loop loop;
+    zmq::context_t context {1};
+    std::vector<std::string> received;
+    message_server server {
+        loop, context, "tcp://127.0.0.1:*", {}, [&](const std::string &, std::string &&message) {
+            received.push_back(std::move(message));
+            if (received.back() == "last") {
+                loop.stop();
+            }
+        }};
+    std::vector<zmq::socket_t> connections;
+    const auto connect = [&] {
+        auto &connection = connections.emplace_back(context, zmq::socket_type::dealer);
+        connection.set(zmq::sockopt::linger, 0);
+        connection.set(zmq::sockopt::routing_id, "gateway-1");
+        connection.connect(server.endpoint());
+        connection.send(zmq::buffer(std::string {"hello"}), zmq::send_flags::none);
+    };
+    connect();
+    loop.callAfter({300}, connect); // replaces the first one
+    loop.callAfter({600}, [&] {
+        connections[0].send(zmq::buffer(std::string {"unread"}), zmq::send_flags::none);
+    });
+    loop.callAfter({900}, [&] { connections[0].close(); });
+    loop.callAfter({5'000}, [&] { // several periods of heartbeats later
+        connections[1].send(zmq::buffer(std::string {"last"}), zmq::send_flags::none);
+    });
+    loop.callAfter({10'000}, [&] { loop.stop(); });
+    loop.run();
+    REQUIRE_FALSE(received.empty());
+    CHECK(received.back() == "last");
+}
