Judge the progress of long tasks by their estimate

Cause: a run whose progress, in whole percent, stays the same for 2.5 s was taken to hang. A new checkpoint did not count as progress.

Change: the time is at least ten times as long as a percent of the estimate takes, and doubles with each run after the second, since estimates may be far too low. A new checkpoint is progress.

--- a/modules/filbert_dispatch/order_answers.cpp
+++ b/modules/filbert_dispatch/order_answers.cpp
@@ -176,7 +176,8 @@
         run.startedAt = now;
         run.lastProgressAt = now;
     }
-    if (report.percentDone != run.percentDone) {
+    const bool hasNewCheckpoint = !report.checkpoint.empty() && report.checkpoint != run.checkpoint;
+    if (report.percentDone != run.percentDone || hasNewCheckpoint) {
         run.lastProgressAt = now;
     }
     run.lastListedAt = now;
--- a/modules/filbert_dispatch/target_tracking.cpp
+++ b/modules/filbert_dispatch/target_tracking.cpp
@@ -18,6 +18,9 @@
 // For a stop with a checkpoint before the target leaves.
 constexpr milliseconds checkpointTimeout {700};
 constexpr int allWorkDone = 100; // progress of a run in percent
+// Of a run against its estimate: on a slow target, far from its data.
+constexpr std::int64_t maxSlowdown = 10;
+constexpr std::int64_t maxDoublings = 5; // of the time that a run may go on without progress
 // A report may be this long on its way, so that a reading of a clock may be too low by as much.
 constexpr milliseconds maxReportDelay {60'000};
 // Between ticks of a draining target: a small fraction of the time that is left for a stop.
@@ -160,6 +163,20 @@
     return false;
 }
 
+/** @return how long a run may go on without visible progress
+
+    Progress is known in whole percent, so that sound runs of long tasks show none for seconds. An
+    estimate may be far too low; then each run after the second may take longer than the one before,
+    until one is long enough. */
+milliseconds stallTimeoutOf(const dispatch_state &state, const messages::step_spec &spec,
+                            const run_view &run)
+{
+    const milliseconds perPercent {spec.estimate_ms() / allWorkDone};
+    const auto timeout = std::max(state.settings.stallTimeout, perPercent * maxSlowdown);
+    const auto doublings = std::clamp<std::int64_t>(std::int64_t {run.run} - 2, 0, maxDoublings);
+    return timeout * (std::int64_t {1} << doublings);
+}
+
 /** Stops runs that polls have listed for long without any progress, since they may hang. A time
     without polls says nothing about a run and does not count. */
 void reviewProgress(dispatch_state &state, tracked_target &target, time_point now)
@@ -169,7 +186,7 @@
         const bool isMonitored = run.phase == run_phase::Started && !spec.lasts()
             && !spec.fills_gaps() && run.workRate == 100;
         const auto stalledFor = run.lastListedAt - std::max(run.lastProgressAt, run.startedAt);
-        if (isMonitored && stalledFor > state.settings.stallTimeout
+        if (isMonitored && stalledFor > stallTimeoutOf(state, spec, run)
             && !isWaitingForGang(state, task, run)) {
             requestStop(state, task, "it makes no progress", now);
             if (now >= target.quarantinedUntil) {
--- a/modules/filbert_dispatch/tests/target_tracking_test.cpp
+++ b/modules/filbert_dispatch/tests/target_tracking_test.cpp
@@ -346,6 +346,64 @@
     CHECK_FALSE(cell.acceptsWorkAt("t1"));
 }
 
+// Guards against long tasks that never end: their progress, in whole percent, stays the same for
+// seconds, and each of their runs was stopped for that.
+TEST_CASE(
+    "a long task is stopped only if it makes no progress for much longer than a percent takes",
+    "[dispatch]")
+{
+    constexpr std::int64_t percentMs = 6'000;
+    dispatch_fixture cell;
+    cell.registerTarget("t1");
+    auto spec = cell.step(1);
+    const bool isEstimateRight = GENERATE(true, false);
+    spec.set_estimate_ms(isEstimateRight ? 100 * percentMs : 1'000);
+    cell.accept("j", {spec});
+    cell.startLeading();
+    time_point startedAt;
+    const auto play = [&](milliseconds duration, bool hangs) {
+        for (const auto end = cell.now + duration; cell.now < end;) {
+            cell.reportTarget("t1");
+            if (!cell.pendingOrders(order_kind::Start).empty()) {
+                startedAt = cell.now;
+            }
+            cell.answerOrders(order_kind::Start, order_result::Done);
+            cell.answerOrders(order_kind::Stop, order_result::Done);
+            order_answer list;
+            const auto *task = findTask(cell.state, firstTask);
+            const auto &runs = cell.leader->targets.at("t1").runs;
+            if (runs.contains(firstTask) && runs.at(firstTask).phase != run_phase::Stopping) {
+                const auto percent = hangs ? 99 : (cell.now - startedAt).count / percentMs;
+                list.runs.push_back({firstTask, task->run, {}, static_cast<int>(percent), 0});
+            }
+            cell.answerOrders(order_kind::Poll, order_result::Done, "t1", list);
+            cell.runFor({100});
+        }
+    };
+    play({240'000}, false);
+    // With a wrong estimate, some runs have to show that it is wrong.
+    CHECK(findTask(cell.state, firstTask)->run <= (isEstimateRight ? 1 : 4));
+    CHECK(cell.now - startedAt > milliseconds {100'000});
+    const auto run = findTask(cell.state, firstTask)->run;
+    play({90'000}, true);
+    CHECK(findTask(cell.state, firstTask)->run > run);
+}
+
+TEST_CASE("a new checkpoint is progress", "[dispatch]")
+{
+    dispatch_fixture cell;
+    cell.placeOneTask();
+    for (int i = 0; i < 60; ++i) {
+        cell.reportTarget("t1");
+        cell.answerOrders(order_kind::Start, order_result::Done);
+        order_answer list;
+        list.runs.push_back({firstTask, 1, "checkpoint " + std::to_string(i / 20), 12, 0});
+        cell.answerOrders(order_kind::Poll, order_result::Done, "t1", list);
+        cell.runFor({100});
+    }
+    CHECK(cell.pendingOrders(order_kind::Stop).empty());
+}
+
 TEST_CASE("a task is not stopped for lack of progress while polls are not answered", "[dispatch]")
 {
     dispatch_fixture cell;
