Do not suspect long-running tasks of the crashes that they outlive

Cause: the end of a target adds suspicion to all that had run there for a while. It never lapses, and a long-running task outlives any number of targets.

Change: such a run is not suspected once it has been at work; one that had just been started is, as before. The leader decides so when it proposes the crash; what the entry means is unchanged.

--- a/modules/filbert_dispatch/crash_suspects.cpp
+++ b/modules/filbert_dispatch/crash_suspects.cpp
@@ -37,6 +37,15 @@
     });
 }
 
+/** Whether the end of its target says nothing against a run: it had been at work for a while, and
+   its task lasts. Sooner or later each target of such a task ends. */
+bool isAboveSuspicion(const dispatch_state &state, const tracked_target &target,
+                      const task_name &task, const run_view &run)
+{
+    return stepSpecOf(state.work->jobs.at(task.job), task.step).lasts()
+        && hasProvenItself(state, target, run);
+}
+
 bool mayHaveStarted(const run_view &run)
 {
     return run.phase != run_phase::Ordered || run.mayHaveReachedTarget || run.isOrderPending;
@@ -94,7 +103,8 @@
         const auto *record = findTask(*state.work, task);
         const bool isOfThisIncarnation =
             record != nullptr && record->incarnation == target.incarnation;
-        if (!isOfThisIncarnation || !mayHaveStarted(run) || target.lostRuns.contains(task)) {
+        if (!isOfThisIncarnation || !mayHaveStarted(run) || target.lostRuns.contains(task)
+            || isAboveSuspicion(state, target, task, run)) {
             continue;
         }
         if (hasProvenItself(state, target, run)) {
@@ -121,7 +131,7 @@
 void noteLostRun(const dispatch_state &state, tracked_target &target, const task_name &task,
                  const run_view &run)
 {
-    if (mayHaveStarted(run)) {
+    if (mayHaveStarted(run) && !isAboveSuspicion(state, target, task, run)) {
         target.lostRuns[task] =
             suspectedRun(task, run,
                          hasProvenItself(state, target, run) ? messages::SUSPICION_WEAK
--- a/modules/filbert_dispatch/crash_suspects.h
+++ b/modules/filbert_dispatch/crash_suspects.h
@@ -8,10 +8,10 @@
     Finds the task that crashes its targets, among all that ran on a target when it crashed.
 
     Suspects are the runs that had just been started: a run is cleared once its target has been
-    heard for a while after the start. If there is none, all runs are weakly suspected. A suspected
-    task is then tried as the only new one on its target, so that the next crash convicts or clears
-    it, and takes as little other work along as possible. The replicated state adds up the
-    suspicion, see work_task.
+    heard for a while after the start. If there is none, all runs are weakly suspected, except those
+    of long-running tasks, which outlive many targets. A suspected task is then tried as the only
+    new one on its target, so that the next crash convicts or clears it, and takes as little other
+    work along as possible. The replicated state adds up the suspicion, see work_task.
 */
 
 /** Whether a run has been at work for a while on a target that was heard since. */
--- a/modules/filbert_dispatch/tests/crash_suspects_test.cpp
+++ b/modules/filbert_dispatch/tests/crash_suspects_test.cpp
@@ -94,6 +94,7 @@
                 const auto &tracked = leader->targets.at(id);
                 const auto run = tracked.runs.find(task);
                 const bool isDone = run != tracked.runs.end() && isUp(id)
+                    && !stepSpecOf(state.jobs.at(task.job), task.step).lasts()
                     && run->second.phase == run_phase::Started
                     && now - run->second.startedAt >= milliseconds {700};
                 if (isDone && task.job != "deadly") { // its other tasks never get to their end
@@ -188,6 +189,26 @@
     }
 }
 
+// Guards against a long-running job that fails because its targets crash now and then.
+TEST_CASE("a long-running task outlives any number of targets that crash under it", "[dispatch]")
+{
+    crashing_fixture cell {4};
+    auto spec = cell.step(1);
+    spec.set_lasts(true);
+    cell.accept("lasting", {spec});
+    cell.startLeading();
+    for (int i = 0; i < 8; ++i) {
+        cell.play({12'000});
+        const auto *task = findTask(cell.state, {"lasting", 0, 0, 0});
+        REQUIRE(task != nullptr); // its job has not failed
+        REQUIRE(task->status == task_status::Running);
+        cell.crash(task->target);
+    }
+    cell.play({12'000});
+    CHECK(cell.statusOf("lasting") == job_status::Active);
+    CHECK(cell.taskStatus({"lasting", 0, 0, 0}) == task_status::Running);
+}
+
 TEST_CASE("a target that crashes again and again gives up no job", "[dispatch]")
 {
     crashing_fixture cell {4};
