A team that gets the name of one that left earlier does not get its jobs

Cause: successors were looked for among the teams of the previous version only. A team that left two versions ago may still have jobs under its name, and the team that took the name over saw and could cancel them.

Change: a name that is new and comes with keys of another team has no jobs.

--- a/modules/filbert_node/tests/work_controller_test.cpp
+++ b/modules/filbert_node/tests/work_controller_test.cpp
@@ -405,6 +405,20 @@
     CHECK(fixture.callJob(messages::JOB_CANCEL).kind() == messages::ANSWER_OK);
 }
 
+TEST_CASE("a team that gets the name of one that left earlier does not get its jobs",
+          "[controller]")
+{
+    controller_fixture fixture;
+    fixture.configureTwoTeams(1);
+    REQUIRE(fixture.callJob(messages::JOB_SUBMIT).kind() == messages::ANSWER_OK);
+    fixture.configureTeams(2, {{"others", "key-of-others"}});
+    fixture.configureTeams(3, {{"desk", "key-of-others"}});
+    CHECK(fixture.callJob(messages::JOB_STATE, jobPath, "key-of-others").kind()
+          == messages::ANSWER_NO_JOB);
+    CHECK(fixture.callJob(messages::JOB_CANCEL, jobPath, "key-of-others").kind()
+          == messages::ANSWER_NO_JOB);
+}
+
 TEST_CASE("invalid requests are rejected with the matching kind of answer", "[controller]")
 {
     controller_fixture fixture;
--- a/modules/filbert_node/work_controller.cpp
+++ b/modules/filbert_node/work_controller.cpp
@@ -327,6 +327,9 @@
         return;
     }
     for (const auto &[team, successor] : findSuccessors(state.configuration, configuration)) {
+        if (findTeam(state.configuration, team) == nullptr) {
+            continue; // the name is new
+        }
         log_line {"team_succeeded"}
             .with("team", team)
             .with("successor", successor)
--- a/modules/filbert_work/team_succession.cpp
+++ b/modules/filbert_work/team_succession.cpp
@@ -58,6 +58,13 @@
             successors[team.name()].clear();
         }
     }
+    for (const auto &team : next.teams()) {
+        // A team that left earlier may have had the name, and may still have jobs under it.
+        if (findTeam(previous, team.name()) == nullptr
+            && !holdersOfKeys(team, previousTeams).empty()) {
+            successors[team.name()].clear();
+        }
+    }
     return successors;
 }
 
--- a/modules/filbert_work/team_succession.h
+++ b/modules/filbert_work/team_succession.h
@@ -16,9 +16,9 @@
     and whoever gets the old name does not get the jobs with it.
 */
 
-/** @return by name of each team whose jobs go to another team: the name of that team. It is empty
-   if the jobs belong to nobody any more: another team has got the name, and none has all of the
-   keys that remain, without keys of a third team. */
+/** @return by the name of each team whose jobs change hands: the name of the team that gets them,
+   or an empty one if nobody does, since the name went to another team. That may also be the name of
+   a team that left in an earlier version and still has jobs. */
 std::map<std::string, std::string> findSuccessors(const messages::work_configuration &previous,
                                                   const messages::work_configuration &next);
 
