Ask for tickets only for capacity that the steps before leave

Cause: each waiting step asked for tickets to the few targets that became free, was tried with each answer, and asked again, although the steps before it took all of them.

Ruled out: single operations that are too dear; the profile of a leader at the usual load is flat.

Change: a step asks for further tickets only while the steps before it lack less than what is free, or when it is its turn, since these may be unable to use it. Of the steps beyond the first 48, those that no target has enough free cores for are not tried. The test on steps with new tickets had no target with enough free cores; it has one now, to which nothing is admitted, so that it still fails if the step is not tried.

Tests: "in a full cell, few steps ask for tickets ..." counts 1,066 requests before, bound 200, and passes now; "a step that no target can take ..." fails without the turn.

--- a/modules/filbert_dispatch/placement_pass.cpp
+++ b/modules/filbert_dispatch/placement_pass.cpp
@@ -95,6 +95,25 @@
         && need.accelerators <= free.accelerators;
 }
 
+bool fitsAnywhere(service_view &service, const resource_amounts &need)
+{
+    auto &heap = service.freeCoresHeap;
+    if (heap.empty()) {
+        heap = service.byFreeCores; // in descending order, which is a heap
+    }
+    while (!heap.empty()) {
+        const auto [cores, index] = heap.front();
+        const auto freeCores = service.candidates[index].free.milliCores;
+        if (freeCores >= cores) {
+            return need.milliCores <= freeCores;
+        }
+        std::pop_heap(heap.begin(), heap.end());
+        heap.back().first = freeCores;
+        std::push_heap(heap.begin(), heap.end());
+    }
+    return false;
+}
+
 service_view &serviceOf(placement_pass &pass, const std::string &service)
 {
     const auto found = pass.services.find(service);
--- a/modules/filbert_dispatch/placement_pass.h
+++ b/modules/filbert_dispatch/placement_pass.h
@@ -26,6 +26,9 @@
     std::int64_t slackMs = 0;
     std::unordered_map<std::string_view, int> tasksByTarget; // only if dependsOnTaskCounts()
     bool isSuspect = false; // whether the task to be placed next may have crashed a target
+    // Whether it may ask for further tickets although the steps before it lack all free capacity,
+    // since these may be unable to use it.
+    bool isInTurnForTickets = false;
 };
 
 /** A target that takes work, as a placement pass sees it. */
@@ -57,7 +60,11 @@
     std::int64_t maxFreeAccelerators = 0;
     std::int64_t totalCores = 0;
     std::int64_t freeCores = 0;
+    // byFreeCores as a heap, in which entries are corrected when they come to the top; see
+    // fitsAnywhere(). Empty until it is needed.
+    std::vector<std::pair<std::int64_t, std::size_t>> freeCoresHeap;
     std::size_t unplacedSteps = 0; // steps for which there was no capacity
+    std::int64_t unplacedCores = 0; // that the steps before the present one lack, in milli-cores
     std::size_t reservedCandidates = 0;
     std::set<std::string> trialJobs; // jobs with a suspected task that is being tried
     int urgentPriority = std::numeric_limits<int>::max(); // of its most urgent queue; 0 is highest
@@ -124,6 +131,10 @@
 void updateReservation(placement_pass &pass, pending_step &step, service_view &service,
                        placement_candidate &candidate, const task_name &task, int sign);
 
+/** Whether any target has as many free cores as a task of a step needs, after all that the pass has
+    placed so far. */
+bool fitsAnywhere(service_view &service, const resource_amounts &need);
+
 /** Whether a need fits into free resources. */
 bool fits(const resource_amounts &need, const resource_amounts &free);
 
--- a/modules/filbert_dispatch/scheduling.cpp
+++ b/modules/filbert_dispatch/scheduling.cpp
@@ -21,6 +21,9 @@
 // passesPerRetry passes at the most.
 constexpr std::size_t maxRetriedSteps = 32;
 constexpr std::size_t passesPerRetry = 8; // at most 0.3 s if passes are 40 ms apart
+// Of the steps that wait behind others for all free capacity, so many may ask for tickets in a
+// pass.
+constexpr std::size_t maxAskingSteps = 8;
 constexpr double acceleratorWeight = 1e6; // accelerators count first, then thousandths of a core
 
 /** @return the indices of the candidates with free resources on which the step is admitted now */
@@ -199,6 +202,7 @@
     if (unplaced + unplacedSuspects > 0) {
         requestTickets(pass, step, service);
     }
+    service.unplacedCores += step.need.milliCores * static_cast<std::int64_t>(unplaced);
 }
 
 using gang_placement = std::vector<std::pair<task_name, placement_candidate *>>;
@@ -267,6 +271,8 @@
             reserveCandidates(pass, step, service, record.tasks.size());
         }
         requestTickets(pass, step, service);
+        service.unplacedCores +=
+            step.need.milliCores * static_cast<std::int64_t>(record.tasks.size());
         return;
     }
     std::uint32_t run = 0;
@@ -280,16 +286,30 @@
     }
 }
 
+/** Whether it is a step's turn in this pass: in one of passesPerRetry passes or, if many steps are
+    pending, as often as a number of steps in each pass permits. */
+bool isInTurn(const dispatch_state &state, const task_name &step, std::size_t pendingSteps,
+              std::size_t stepsPerPass)
+{
+    const auto passes = std::max(passesPerRetry, pendingSteps / stepsPerPass);
+    return (std::hash<std::string> {}(step.job) + state.totals.passes) % passes == 0;
+}
+
 /** Whether a step is tried although many steps before it have found no capacity: when it has new
-    tickets, which expire soon, and otherwise in one of several passes. */
-bool isTriedInThisPass(dispatch_state &state, const task_name &step, std::size_t pendingSteps)
+    tickets, which expire soon, and otherwise in one of several passes. In a full cell, neither is
+   of any use before something ends. */
+bool isTriedInThisPass(dispatch_state &state, const task_name &step,
+                       const messages::step_spec &spec, service_view &service,
+                       std::size_t pendingSteps)
 {
+    if (!fitsAnywhere(service, targetReservation(spec))) {
+        return false;
+    }
     const auto view = state.admissions.find(step);
     if (view != state.admissions.end() && std::exchange(view->second.hasNewTickets, false)) {
         return true;
     }
-    const auto passes = std::max(passesPerRetry, pendingSteps / maxRetriedSteps);
-    return (std::hash<std::string> {}(step.job) + state.totals.passes) % passes == 0;
+    return isInTurn(state, step, pendingSteps, maxRetriedSteps);
 }
 
 } // namespace
@@ -307,11 +327,12 @@
         auto &service = serviceOf(pass, queueOf(pass.queues, job).service());
         const task_name name {*key.job, key.occurrence, key.step, 0};
         if (service.unplacedSteps >= maxUnplacedSteps
-            && !isTriedInThisPass(state, name, keys.size())) {
+            && !isTriedInThisPass(state, name, stepSpecOf(job, key.step), service, keys.size())) {
             continue;
         }
         ++totals.triedSteps;
         auto step = pendingStepOf(state, pass.queues, name, *key.view, now);
+        step.isInTurnForTickets = isInTurn(state, name, keys.size(), maxAskingSteps);
         if (dependsOnTaskCounts(*step.spec)) {
             step.tasksByTarget = countTasksByTarget(pass, step.name);
         }
--- a/modules/filbert_dispatch/tests/scheduling_test.cpp
+++ b/modules/filbert_dispatch/tests/scheduling_test.cpp
@@ -631,14 +631,18 @@
     }
 }
 
-void admitAll(dispatch_fixture &cell)
+/** Answers all requests to the policy service.
+    @param exception  the only target to which it admits no step; empty = none */
+void admitAll(dispatch_fixture &cell, const std::string &exception = {})
 {
     for (const auto &call : std::exchange(cell.admissions, {})) {
         messages::admission_answer answer;
         answer.set_id(call.request.id());
         answer.set_is_answered(true);
         for (const auto &target : call.request.targets()) {
-            answer.add_admitted()->set_target(target);
+            if (target != exception) {
+                answer.add_admitted()->set_target(target);
+            }
         }
         handleAdmissionAnswer(*cell.leader, answer, cell.now);
     }
@@ -825,9 +829,10 @@
     for (int i = 0; i < waitingJobs; ++i) {
         cell.accept("j" + std::to_string(i), {cell.step(1, 8'000)});
     }
-    leadWithTargets(cell, 2);
+    leadWithTargets(cell, 3);
+    const std::string idle {"t2"}; // has capacity, but the policy admits no step to it
     const auto fillers = {std::string {"f0"}, std::string {"f1"}};
-    for (const auto &id : fillers) { // no target has 8 cores free any more
+    for (const auto &id : fillers) { // the other targets have no 8 cores free any more
         cell.accept(id, {cell.step(1, 7'000)});
         refreshJob(*cell.leader, id, cell.now);
     }
@@ -835,11 +840,12 @@
     for (int i = 0; i < 200; ++i) {
         cell.runFor({10});
         registerCaller(*cell.leader, "gateway-1", 1, cell.now);
-        admitAll(cell);
+        admitAll(cell, idle);
         cell.executeOrders("t0");
         cell.executeOrders("t1");
         cell.reportTarget("t0");
         cell.reportTarget("t1");
+        cell.reportTarget(idle);
     }
     auto &state = *cell.leader;
     const auto keys = pendingStepsInOrder(state, queuesOf(state), cell.now);
@@ -897,3 +903,90 @@
     }
     CHECK(order == std::vector<std::string> {"old", "new", "late", "later", "useless"});
 }
+
+namespace {
+
+/** Lists one run of a target as done in the answer to its pending poll. */
+void endRun(dispatch_fixture &cell, const std::string &target)
+{
+    const auto &registered = cell.state.targets.at(target);
+    if (registered.runs.empty()) {
+        return;
+    }
+    const auto task = *registered.runs.begin();
+    order_answer answer;
+    answer.ends.push_back({registered.lastAppliedEnd + 1,
+                           task,
+                           findTask(cell.state, task)->run,
+                           messages::END_DONE,
+                           {}});
+    cell.answerOrders(order_kind::Poll, order_result::Done, target, answer);
+}
+
+} // namespace
+
+// Guards against a step that waits for ever behind a larger one that cannot use the free capacity.
+TEST_CASE("a step that no target can take does not keep others from their tickets", "[dispatch]")
+{
+    constexpr int targetCount = 4;
+    dispatch_fixture cell;
+    requireTickets(cell, 1);
+    auto unplaceable = cell.step(1'000, 8'000);
+    unplaceable.set_required_label("none");
+    unplaceable.set_lasts(true); // never late, so that it goes first
+    cell.accept("unplaceable", {unplaceable});
+    cell.accept("filler", {cell.step(targetCount, 8'000)});
+    leadWithTargets(cell, targetCount);
+    const auto run = [&](milliseconds duration) {
+        for (const auto end = cell.now + duration; cell.now < end;) {
+            registerCaller(*cell.leader, "gateway-1", 1, cell.now);
+            cell.runFor({50});
+            admitAll(cell);
+            for (int i = 0; i < targetCount; ++i) {
+                cell.executeOrders("t" + std::to_string(i));
+                cell.reportTarget("t" + std::to_string(i));
+            }
+        }
+    };
+    run({1'000});
+    REQUIRE(runningTasksOf(cell, "filler") == targetCount);
+    cell.accept("j", {cell.step(1, 8'000)});
+    refreshJob(*cell.leader, "j", cell.now);
+    run({3'000}); // its first tickets expire
+    cell.runFor({20}); // the targets are polled again
+    for (int i = 0; i < targetCount; ++i) {
+        endRun(cell, "t" + std::to_string(i));
+    }
+    run({2'000});
+    CHECK(runningTasksOf(cell, "j") == 1);
+}
+
+// Guards against a leader that works for steps without a chance: each asked for tickets to the few
+// targets that became free, and was tried again with each answer, which made all turns longer.
+TEST_CASE("in a full cell, few steps ask for tickets to a target that becomes free", "[dispatch]")
+{
+    constexpr int targetCount = 40;
+    constexpr int waitingJobs = 300;
+    constexpr int rounds = 100;
+    dispatch_fixture cell;
+    requireTickets(cell, 1);
+    for (int i = 0; i < waitingJobs; ++i) {
+        cell.accept("j" + std::to_string(i), {cell.step(1, 8'000)}); // a whole target each
+    }
+    leadWithTargets(cell, targetCount);
+    for (int round = 0; round < rounds; ++round) {
+        for (int i = 0; i < 5; ++i) {
+            registerCaller(*cell.leader, "gateway-" + std::to_string(i), 1, cell.now);
+        }
+        cell.runFor({50});
+        admitAll(cell);
+        endRun(cell, "t" + std::to_string(round % targetCount));
+        for (int i = 0; i < targetCount; ++i) {
+            cell.executeOrders("t" + std::to_string(i));
+            cell.reportTarget("t" + std::to_string(i));
+        }
+    }
+    const auto &totals = cell.leader->totals;
+    CHECK(totals.proposedStarts >= targetCount + rounds / 2);
+    CHECK(totals.furtherRequests + totals.renewals <= 2 * rounds);
+}
--- a/modules/filbert_dispatch/ticket_requests.cpp
+++ b/modules/filbert_dispatch/ticket_requests.cpp
@@ -216,6 +216,14 @@
     return fittingTasks >= requiredTasks;
 }
 
+/** Whether the steps that go first may take all free capacity, so that tickets for it would only
+    expire. Best-effort steps use capacity that no other step can have. */
+bool isCapacityContested(const pending_step &step, const service_view &service)
+{
+    return !step.spec->fills_gaps() && !step.isInTurnForTickets
+        && service.unplacedCores >= service.freeCores;
+}
+
 } // namespace
 
 void requestTickets(placement_pass &pass, const pending_step &step, const service_view &service)
@@ -232,6 +240,9 @@
                             targetsToRequest(pass, step, service, view, ticket_request::First));
         return;
     }
+    if (isCapacityContested(step, service)) {
+        return;
+    }
     const auto &policy = step.queue->admission();
     if (hasAdmittedCapacity(pass, step, service, view)) {
         requestAdmissionFor(pass, step, ticket_request::Renewal,
