Place work that can be in time before work that is behind

Callers saw: under overload nearly all quotes were a little late.

Cause: within a priority the least slack went first, also when it was negative, until a step was behind by half of its remaining time. With more work than the leader could serve, each step waited until it was late.

Change: within a priority, steps that would end after their objective if they started now come last, the least behind first. What starts and ends take at present is learned from starts and counts, up to half of the initial slack. Other priorities go before or after them as before.

Tests: the new test failed before (2 of 4 checks) and passes now.

--- a/modules/filbert_dispatch/scheduling.h
+++ b/modules/filbert_dispatch/scheduling.h
@@ -17,6 +17,10 @@
     changed. */
 void refreshJob(dispatch_state &state, const std::string &id, time_point now);
 
+/** @return how long after its acceptance a job of the queue should be completed
+    @param criticalPath  of the whole job */
+milliseconds objectiveOf(const messages::work_queue &queue, milliseconds criticalPath);
+
 /** @return by step: the length of the critical path from its start to the end of the job */
 std::vector<milliseconds> criticalPathsOf(const messages::staged_job &job);
 
--- a/modules/filbert_dispatch/step_order.cpp
+++ b/modules/filbert_dispatch/step_order.cpp
@@ -41,18 +41,29 @@
 {
     int rank = 0; // see pending_step::rank
     std::int64_t slackMs = 0;
+    bool isBehind = false; // see step_key
 };
 
-step_urgency urgencyOf(const messages::work_queue &queue, const messages::step_spec &spec,
-                       const job_view &view, time_point begunAt, std::uint32_t step, time_point now)
+/** @return how long it takes, apart from the work itself, until a task that is placed now has
+    started and its end is known, as learned from starts; at most half of the slack that the job had
+    in the beginning */
+milliseconds overheadOf(const dispatch_state &state, milliseconds initialSlack)
 {
-    const auto objective = milliseconds {std::llround(static_cast<double>(view.criticalPath.count)
-                                                      * queue.slack_factor())}
-        + milliseconds {queue.latency_objective_ms()};
+    const milliseconds startAndEnd {std::llround(2 * state.placementTime.meanMs)};
+    return std::max(std::min(startAndEnd, milliseconds {initialSlack.count / 2}), milliseconds {});
+}
+
+step_urgency urgencyOf(const dispatch_state &state, const messages::work_queue &queue,
+                       const messages::step_spec &spec, const job_view &view, time_point begunAt,
+                       std::uint32_t step, time_point now)
+{
+    const auto objective = objectiveOf(queue, view.criticalPath);
     const auto remaining = view.criticalPathFrom[step];
     step_urgency urgency;
     urgency.slackMs = (begunAt + objective - now - remaining).count;
     urgency.rank = queue.priority();
+    urgency.isBehind =
+        !spec.lasts() && urgency.slackMs < overheadOf(state, objective - view.criticalPath).count;
     if (spec.lasts() || urgency.slackMs >= -remaining.count / 2) {
         return urgency;
     }
@@ -87,7 +98,7 @@
     pending.spec = &stepSpecOf(job, name.step);
     pending.queue = &queueOf(queues, job);
     pending.need = targetReservation(*pending.spec);
-    const auto urgency = urgencyOf(*pending.queue, *pending.spec, view,
+    const auto urgency = urgencyOf(state, *pending.queue, *pending.spec, view,
                                    view.occurrenceBegunAt.at(name.occurrence), name.step, now);
     pending.slackMs = urgency.slackMs;
     pending.rank = urgency.rank;
@@ -114,19 +125,25 @@
         const auto &job = state.work->jobs.at(id);
         const auto &queue = queueOf(queues, job);
         for (const auto &[occurrence, step] : view.pendingSteps) {
-            const auto urgency = urgencyOf(queue, stepSpecOf(job, step), view,
+            const auto urgency = urgencyOf(state, queue, stepSpecOf(job, step), view,
                                            view.occurrenceBegunAt.at(occurrence), step, now);
-            const bool isLate = urgency.rank >= lateRankOffset;
-            steps.push_back({urgency.rank, isLate ? -urgency.slackMs : urgency.slackMs, &id, &view,
+            steps.push_back({urgency.rank, urgency.isBehind,
+                             urgency.isBehind ? -urgency.slackMs : urgency.slackMs, &id, &view,
                              occurrence, step});
         }
     }
     std::sort(steps.begin(), steps.end(), [](const step_key &a, const step_key &b) {
-        return std::tie(a.rank, a.order) < std::tie(b.rank, b.order);
+        return std::tie(a.rank, a.isBehind, a.order) < std::tie(b.rank, b.isBehind, b.order);
     });
     return steps;
 }
 
+milliseconds objectiveOf(const messages::work_queue &queue, milliseconds criticalPath)
+{
+    const auto stretched = static_cast<double>(criticalPath.count) * queue.slack_factor();
+    return milliseconds {std::llround(stretched)} + milliseconds {queue.latency_objective_ms()};
+}
+
 std::vector<milliseconds> criticalPathsOf(const messages::staged_job &job)
 {
     std::vector<milliseconds> paths(static_cast<std::size_t>(job.steps_size()));
--- a/modules/filbert_dispatch/step_order.h
+++ b/modules/filbert_dispatch/step_order.h
@@ -17,7 +17,8 @@
 struct step_key
 {
     int rank = 0;
-    std::int64_t order = 0; // the lowest first among those of a rank
+    bool isBehind = false; // it would end after its objective if it started now
+    std::int64_t order = 0; // the lowest first among those of a rank that are equally behind or not
     const std::string *job = nullptr;
     const job_view *view = nullptr;
     std::uint32_t occurrence = 0;
@@ -26,8 +27,9 @@
 
 /** @return all steps with waiting tasks, in the order in which a pass places them
 
-    In each rank, the step with the least slack goes first, unless it is late: then the one that is
-    the least late. If more is late than can be served, each would be served too late otherwise. */
+    In each rank, the step with the least slack goes first among those that can be in time. After
+    these, the one that is the least behind goes first. If more waits than can be served, each would
+    be served a little too late otherwise. */
 std::vector<step_key> pendingStepsInOrder(const dispatch_state &state, const queue_index &queues,
                                           time_point now);
 
--- a/modules/filbert_dispatch/tests/scheduling_test.cpp
+++ b/modules/filbert_dispatch/tests/scheduling_test.cpp
@@ -904,6 +904,35 @@
     CHECK(order == std::vector<std::string> {"old", "new", "late", "later", "useless"});
 }
 
+// Guards against a queue in which all work is served a little too late, long before any of it is
+// hopelessly late: the work with the least slack went first, also once that was negative.
+TEST_CASE("work that can be in time goes before work that is already behind", "[dispatch]")
+{
+    dispatch_fixture cell;
+    cell.accept("behind", {cell.step(1)}); // a second; its objective is 1,750 ms
+    cell.startLeading();
+    const auto orderAt = [&](milliseconds elapsed) {
+        std::vector<std::string> order;
+        for (const auto &key :
+             pendingStepsInOrder(*cell.leader, queuesOf(*cell.leader), cell.now + elapsed)) {
+            order.push_back(*key.job);
+        }
+        return order;
+    };
+    cell.now = cell.now + milliseconds {150};
+    cell.accept("in_time", {cell.step(1)});
+    refreshJob(*cell.leader, "in_time", cell.now);
+    const std::vector<std::string> leastSlackFirst {"behind", "in_time"};
+    const std::vector<std::string> inTimeFirst {"in_time", "behind"};
+    CHECK(orderAt({500}) == leastSlackFirst); // slack 100 and 250
+    CHECK(orderAt({650}) == inTimeFirst); // slack -50 and 100
+    for (int i = 0; i < 50; ++i) {
+        addSample(cell.leader->placementTime, {100}); // starts and ends take 200 ms together
+    }
+    CHECK(orderAt({500}) == inTimeFirst);
+    CHECK(orderAt({300}) == leastSlackFirst);
+}
+
 namespace {
 
 /** Lists one run of a target as done in the answer to its pending poll. */
