Apply committed entries before placement, not after it

Callers saw: quotes in time only while a leader's turns took a few milliseconds.

Cause: a turn placed work with the state of the turn before: what had been committed meanwhile was applied at its end, together with the write of the new entries. A job waited for one turn more after its acceptance and after the end of each step. With turns of 60 ms that is a third of the slack of a quote.

Change: the leader finishes a sync and applies what is committed at the beginning of a turn, without starting a write, so that this turn's entries still go into one. That its term has ended is noticed before, since entries of another leader may stand where its own proposals were.

Tests: the new test of log_member. No test plays the turn itself.

--- a/modules/filbert_node/work_controller.cpp
+++ b/modules/filbert_node/work_controller.cpp
@@ -592,6 +592,13 @@
     log.tick(now);
     log.sendReadyMessages();
     updateLeadership(now, wallMs);
+    // A leader places what has been committed since the last turn in this one. Another's entries
+    // are not applied here: that this controller's own proposals were replaced is noticed first.
+    if (dispatch) {
+        if (const auto error = log.applyReadyEntries(now)) {
+            return error;
+        }
+    }
     if (dispatch && log.isServing(now)) {
         {
             const activity_scope tracking {activities, activity::Tracking};
--- a/modules/filbert_replication/log_member.cpp
+++ b/modules/filbert_replication/log_member.cpp
@@ -147,6 +147,19 @@
     return {};
 }
 
+std::error_code log_member::applyReadyEntries(time_point now)
+{
+    if (syncing) {
+        if (const auto error = finishSync(now)) {
+            return error;
+        }
+    }
+    if (!effects.mustInstall) {
+        applyCommitted(maxEntriesPerFlush);
+    }
+    return {};
+}
+
 std::error_code log_member::flush(time_point now)
 {
     if (syncing) {
--- a/modules/filbert_replication/log_member.h
+++ b/modules/filbert_replication/log_member.h
@@ -55,7 +55,7 @@
         @param stored     what the store held at start
         @param seed       for the random part of election timeouts
         @param store      already open; outlives the member
-        @param hooks      called from flush() only, except for restore() of the stored snapshot
+        @param hooks      called from flush() and applyReadyEntries() only, except for restore() of the stored snapshot
         @param now        from monotonicNow(), which includes time in which the host is suspended
     */
     log_member(const replication_settings &settings, const snapshot_settings &snapshots,
@@ -93,6 +93,13 @@
     */
     std::error_code flush(time_point now);
 
+    /** Applies entries that have been committed since the last flush(), without starting a write.
+        flush() does so too; call this before work that depends on what is applied.
+
+        @return StorageFailed if the process must stop
+    */
+    std::error_code applyReadyEntries(time_point now);
+
     /** Whether this member leads, has committed an entry of its own term, and its lease holds. */
     bool isServing(time_point now) const;
 
--- a/modules/filbert_replication/tests/log_member_test.cpp
+++ b/modules/filbert_replication/tests/log_member_test.cpp
@@ -117,6 +117,32 @@
     CHECK(alone.applied == std::vector<std::string> {"first", "second"});
 }
 
+// Guards against a turn of the leader that works with the state of the turn before.
+TEST_CASE("entries are applied as soon as they are synced, before the next write", "[log]")
+{
+    background_member alone;
+    alone.disk.isSlow = true;
+    alone.member->tick(alone.now);
+    REQUIRE(!alone.member->flush(alone.now));
+    alone.finishSync();
+    REQUIRE(!alone.member->flush(alone.now));
+    std::uint64_t index = 0;
+    REQUIRE(!alone.member->propose("first", alone.now, &index));
+    REQUIRE(!alone.member->flush(alone.now));
+    REQUIRE(!alone.member->applyReadyEntries(alone.now));
+    CHECK(alone.applied.empty()); // its sync is in progress
+    alone.finishSync();
+    REQUIRE(!alone.member->propose("second", alone.now, &index));
+    REQUIRE(!alone.member->applyReadyEntries(alone.now));
+    CHECK(alone.applied == std::vector<std::string> {"first"});
+    REQUIRE(!alone.member->applyReadyEntries(alone.now));
+    CHECK(alone.applied.size() == 1); // no write has begun
+    REQUIRE(!alone.member->flush(alone.now));
+    alone.finishSync();
+    REQUIRE(!alone.member->applyReadyEntries(alone.now));
+    CHECK(alone.applied == std::vector<std::string> {"first", "second"});
+}
+
 TEST_CASE("a member confirms entries only after their sync", "[log]")
 {
     background_member follower {{"b"}};
