Refuse a part of the new jobs while a leader's turns are long

Callers saw: once a leader had less processor time than the load needs, all jobs were accepted and nearly none was in time, also after a burst.

Cause: nothing bounded what a leader accepts. Its turns get longer, targets wait idle through each of them, and what it has accepted makes all else late.

Change: load_shedding. While turns are longer than 40 ms on the mean, a growing part of the jobs that come for the first time is refused with 503 and Retry-After. One that comes again is accepted if it can still be in time.

--- a/modules/filbert_dispatch/filbert_dispatch.h
+++ b/modules/filbert_dispatch/filbert_dispatch.h
@@ -36,6 +36,7 @@
 #include "admission_requests.h"
 #include "dispatch_state.h"
 #include "interference.h"
+#include "load_shedding.h"
 #include "report_checks.h"
 #include "scheduling.h"
 #include "start_checks.h"
--- a/modules/filbert_dispatch/tests/overload_model.cpp
+++ b/modules/filbert_dispatch/tests/overload_model.cpp
@@ -17,6 +17,8 @@
 constexpr std::int64_t quickTaskMs = 560;
 constexpr std::int64_t batchTaskMs = 5'600;
 constexpr std::int64_t objectiveMs = 1'500; // of a quick job of one step or two
+constexpr int submissionAttempts = 5;
+constexpr double resubmissionMs = 1'000; // after a refusal
 constexpr std::int64_t usPerMs = 1'000;
 
 std::int64_t microsecondsOf(double ms)
@@ -57,6 +59,7 @@
 void overload_model::lead()
 {
     inbox.clear();
+    shedding = {};
     leader = startDispatch(state, dispatch_settings {}, term++, now(), wallMs());
     for (int i = 0; i < settings.callers; ++i) {
         registerCaller(*leader, "caller-" + std::to_string(i), 1, now());
@@ -109,8 +112,24 @@
         heldSubmissions.push_back(command);
         return;
     }
-    atLeader(networkMs, costs.message,
-             [this, command] { leader->effects.commands.push_back(command); });
+    atLeader(networkMs, costs.message, [this, command] { offer(command, submissionAttempts); });
+}
+
+/** Has the leader accept a job or refuse it. Callers try again some times. */
+void overload_model::offer(const messages::work_command &submission, int attemptsLeft)
+{
+    const auto &job = submission.accept();
+    if (!refusesJob(shedding, job.id(), job, job.taken_under(), now())) {
+        leader->effects.commands.push_back(submission);
+        return;
+    }
+    if (attemptsLeft == 1) {
+        openJobs.erase(job.id());
+        refusedJobs.insert(job.id());
+        return;
+    }
+    atLeader(resubmissionMs, costs.message,
+             [this, submission, attemptsLeft] { offer(submission, attemptsLeft - 1); });
 }
 
 void overload_model::submitJobs()
@@ -303,6 +322,7 @@
 double overload_model::takeTurn()
 {
     double cost = costs.turn;
+    recordTurn(shedding, now());
     const auto before = leader->totals;
     for (const auto &[costUs, action] : std::exchange(inbox, {})) {
         cost += costUs;
@@ -381,6 +401,7 @@
             continue;
         }
         ++result.submitted;
+        result.refused += refusedJobs.contains(id) ? 1 : 0;
         const auto completed = completedAtUs.find(id);
         if (completed == completedAtUs.end()) {
             continue;
--- a/modules/filbert_dispatch/tests/overload_model.h
+++ b/modules/filbert_dispatch/tests/overload_model.h
@@ -52,6 +52,7 @@
     int submitted = 0;
     int inTime = 0; // completed within their objective
     int late = 0; // completed within three times their objective
+    int refused = 0; // not accepted in any attempt
 };
 
 /** The dispatch of a leader with a processor of limited speed, in virtual time: a turn takes as
@@ -91,6 +92,7 @@
     void atLeader(double ms, double costUs, event_action action);
     void submitJobs();
     void submit(bool isQuick);
+    void offer(const messages::work_command &submission, int attemptsLeft);
     void reportTargets();
     void carryOut(const target_order &order);
     void start(const target_order &order);
@@ -110,6 +112,7 @@
     overload_settings settings;
     processor_costs costs;
     std::optional<dispatch_state> leader;
+    load_shedding shedding;
     std::uint64_t term = 1;
     std::int64_t nowUs = 0;
     std::multimap<std::int64_t, event_action> events;
@@ -119,6 +122,7 @@
     std::map<std::string, std::int64_t> callerBusyUntilUs;
     std::map<std::string, std::int64_t> submittedAtUs; // of quick jobs
     std::map<std::string, std::int64_t> completedAtUs;
+    std::set<std::string> refusedJobs; // quick ones whose callers have given up
     std::set<std::string> openJobs; // quick ones that have not ended
     std::mt19937 random {7};
     int jobCount = 0;
--- a/modules/filbert_dispatch/tests/overload_test.cpp
+++ b/modules/filbert_dispatch/tests/overload_test.cpp
@@ -31,3 +31,22 @@
         CHECK((result.inTime + result.late) * 100 >= result.submitted * 95);
     }
 }
+
+// Guards against a leader that accepts whatever comes: once it has less time than the load needs,
+// its turns get longer, targets wait idle for it, and nothing is in time any more, also after a
+// burst.
+TEST_CASE("after a burst, a leader without reserve goes on completing jobs in time", "[dispatch]")
+{
+    overload_settings settings;
+    settings.processorShare = GENERATE(0.035, 0.04, 0.045);
+    settings.duration = {25'000};
+    const auto countInTime = [&](double burstFactor) {
+        settings.burstFactor = burstFactor;
+        overload_model model {settings};
+        model.run();
+        return model.resultOf({9'000}, {20'000}).inTime; // the burst is over by then
+    };
+    const auto withoutBurst = countInTime(1);
+    CHECK(withoutBurst > 50);
+    CHECK(countInTime(2) * 3 >= withoutBurst);
+}
--- a/modules/filbert_node/tests/work_controller_test.cpp
+++ b/modules/filbert_node/tests/work_controller_test.cpp
@@ -670,3 +670,36 @@
     const controller_fixture plain {0, false, {payloadOf("t1"), payloadOf("t2")}};
     CHECK(writeWorkState(replayed.controller->work()) == writeWorkState(plain.controller->work()));
 }
+
+// Guards against a job that runs although its caller was told that it was not accepted.
+TEST_CASE("an overloaded leader refuses new jobs, but none that it may have accepted",
+          "[controller]")
+{
+    controller_fixture fixture;
+    REQUIRE(fixture.configure(1).kind() == messages::ANSWER_OK);
+    REQUIRE(fixture.callJob(messages::JOB_SUBMIT).kind() == messages::ANSWER_OK);
+    for (int turn = 0; turn < 200; ++turn) {
+        fixture.now = fixture.now + milliseconds {100};
+        fixture.runTurn();
+    }
+    int refused = 0;
+    for (int i = 100; i < 140; ++i) {
+        CHECK(fixture.callJob(messages::JOB_SUBMIT).kind() == messages::ANSWER_OK);
+        const auto path = "/quotes/5c0e7a21d94b3" + std::to_string(i);
+        messages::work_envelope first;
+        first.set_exchange(++fixture.lastExchange);
+        *first.mutable_request() = fixture.jobRequest(messages::JOB_SUBMIT, path);
+        fixture.controller->handleEnvelope("gateway-1", first, fixture.now, 1'000);
+        const bool isRefused = fixture.answers[first.exchange()].kind() == messages::ANSWER_NOT_NOW;
+        if (isRefused) {
+            ++refused;
+            CHECK(fixture.answers[first.exchange()].number() == 1'000);
+            fixture.runTurn();
+            CHECK(fixture.callJob(messages::JOB_STATE, path).kind() == messages::ANSWER_NO_JOB);
+        }
+        // Else the first copy is still on its way to the log.
+        CHECK(fixture.callJob(messages::JOB_SUBMIT, path).kind() == messages::ANSWER_OK);
+        CHECK((isRefused || fixture.answers[first.exchange()].kind() == messages::ANSWER_OK));
+    }
+    CHECK(refused >= 20);
+}
--- a/modules/filbert_node/work_controller.cpp
+++ b/modules/filbert_node/work_controller.cpp
@@ -529,6 +529,7 @@
         rejectPendingRequests();
         router.startTerm(now);
         dispatch = startDispatch(state, settings.dispatch, view.term, now, wallMs);
+        shedding = {};
         forgetSilentPeers(now);
         for (const auto &[name, peer] : peers) {
             if (peer.canCallPolicy) {
@@ -600,6 +601,7 @@
         }
     }
     if (dispatch && log.isServing(now)) {
+        recordTurn(shedding, now);
         {
             const activity_scope tracking {activities, activity::Tracking};
             tickTracking(*dispatch, now, wallMs);
--- a/modules/filbert_node/work_controller.h
+++ b/modules/filbert_node/work_controller.h
@@ -104,11 +104,11 @@
 
     void handleRequest(const answer_address &from, const messages::work_request &request,
                        time_point now, std::int64_t wallMs);
-    void handleJobCall(const answer_address &from, const messages::job_call &call,
+    void handleJobCall(const answer_address &from, const messages::job_call &call, time_point now,
                        std::int64_t wallMs);
     void handleSubmission(const answer_address &from, const messages::job_call &call,
                           const messages::work_queue &queue, const std::string &team,
-                          const std::string &id, std::int64_t wallMs);
+                          const std::string &id, time_point now, std::int64_t wallMs);
     void handleConfiguration(const answer_address &from,
                              const messages::work_configuration &document);
     void handleHello(const std::string &peer, const messages::peer_hello &hello, time_point now);
@@ -165,6 +165,7 @@
     work_state state;
     log_member log;
     std::optional<dispatch_state> dispatch; // while leading
+    load_shedding shedding; // of this term
     std::vector<pending_command> pending;
     std::map<std::uint64_t, proposed_batch> inFlight; // proposed, not applied yet; by log index
     std::map<std::string, pending_join> pendingJoins; // for membership; by identity
--- a/modules/filbert_node/work_requests.cpp
+++ b/modules/filbert_node/work_requests.cpp
@@ -9,6 +9,8 @@
 
 constexpr std::size_t jobIdLength = 16; // hexadecimal digits of a job id
 constexpr milliseconds formationRetryDelay {500}; // forming a cell takes about a second
+// The shortest that callers can be told; a leader has time again within some seconds.
+constexpr milliseconds overloadRetryDelay {1'000};
 
 bool isJobId(std::string_view text)
 {
@@ -30,7 +32,7 @@
     using body = messages::work_request::BodyCase;
     switch (request.body_case()) {
     case body::kJob:
-        handleJobCall(from, request.job(), wallMs);
+        handleJobCall(from, request.job(), now, wallMs);
         break;
     case body::kReport: {
         if (const auto problem = findProblem(*dispatch, request.report(), wallMs)) {
@@ -83,7 +85,7 @@
 }
 
 void work_controller::handleJobCall(const answer_address &from, const messages::job_call &call,
-                                    std::int64_t wallMs)
+                                    time_point now, std::int64_t wallMs)
 {
     const auto &configuration = state.configuration;
     if (configuration.version() == 0) {
@@ -112,7 +114,7 @@
         return;
     }
     if (call.kind() == messages::JOB_SUBMIT) {
-        handleSubmission(from, call, *queue, teamName, id, wallMs);
+        handleSubmission(from, call, *queue, teamName, id, now, wallMs);
         return;
     }
     const auto access = findJobAccess(id);
@@ -160,7 +162,7 @@
 
 void work_controller::handleSubmission(const answer_address &from, const messages::job_call &call,
                                        const messages::work_queue &queue, const std::string &team,
-                                       const std::string &id, std::int64_t wallMs)
+                                       const std::string &id, time_point now, std::int64_t wallMs)
 {
     const auto access = findJobAccess(id);
     if (access && !isVisible(state.configuration, queue, team, *access)) {
@@ -184,6 +186,17 @@
         answerKind(from, messages::ANSWER_MALFORMED, problem);
         return;
     }
+    // One that is on its way to the log may be accepted, so that it cannot be refused any more.
+    if (!access && refusesJob(shedding, id, call.job(), queue, now)) {
+        log_line {"job_refused"}
+            .with("job", id)
+            .with("queue", queue.name())
+            .with("why", "the leader is overloaded")
+            .with("refused_percent", refusedPercent(shedding));
+        answerKind(from, messages::ANSWER_NOT_NOW, "the cell is overloaded",
+                   overloadRetryDelay.count);
+        return;
+    }
     messages::work_command command;
     auto *job = command.mutable_accept();
     *job = call.job();
