Poll targets again after a poll that was held

Callers saw: accepted jobs that never ended.

Cause: orders that are held while the leader's lease has lapsed get the time at which they leave. The answer to a poll is recognised by that time, but the target kept the earlier one; the answer counted as one to an earlier poll, and no other poll was sent. Logs: orders_held at 593.046, the last poll of that target in the same turn, no failed order after it.

Change: delayOrder() updates both times. The fault came with the held orders.

Tests: "a target is polled again ..." fails if only the time of the order is changed, as before, and passes now. It is not reproduced with the programs: the lapse comes by timing.

--- a/modules/filbert_dispatch/filbert_dispatch.h
+++ b/modules/filbert_dispatch/filbert_dispatch.h
@@ -40,4 +40,5 @@
 #include "report_checks.h"
 #include "scheduling.h"
 #include "start_checks.h"
+#include "target_orders.h"
 #include "target_tracking.h"
--- a/modules/filbert_dispatch/target_orders.cpp
+++ b/modules/filbert_dispatch/target_orders.cpp
@@ -114,6 +114,17 @@
     state.effects.orders.push_back(std::move(order));
 }
 
+void delayOrder(dispatch_state &state, target_order &order, time_point now)
+{
+    const auto target = state.targets.find(order.target);
+    const bool isLatestPoll = order.kind == order_kind::Poll && target != state.targets.end()
+        && target->second.pollSentAt == order.sentAt;
+    if (isLatestPoll) {
+        target->second.pollSentAt = now; // its answer is recognised by this time
+    }
+    order.sentAt = now;
+}
+
 void sendPoll(dispatch_state &state, tracked_target &target, const registered_target &registered,
               time_point now)
 {
--- a/modules/filbert_dispatch/target_orders.h
+++ b/modules/filbert_dispatch/target_orders.h
@@ -54,6 +54,9 @@
     return target.runs.empty() && !target.isInventoryStale && mayHaveOrphans(target, now);
 }
 
+/** Records that an order which was held leaves only now. */
+void delayOrder(dispatch_state &state, target_order &order, time_point now);
+
 /** Polls a target for its runs and for ended runs. Renews its lease and acknowledges the ends that
     the log holds. */
 void sendPoll(dispatch_state &state, tracked_target &target, const registered_target &registered,
--- a/modules/filbert_dispatch/tests/target_tracking_test.cpp
+++ b/modules/filbert_dispatch/tests/target_tracking_test.cpp
@@ -1341,3 +1341,27 @@
     CHECK(stops >= 2);
     CHECK(stops <= 3); // not before a stop has had the time that it takes
 }
+
+// Guards against a target that is never polled again, so that its lease expires again and again:
+// the answer to a poll that left late, after the leader's lease had lapsed, was taken for one to an
+// earlier poll.
+TEST_CASE("a target is polled again after the answer to a poll that was held", "[dispatch]")
+{
+    dispatch_fixture cell;
+    cell.placeOneTask();
+    cell.answerOrders(order_kind::Start, order_result::Done);
+    cell.runFor({20});
+    cell.executeOrders("t1");
+    cell.runFor({20});
+    REQUIRE(cell.pendingOrders(order_kind::Poll).size() == 1);
+    cell.now = cell.now + milliseconds {50};
+    for (auto &order : cell.orders) {
+        delayOrder(*cell.leader, order, cell.now);
+        CHECK(order.sentAt == cell.now);
+    }
+    cell.runFor({20});
+    cell.executeOrders("t1");
+    CHECK(cell.pendingOrders(order_kind::Poll).empty());
+    cell.runFor({20});
+    CHECK(cell.pendingOrders(order_kind::Poll).size() == 1);
+}
--- a/modules/filbert_node/work_controller.cpp
+++ b/modules/filbert_node/work_controller.cpp
@@ -568,7 +568,9 @@
         if (!mayStillSend(*dispatch, order, now)) {
             continue;
         }
-        order.sentAt = wereOrdersHeld ? now : order.sentAt;
+        if (wereOrdersHeld) {
+            delayOrder(*dispatch, order, now);
+        }
         const auto target = state.targets.find(order.target);
         const auto failureDomain = target == state.targets.end()
             ? std::string {}
