--- a/modules/filbert_replication/log_member.h
+++ b/modules/filbert_replication/log_member.h
@@ -55,7 +55,8 @@
         @param stored     what the store held at start
         @param seed       for the random part of election timeouts
         @param store      already open; outlives the member
-        @param hooks      called from flush() and applyReadyEntries() only, except for restore() of the stored snapshot
+        @param hooks      called from flush() and applyReadyEntries() only, except for restore() of
+                          the stored snapshot
         @param now        from monotonicNow(), which includes time in which the host is suspended
     */
     log_member(const replication_settings &settings, const snapshot_settings &snapshots,
