--- a/modules/filbert_dispatch/load_shedding.h
+++ b/modules/filbert_dispatch/load_shedding.h
@@ -10,7 +10,7 @@
 
 /** Which part of the new jobs a leader refuses because its turns take too long.
 
-    A job passes through about ten turns of the leader until its caller can see its result. When the
+    A job passes through some nine turns of the leader until its caller can see its result. When the
     leader has more to do than it has time for, its turns get longer, and each job that it accepts
     makes others late, while targets wait idle for it. So the length of its turns decides, and
     refused jobs cost next to nothing.
--- a/modules/filbert_dispatch/tests/scheduling_test.cpp
+++ b/modules/filbert_dispatch/tests/scheduling_test.cpp
@@ -990,8 +990,8 @@
     CHECK(runningTasksOf(cell, "j") == 1);
 }
 
-// Guards against a leader that works for steps without a chance: each asked for tickets to the few
-// targets that became free, and was tried again with each answer, which made all turns longer.
+// Guards against a leader that works for steps without a chance: if each asks for tickets to the
+// few targets that become free, and is tried with each answer, the turns get longer for all work.
 TEST_CASE("in a full cell, few steps ask for tickets to a target that becomes free", "[dispatch]")
 {
     constexpr int targetCount = 40;
