Keep late orders in mind for an incarnation of a target, not for some of its runs

Cause: an order to the former incarnation of a target grants the new one a lease of up to the longest that targets grant, since the expiry that it names is a time of another clock. The lease holds for all that runs there. The leader knew that only for the runs that it had taken over from the former incarnation; those that were started in the new one were given up as soon as their own lease had expired. A new leader, and one that had forgotten the target, expected nothing at all.

Change: the bound belongs to the incarnation (tracked_target::otherLeasesExpireBy, expectLateOrders). The replicated state says when a target was restarted, for the next leader. run_view::mayStartLateUntil, the bound of single runs, is gone. late_orders_expected in the log.

--- a/modules/filbert_dispatch/dispatch_state.cpp
+++ b/modules/filbert_dispatch/dispatch_state.cpp
@@ -108,7 +108,14 @@
                            time_point now)
 {
     state.targetsByService.clear(); // its service and labels may be others
+    const bool wasTracked = state.targets.contains(registration.id());
     syncTargetAndJobs(state, registration.id(), now);
+    const auto target = state.targets.find(registration.id());
+    const bool isBack = !wasTracked && target != state.targets.end()
+        && state.work->targets.at(registration.id()).restartedWallMs > 0;
+    if (isBack) { // the record of its earlier incarnation had ended
+        expectLateOrders(state, target->second, now, now);
+    }
     // A new registration may have ended another target at the same address.
     for (const auto &[id, other] : state.work->targets) {
         if (other.hasEnded && other.registration.address() == registration.address()) {
@@ -162,13 +169,27 @@
     }
 }
 
-/** @return until when late orders of earlier leaders to a previous incarnation may arrive
-    @param incarnation  when the present incarnation began, by its wall clock */
-time_point lateOrdersEnd(const dispatch_settings &settings, std::int64_t incarnation,
-                         time_point now, std::int64_t wallMs)
+/** @return the latest time that a past reading of another host's wall clock may stand for
+    @param wallMs  the wall clock of this host now */
+time_point latestTimeOf(std::int64_t reading, const dispatch_settings &settings, time_point now,
+                        std::int64_t wallMs)
 {
-    const milliseconds age {wallMs - std::clamp<std::int64_t>(incarnation, 0, wallMs)};
-    return now + settings.maxOrderDelay + settings.maxWallClockError - age;
+    const milliseconds age {wallMs - std::clamp<std::int64_t>(reading, 0, wallMs)};
+    return std::min(now, now + settings.maxWallClockError - age);
+}
+
+/** Expects late orders of earlier leaders to earlier incarnations of a target. They were sent
+    before the present incarnation was registered. */
+void expectOrdersOfEarlierLeaders(const dispatch_state &state, tracked_target &target,
+                                  const registered_target &registered, time_point now,
+                                  std::int64_t wallMs)
+{
+    const auto registeredWallMs = std::max(target.incarnation, registered.restartedWallMs);
+    const auto lastSentAt = latestTimeOf(registeredWallMs, state.settings, now, wallMs);
+    target.lateOrdersUntil = lastSentAt + state.settings.maxOrderDelay;
+    if (registered.restartedWallMs > 0) {
+        expectLateOrders(state, target, lastSentAt, now);
+    }
 }
 
 void removeEndedJobs(dispatch_state &state, time_point now, std::int64_t wallMs)
@@ -240,7 +261,7 @@
     state.targetsInContact = state.targets.size();
     std::size_t polled = 0;
     for (auto &[id, target] : state.targets) {
-        target.lateOrdersUntil = lateOrdersEnd(settings, target.incarnation, now, wallMs);
+        expectOrdersOfEarlierLeaders(state, target, work.targets.at(id), now, wallMs);
         const auto delay = polled++ / firstPollsPerMillisecond;
         target.nextPollAt = now + milliseconds {static_cast<std::int64_t>(delay)};
     }
--- a/modules/filbert_dispatch/dispatch_state.h
+++ b/modules/filbert_dispatch/dispatch_state.h
@@ -112,8 +112,6 @@
     time_point startedAt;
     time_point retryAt;
     time_point confirmedAt; // when the target confirmed the last start or stop; 0 = not yet
-    // Until then a late order to the previous incarnation may still start the run in this one.
-    time_point mayStartLateUntil;
     std::string ticket;
     time_point ticketExpiresAt; // 0 = it needs no ticket, or an earlier leader has sent it
     int percentDone = 0;
@@ -155,7 +153,10 @@
     time_point clockReadAt; // when that reading arrived
     time_point registeredAt; // when this incarnation was registered, or the term began
     std::int64_t leaseExpiresAt = 0; // the latest expiry that was sent, on the target's clock
-    time_point previousLeasesExpireBy; // by then all leases of earlier terms have expired
+    time_point lastLeaseSentAt; // when the last order that grants a lease was sent
+    // By then all leases have expired that this leader has not granted to this incarnation: those
+    // of earlier terms, and those that orders to earlier incarnations granted to this one.
+    time_point otherLeasesExpireBy;
     time_point lastContactAt; // time of the last report or answer
     // Time of the last answer to an order: the connection works in both directions then.
     time_point lastAnswerAt;
--- a/modules/filbert_dispatch/target_orders.cpp
+++ b/modules/filbert_dispatch/target_orders.cpp
@@ -19,6 +19,7 @@
     const auto duration = std::min(state.settings.targetLease, state.settings.maxTargetLease);
     const auto expiresAt = clockUpperBound(target, now) + duration.count;
     target.leaseExpiresAt = std::max(target.leaseExpiresAt, expiresAt);
+    target.lastLeaseSentAt = now;
     return expiresAt;
 }
 
--- a/modules/filbert_dispatch/target_tracking.cpp
+++ b/modules/filbert_dispatch/target_tracking.cpp
@@ -45,9 +45,9 @@
 
 bool hasLeaseExpired(const tracked_target &target, time_point now)
 {
-    // Leases of earlier terms are bounded by time alone: the first reading of a clock may have been
-    // long on its way, so that no expiry can be derived from it.
-    return now > target.previousLeasesExpireBy
+    // Other leases are bounded by time alone: the first reading of a clock may have been long on
+    // its way, and an expiry on the clock of an earlier incarnation means nothing on this one's.
+    return now > target.otherLeasesExpireBy
         && (!target.clockMs || clockLowerBound(target, now) > target.leaseExpiresAt);
 }
 
@@ -117,27 +117,18 @@
     }
 }
 
-/** Whether no late order can start a run of the target any more. */
-bool areLateStartsExcluded(const tracked_target &target, time_point now)
-{
-    return std::all_of(target.runs.begin(), target.runs.end(),
-                       [&](const auto &each) { return now >= each.second.mayStartLateUntil; });
-}
-
-/** Abandons runs of a target whose lease has expired, except those that may still start late. */
+/** Abandons the runs of a target whose lease has expired. */
 void abandonExpiredRuns(dispatch_state &state, tracked_target &target, time_point now)
 {
     target.isInventoryStale = true;
     for (auto &[task, run] : target.runs) {
-        if (now >= run.mayStartLateUntil) {
-            if (!run.isAbandonmentProposed) {
-                noteLostRun(state, target, task, run);
-            }
-            if (run.isOrderPending || target.unansweredStarts.contains(task)) {
-                target.orphanRuns.emplace(task, orphan_run {run.run, now});
-            }
-            proposeAbandonment(state, task, run, target.id, "the lease of its target has expired");
+        if (!run.isAbandonmentProposed) {
+            noteLostRun(state, target, task, run);
         }
+        if (run.isOrderPending || target.unansweredStarts.contains(task)) {
+            target.orphanRuns.emplace(task, orphan_run {run.run, now});
+        }
+        proposeAbandonment(state, task, run, target.id, "the lease of its target has expired");
     }
 }
 
@@ -220,15 +211,6 @@
     }
 }
 
-/** @return until when a late order to the previous incarnation may grant a lease to a run of this
-    one. Such an order names an expiry on the clock of the previous incarnation, which means nothing
-    on the clock of this one. This incarnation bounds the lease by its own maximum, counted from the
-    arrival of the order. */
-time_point lateStartsEnd(const dispatch_state &state, time_point now)
-{
-    return now + state.settings.maxOrderDelay + withClockRateMargin(state.settings.maxTargetLease);
-}
-
 /** Has the starts stopped that a previous incarnation did not answer and that this one may still
     carry out. Those of runs in the log are stopped with these. */
 void stopLateStarts(tracked_target &target, time_point now)
@@ -257,12 +239,14 @@
     target.incarnation = registered.registration.born();
     target.lastContactAt = now;
     target.registeredAt = now;
-    target.previousLeasesExpireBy = state.leadingSince
+    target.otherLeasesExpireBy = state.leadingSince
         + withClockRateMargin(std::min(state.settings.targetLease, state.settings.maxTargetLease))
         + leaseMargin;
     if (previous.incarnation == 0) {
         return;
     }
+    target.otherLeasesExpireBy = std::max(target.otherLeasesExpireBy, previous.otherLeasesExpireBy);
+    expectLateOrders(state, target, std::max(previous.lastLeaseSentAt, state.leadingSince), now);
     target.reservedResources = previous.reservedResources;
     target.reservedBestEffortCores = previous.reservedBestEffortCores;
     target.runs = previous.runs; // stopped in the new incarnation too, see tickRuns()
@@ -271,9 +255,7 @@
         run.isOrderPending = false; // its answer would come from the previous incarnation
         run.confirmedAt = {}; // by the previous incarnation
         run.retryAt = now;
-        run.mayStartLateUntil = lateStartsEnd(state, now);
     }
-    target.lateOrdersUntil = now + state.settings.maxOrderDelay;
     target.unansweredStarts = previous.unansweredStarts;
     stopLateStarts(target, now);
 }
@@ -325,11 +307,29 @@
         run.lastProgressAt = now;
         run.checkpoint = record->checkpoint;
         if (record->incarnation != target.incarnation) {
-            run.mayStartLateUntil = lateStartsEnd(state, now);
+            expectLateOrders(state, target, now, now);
         }
     }
 }
 
+void expectLateOrders(const dispatch_state &state, tracked_target &target, time_point lastSentAt,
+                      time_point now)
+{
+    const auto &settings = state.settings;
+    const auto arriveUntil = lastSentAt + settings.maxOrderDelay;
+    target.lateOrdersUntil = std::max(target.lateOrdersUntil, arriveUntil);
+    const auto leasesExpireBy =
+        arriveUntil + withClockRateMargin(settings.maxTargetLease) + leaseMargin;
+    if (leasesExpireBy <= std::max(target.otherLeasesExpireBy, now)) {
+        return;
+    }
+    target.otherLeasesExpireBy = leasesExpireBy;
+    log_line {"late_orders_expected"}
+        .with("target", target.id)
+        .with("sent_ms_ago", (now - lastSentAt).count)
+        .with("leases_expire_in_ms", (leasesExpireBy - now).count);
+}
+
 void recordUnansweredStart(dispatch_state &state, tracked_target &target, const target_order &order,
                            time_point now)
 {
@@ -349,9 +349,7 @@
 {
     target.isSuspect = true;
     target.isInventoryStale = true;
-    for (auto &[task, run] : target.runs) {
-        run.mayStartLateUntil = lateStartsEnd(state, now);
-    }
+    expectLateOrders(state, target, now, now);
 }
 
 namespace {
@@ -535,7 +533,7 @@
     }
     // A target that reported its end without getting an acknowledgement runs on for seconds. Only
     // the expiry of its lease, which is not renewed any more, ensures that its runs have ended.
-    const bool haveRunsEnded = hasLeaseExpired(target, now) && areLateStartsExcluded(target, now);
+    const bool haveRunsEnded = hasLeaseExpired(target, now);
     // A sign-off names no incarnation: only that of a draining target is certain at once.
     const bool isLeaving = target.leavingSince
         && (registered->registration.is_draining()
@@ -548,11 +546,9 @@
         }
         return;
     }
-    if (!target.runs.empty() && hasLeaseExpired(target, now)) {
+    if (!target.runs.empty() && haveRunsEnded) {
         abandonExpiredRuns(state, target, now);
-        if (haveRunsEnded) {
-            return;
-        }
+        return;
     }
     if (registered->registration.is_draining()) {
         reviewDraining(state, target, now);
@@ -572,11 +568,11 @@
 {
     constexpr milliseconds step {1};
     if (!target.clockMs) {
-        return target.previousLeasesExpireBy + step;
+        return target.otherLeasesExpireBy + step;
     }
     const auto remaining =
         std::max<std::int64_t>(target.leaseExpiresAt - clockLowerBound(target, now), 0);
-    return std::max(target.previousLeasesExpireBy, now + milliseconds {remaining}) + step;
+    return std::max(target.otherLeasesExpireBy, now + milliseconds {remaining}) + step;
 }
 
 /** @return when a target must be ticked next, if nothing about it changes before */
@@ -609,7 +605,6 @@
         if (!run.isOrderPending) {
             consider(run.retryAt);
         }
-        consider(run.mayStartLateUntil);
     }
     return due;
 }
--- a/modules/filbert_dispatch/target_tracking.h
+++ b/modules/filbert_dispatch/target_tracking.h
@@ -24,6 +24,13 @@
 void recordUnansweredStart(dispatch_state &state, tracked_target &target, const target_order &order,
                            time_point now);
 
+/** Expects that orders to earlier incarnations of a target still arrive. The present one takes them
+    for its own. They grant it leases up to its own maximum, counted from their arrival, since the
+    expiry that they name is a time of an earlier incarnation's clock.
+    @param lastSentAt  when the last of them was sent */
+void expectLateOrders(const dispatch_state &state, tracked_target &target, time_point lastSentAt,
+                      time_point now);
+
 /** Handles the answer of an incarnation that has not registered yet: it gets no work, and carries
     out what is ordered from the previous one. */
 void handleUnregisteredIncarnation(dispatch_state &state, tracked_target &target, time_point now);
--- a/modules/filbert_dispatch/tests/target_tracking_test.cpp
+++ b/modules/filbert_dispatch/tests/target_tracking_test.cpp
@@ -269,6 +269,138 @@
     CHECK(cell.taskStatus(firstTask) == task_status::Waiting);
 }
 
+namespace {
+
+// The longest that a late order to the previous incarnation may keep the runs of the next one
+// alive, and a margin below and above.
+constexpr milliseconds beforeLateLeasesExpire {16'500};
+constexpr milliseconds untilLateLeasesHaveExpired {3'000};
+constexpr milliseconds untilLeaseHasExpired {8'000}; // where no late order may have extended it
+
+/** Accepts a job "j" of one task while the leader leads. */
+void acceptOneTask(dispatch_fixture &cell)
+{
+    cell.accept("j", {cell.step(1)});
+    messages::work_command accepted;
+    accepted.mutable_accept()->set_id("j");
+    handleCommittedCommand(*cell.leader, accepted, false, cell.now);
+}
+
+/** Registers the next incarnation of a target at a certain time. */
+void restartTarget(dispatch_fixture &cell, const std::string &id, std::int64_t incarnation,
+                   std::int64_t wallMs)
+{
+    messages::work_command command;
+    *command.mutable_target() = work_fixture::targetRegistration(id, incarnation);
+    REQUIRE(applyCommand(cell.state, command, wallMs).error == error_kind::None);
+}
+
+/** Lets "t1" be silent, and "t2" be there to take over its task. */
+void silenceFirstTarget(dispatch_fixture &cell, milliseconds duration)
+{
+    if (!cell.state.targets.contains("t2")) {
+        cell.reportTarget("t2");
+        cell.runFor({10});
+    }
+    cell.runTargets(duration, {"t2"});
+}
+
+} // namespace
+
+// Guards against a task that runs twice: a late order to the previous incarnation extended the
+// lease of all that ran in the next one, also of a run that was started there.
+TEST_CASE("a run in a new incarnation may outlive the lease that it was granted", "[dispatch]")
+{
+    dispatch_fixture cell;
+    cell.registerTarget("t1", 1);
+    cell.accept("j", {cell.step(1)});
+    cell.startLeading();
+    cell.runTargets({8'000}, {"t1"});
+    cell.orders.clear(); // the new incarnation may still carry out a poll
+    cell.reportTarget("t1", 2);
+    cell.runFor({30});
+    cell.answerOrders(order_kind::Stop, order_result::Done);
+    cell.runFor({30});
+    cell.answerOrders(order_kind::Poll, order_result::Done, "t1");
+    cell.runFor({200});
+    cell.answerOrders(order_kind::Poll, order_result::Done, "t1");
+    cell.runFor({30});
+    REQUIRE(findTask(cell.state, firstTask)->incarnation == 2);
+    cell.runTargets({500}, {"t1"});
+    silenceFirstTarget(cell, beforeLateLeasesExpire);
+    CHECK(cell.targetOf(firstTask) == "t1");
+    CHECK(findTask(cell.state, firstTask)->run == 2);
+    silenceFirstTarget(cell, untilLateLeasesHaveExpired);
+    CHECK(cell.targetOf(firstTask) == "t2");
+}
+
+// Guards against the same after a change of leader: the new one knew of no earlier incarnation.
+TEST_CASE("a new leader expects late orders to the incarnation before", "[dispatch]")
+{
+    dispatch_fixture cell;
+    cell.registerTarget("t1", 1);
+    SECTION("of a target that has restarted recently")
+    {
+        restartTarget(cell, "t1", 2, cell.wallMs - 1'000);
+        cell.accept("j", {cell.step(1)});
+        cell.start(firstTask, 1, "t1", 2);
+        cell.startLeading(2);
+        silenceFirstTarget(cell, beforeLateLeasesExpire);
+        CHECK(cell.targetOf(firstTask) == "t1");
+        silenceFirstTarget(cell, untilLateLeasesHaveExpired);
+        CHECK(cell.targetOf(firstTask) == "t2");
+    }
+    SECTION("but of no target that restarted long ago")
+    {
+        restartTarget(cell, "t1", 2, cell.wallMs - 60'000);
+        cell.accept("j", {cell.step(1)});
+        cell.start(firstTask, 1, "t1", 2);
+        cell.startLeading(2);
+        silenceFirstTarget(cell, untilLeaseHasExpired);
+        CHECK(cell.targetOf(firstTask) == "t2");
+    }
+}
+
+// Guards against the same where the leader had forgotten the target: its record had ended.
+TEST_CASE("late orders are expected at a target that is back after its record has ended",
+          "[dispatch]")
+{
+    dispatch_fixture cell;
+    cell.registerTarget("t1", 1);
+    cell.startLeading();
+    cell.runTargets({500}, {"t1"});
+    messages::work_command removal;
+    removal.set_target_left("t1");
+    cell.apply(removal);
+    handleCommittedCommand(*cell.leader, removal, false, cell.now);
+    cell.orders.clear();
+    cell.reportTarget("t1", 2);
+    cell.runFor({30});
+    acceptOneTask(cell);
+    cell.runTargets({500}, {"t1"});
+    REQUIRE(cell.targetOf(firstTask) == "t1");
+    silenceFirstTarget(cell, beforeLateLeasesExpire);
+    CHECK(cell.targetOf(firstTask) == "t1");
+    silenceFirstTarget(cell, untilLateLeasesHaveExpired);
+    CHECK(cell.targetOf(firstTask) == "t2");
+}
+
+TEST_CASE("a target that had no leases before its restart is not waited for longer", "[dispatch]")
+{
+    dispatch_fixture cell;
+    cell.registerTarget("t1", 1);
+    cell.startLeading();
+    cell.runTargets({20'000}, {"t1"}); // longer than leases of an earlier leader can last
+    cell.orders.clear();
+    cell.reportTarget("t1", 2);
+    cell.runFor({30});
+    acceptOneTask(cell);
+    cell.runTargets({500}, {"t1"});
+    REQUIRE(cell.targetOf(firstTask) == "t1");
+    silenceFirstTarget(cell, untilLeaseHasExpired);
+    CHECK(cell.targetOf(firstTask) == "t2");
+}
+
 TEST_CASE("a report that a later one has overtaken does not update the clock", "[dispatch]")
 {
     dispatch_fixture cell;
--- a/modules/filbert_work/tests/work_commands_test.cpp
+++ b/modules/filbert_work/tests/work_commands_test.cpp
@@ -393,6 +393,26 @@
     }
 }
 
+TEST_CASE("when a target was restarted is part of a snapshot", "[work]")
+{
+    constexpr std::int64_t wallMs = 1'700'000'000'000;
+    work_fixture cell;
+    const auto report = [&](std::int64_t incarnation, std::int64_t at) {
+        messages::work_command command;
+        *command.mutable_target() = work_fixture::targetRegistration("t1", incarnation);
+        return applyCommand(cell.state, command, at).error;
+    };
+    CHECK(report(1, wallMs) == none);
+    CHECK(cell.state.targets.at("t1").restartedWallMs == 0); // the first that is known
+    CHECK(report(2, wallMs + 10) == none);
+    CHECK(report(2, wallMs + 20) == none); // the same incarnation again
+    CHECK(report(1, wallMs + 30) == conflict);
+
+    work_state restored;
+    REQUIRE(!readWorkState(writeWorkState(cell.state), &restored));
+    CHECK(restored.targets.at("t1").restartedWallMs == wallMs + 10);
+}
+
 TEST_CASE("crashes count once an incarnation, and are part of a snapshot", "[work]")
 {
     work_fixture cell;
--- a/modules/filbert_work/work_commands.cpp
+++ b/modules/filbert_work/work_commands.cpp
@@ -259,7 +259,8 @@
     }
 }
 
-command_outcome registerTarget(work_state &state, const messages::target_life &registration)
+command_outcome registerTarget(work_state &state, const messages::target_life &registration,
+                               std::int64_t wallMs)
 {
     for (auto &[id, other] : state.targets) {
         // Only one process can listen at an address at a time, so that a later incarnation there
@@ -280,6 +281,8 @@
     }
     const bool isNewIncarnation = registered.registration.born() != registration.born();
     if (isNewIncarnation) {
+        const bool isRestart = registered.registration.born() != 0;
+        registered.restartedWallMs = isRestart ? wallMs : 0;
         registered.lastAppliedEnd = 0;
         registered.hasEnded = false;
     }
@@ -376,7 +379,7 @@
     case body::kDrop:
         return abandonRun(state, command.drop());
     case body::kTarget:
-        return registerTarget(state, command.target());
+        return registerTarget(state, command.target(), wallMs);
     case body::kTargetLeft:
         return unregisterTarget(state, command.target_left());
     case body::kBegin:
--- a/modules/filbert_work/work_snapshot.cpp
+++ b/modules/filbert_work/work_snapshot.cpp
@@ -82,6 +82,7 @@
         *out->mutable_about() = registered.registration;
         out->set_last_seen(registered.lastAppliedEnd);
         out->set_is_over(registered.hasEnded);
+        out->set_restarted_wall_ms(registered.restartedWallMs);
     }
     return image.SerializeAsString();
 }
@@ -99,6 +100,7 @@
         registered.registration = stored.about();
         registered.lastAppliedEnd = stored.last_seen();
         registered.hasEnded = stored.is_over();
+        registered.restartedWallMs = stored.restarted_wall_ms();
     }
     for (const auto &job : image.jobs()) {
         state->jobs.emplace(job.job().id(), readJob(job));
--- a/modules/filbert_work/work_state.h
+++ b/modules/filbert_work/work_state.h
@@ -126,6 +126,8 @@
     messages::target_life registration;
     std::uint64_t lastAppliedEnd = 0; // number of the last end that was reported and applied
     bool hasEnded = false;
+    // When this incarnation replaced an earlier one, by the leader's wall clock; 0 = it did not.
+    std::int64_t restartedWallMs = 0;
 
     // Derived:
     std::set<task_name> runs; // on this incarnation, or on an earlier one of the same id
