Fence off orders to earlier incarnations of a target

Seen: a task runs again although it succeeded.

Cause: a late poll that was meant for the former incarnation of a target acknowledges ends of the new one, whose numbers start anew. The target forgets ends that the leader has never seen, the run seems absent, and its task is started again. The header that names the target cannot tell incarnations of one id apart.

Change: the fencing token of an order is the term plus the number of restarts that the replicated state knows of the target. It is higher than that of any order of an earlier leader or to an earlier incarnation. The first poll of a new incarnation carries it, before any work is placed there. Answers are matched with the term by a field of their own.

Soak: the last poll that a crashed target did not answer reaches its next incarnation, and targets are cut off soon after a restart.

Measured: "an incarnation rejects late orders to the previous one once it has had its own" fails without the new token (by its text; not run).

--- a/modules/filbert_dispatch/dispatch_state.h
+++ b/modules/filbert_dispatch/dispatch_state.h
@@ -266,7 +266,8 @@
     std::string checkpoint;
     std::string ticket;
     std::int64_t leaseExpiresAt = 0; // on the target's clock; 0 = the lease stays as it is
-    std::uint64_t fencingToken = 0; // the leader's term
+    std::uint64_t term = 0; // of the leader that sent it; not carried by relays
+    std::uint64_t fencingToken = 0; // see fencingTokenFor()
     std::uint64_t lastAppliedEnd = 0; // ends up to this number are in the log
     milliseconds pollWait; // how long the target may hold a poll until a run ends
     int workRate = 100;
@@ -277,7 +278,7 @@
 
 enum class order_result {
     Done,
-    Fenced, // the target has had an order from a leader of a later term
+    Fenced, // the target has had an order of a later leader, or to a later incarnation of it
     Superseded, // the run or a later one of its task was stopped or has ended there
     LeaseExpired, // the lease that the order granted had expired on arrival
     NoCapacity,
--- a/modules/filbert_dispatch/order_answers.cpp
+++ b/modules/filbert_dispatch/order_answers.cpp
@@ -394,7 +394,7 @@
 {
     const auto found = state.targets.find(order.target);
     const auto *registered = findRegisteredTarget(state, order.target);
-    if (order.fencingToken != state.term || found == state.targets.end() || registered == nullptr) {
+    if (order.term != state.term || found == state.targets.end() || registered == nullptr) {
         return; // from an earlier term, or from a target that has been removed
     }
     auto &target = found->second;
--- a/modules/filbert_dispatch/target_orders.cpp
+++ b/modules/filbert_dispatch/target_orders.cpp
@@ -38,6 +38,11 @@
 
 } // namespace
 
+std::uint64_t fencingTokenFor(const registered_target &registered, std::uint64_t term)
+{
+    return term + registered.restarts;
+}
+
 target_order orderFor(const dispatch_state &state, const tracked_target &target,
                       const registered_target &registered, order_kind kind, time_point now)
 {
@@ -46,7 +51,8 @@
     order.target = target.id;
     order.incarnation = target.incarnation;
     order.address = registered.registration.address();
-    order.fencingToken = state.term;
+    order.term = state.term;
+    order.fencingToken = fencingTokenFor(registered, state.term);
     order.timeout = state.settings.orderTimeout;
     order.sentAt = now;
     return order;
--- a/modules/filbert_dispatch/target_orders.h
+++ b/modules/filbert_dispatch/target_orders.h
@@ -15,6 +15,12 @@
 void proposeAbandonment(dispatch_state &state, const task_name &task, run_view &run,
                         const std::string &target, const std::string &reason);
 
+/** @return the token by which a target recognises orders that are out of date. It is higher than
+   that of any order of an earlier leader, and of any order to an earlier incarnation: once an
+    incarnation has had an order of its own, it rejects those that were meant for the earlier ones.
+    @param term  of the leader that sends the order */
+std::uint64_t fencingTokenFor(const registered_target &registered, std::uint64_t term);
+
 /** @return an order to the current incarnation of a target; the caller sets what its kind needs */
 target_order orderFor(const dispatch_state &state, const tracked_target &target,
                       const registered_target &registered, order_kind kind, time_point now);
--- a/modules/filbert_dispatch/tests/target_tracking_test.cpp
+++ b/modules/filbert_dispatch/tests/target_tracking_test.cpp
@@ -385,6 +385,30 @@
     CHECK(cell.targetOf(firstTask) == "t2");
 }
 
+// Guards against a task that runs again although it succeeded: a late poll, meant for the previous
+// incarnation, acknowledged the end of a run in the next one that the leader had not seen.
+TEST_CASE("an incarnation rejects late orders to the previous one once it has had its own",
+          "[dispatch]")
+{
+    dispatch_fixture cell;
+    cell.registerTarget("t1", 1);
+    const auto latestPoll = [&] {
+        cell.runFor({20});
+        return cell.pendingOrders(order_kind::Poll, "t1").back();
+    };
+    cell.startLeading(7);
+    const auto first = latestPoll();
+    cell.reportTarget("t1", 2);
+    const auto second = latestPoll();
+    CHECK(second.incarnation == 2);
+    CHECK(second.fencingToken > first.fencingToken);
+    cell.startLeading(8);
+    const auto ofNextLeader = latestPoll();
+    CHECK(ofNextLeader.fencingToken > second.fencingToken);
+    cell.answerOrders(order_kind::Poll, order_result::Done, "t1");
+    CHECK(cell.leader->targets.at("t1").pollAnsweredAt == cell.now); // it is of this term
+}
+
 TEST_CASE("a target that had no leases before its restart is not waited for longer", "[dispatch]")
 {
     dispatch_fixture cell;
--- a/modules/filbert_work/tests/work_commands_test.cpp
+++ b/modules/filbert_work/tests/work_commands_test.cpp
@@ -411,6 +411,7 @@
     work_state restored;
     REQUIRE(!readWorkState(writeWorkState(cell.state), &restored));
     CHECK(restored.targets.at("t1").restartedWallMs == wallMs + 10);
+    CHECK(restored.targets.at("t1").restarts == 1);
 }
 
 TEST_CASE("crashes count once an incarnation, and are part of a snapshot", "[work]")
--- a/modules/filbert_work/work_commands.cpp
+++ b/modules/filbert_work/work_commands.cpp
@@ -283,6 +283,7 @@
     if (isNewIncarnation) {
         const bool isRestart = registered.registration.born() != 0;
         registered.restartedWallMs = isRestart ? wallMs : 0;
+        registered.restarts += isRestart ? 1 : 0;
         registered.lastAppliedEnd = 0;
         registered.hasEnded = false;
     }
--- a/modules/filbert_work/work_snapshot.cpp
+++ b/modules/filbert_work/work_snapshot.cpp
@@ -83,6 +83,7 @@
         out->set_last_seen(registered.lastAppliedEnd);
         out->set_is_over(registered.hasEnded);
         out->set_restarted_wall_ms(registered.restartedWallMs);
+        out->set_restarts(registered.restarts);
     }
     return image.SerializeAsString();
 }
@@ -101,6 +102,7 @@
         registered.lastAppliedEnd = stored.last_seen();
         registered.hasEnded = stored.is_over();
         registered.restartedWallMs = stored.restarted_wall_ms();
+        registered.restarts = stored.restarts();
     }
     for (const auto &job : image.jobs()) {
         state->jobs.emplace(job.job().id(), readJob(job));
--- a/modules/filbert_work/work_state.h
+++ b/modules/filbert_work/work_state.h
@@ -128,6 +128,7 @@
     bool hasEnded = false;
     // When this incarnation replaced an earlier one, by the leader's wall clock; 0 = it did not.
     std::int64_t restartedWallMs = 0;
+    std::uint32_t restarts = 0; // number of incarnations known before this one
 
     // Derived:
     std::set<task_name> runs; // on this incarnation, or on an earlier one of the same id
