Count late leases from the first order that a new incarnation has had

Cause: with the fencing token an incarnation rejects late orders once it has answered a poll of this leader. The bound on leases that these may grant still counted the 12 s in which they could have arrived, so that a task on a target that restarted and fell silent waited for up to 22 s (10 s of lease, 12 s of delay).

Change: with the first answered poll the bound is the longest lease from then on (limitOtherLeases).

--- a/modules/filbert_dispatch/order_answers.cpp
+++ b/modules/filbert_dispatch/order_answers.cpp
@@ -373,6 +373,9 @@
             .with("heard_ms_ago", (now - target.lastContactAt).count);
         return;
     }
+    if (answer.incarnation) { // it has this order's fencing token
+        limitOtherLeases(state, target, now);
+    }
     target.isInventoryStale = false;
     target.lostRuns.clear(); // it is the same incarnation: it was only silent
     target.lastAcknowledgedEnd = std::max(target.lastAcknowledgedEnd, order.lastAppliedEnd);
--- a/modules/filbert_dispatch/target_tracking.cpp
+++ b/modules/filbert_dispatch/target_tracking.cpp
@@ -330,6 +330,12 @@
         .with("leases_expire_in_ms", (leasesExpireBy - now).count);
 }
 
+void limitOtherLeases(const dispatch_state &state, tracked_target &target, time_point now)
+{
+    const auto expireBy = now + withClockRateMargin(state.settings.maxTargetLease) + leaseMargin;
+    target.otherLeasesExpireBy = std::min(target.otherLeasesExpireBy, expireBy);
+}
+
 void recordUnansweredStart(dispatch_state &state, tracked_target &target, const target_order &order,
                            time_point now)
 {
--- a/modules/filbert_dispatch/target_tracking.h
+++ b/modules/filbert_dispatch/target_tracking.h
@@ -31,6 +31,10 @@
 void expectLateOrders(const dispatch_state &state, tracked_target &target, time_point lastSentAt,
                       time_point now);
 
+/** Records that a target has had an order to its present incarnation. It rejects late orders of
+    earlier leaders or to earlier incarnations from now on. */
+void limitOtherLeases(const dispatch_state &state, tracked_target &target, time_point now);
+
 /** Handles the answer of an incarnation that has not registered yet: it gets no work, and carries
     out what is ordered from the previous one. */
 void handleUnregisteredIncarnation(dispatch_state &state, tracked_target &target, time_point now);
--- a/modules/filbert_dispatch/tests/target_tracking_test.cpp
+++ b/modules/filbert_dispatch/tests/target_tracking_test.cpp
@@ -409,6 +409,30 @@
     CHECK(cell.leader->targets.at("t1").pollAnsweredAt == cell.now); // it is of this term
 }
 
+TEST_CASE("no late order extends a lease once the new incarnation has had an order of its own",
+          "[dispatch]")
+{
+    dispatch_fixture cell;
+    cell.registerTarget("t1", 1);
+    cell.accept("j", {cell.step(1)});
+    cell.startLeading();
+    cell.runTargets({8'000}, {"t1"});
+    cell.orders.clear();
+    cell.reportTarget("t1", 2);
+    cell.runFor({30});
+    order_answer list;
+    list.incarnation = 2;
+    list.runs.push_back({firstTask, 1, {}, 50, 0}); // a late start has begun it again
+    const auto answeredAt = cell.now;
+    cell.answerOrders(order_kind::Poll, order_result::Done, "t1", list);
+    const auto longestLease = cell.leader->settings.maxTargetLease;
+    silenceFirstTarget(cell, longestLease - milliseconds {100});
+    CHECK(cell.targetOf(firstTask) == "t1");
+    silenceFirstTarget(cell, {1'000});
+    CHECK(cell.targetOf(firstTask) == "t2");
+    CHECK(cell.now > answeredAt + longestLease);
+}
+
 TEST_CASE("a target that had no leases before its restart is not waited for longer", "[dispatch]")
 {
     dispatch_fixture cell;
