Place long-running tasks that have lost their target before other work

Cause: a long-running step ranked by the priority of its queue. In a full cell nothing was reserved for it, and it asked for further tickets only for capacity that the steps before it left.

Change: a long-running step with a task that ran before ranks before all other work. Capacity is reserved for long-running steps as for others, and they ask for tickets also while capacity is contested.

--- a/modules/filbert_dispatch/scheduling.cpp
+++ b/modules/filbert_dispatch/scheduling.cpp
@@ -125,7 +125,7 @@
                        std::size_t tasks)
 {
     const auto maxReserved = service.availableCandidates / targetsPerReservation + 1;
-    if (step.spec->fills_gaps() || step.spec->lasts() || step.rank >= lateRankOffset
+    if (step.spec->fills_gaps() || step.rank >= lateRankOffset
         || service.reservedCandidates >= maxReserved) {
         return;
     }
--- a/modules/filbert_dispatch/step_order.cpp
+++ b/modules/filbert_dispatch/step_order.cpp
@@ -11,6 +11,9 @@
 
 // A result that comes later than this many times its objective is of no use to its caller any more.
 constexpr std::int64_t maxUsefulObjectives = 3;
+// Of long-running steps with a task that has lost its target: it is to be back soon, also where the
+// cell is full of more urgent work.
+constexpr int lostServiceRank = -1;
 
 bool isPending(const work_job &job, const occurrence_record &occurrence, std::uint32_t step)
 {
@@ -53,15 +56,22 @@
     return std::max(std::min(startAndEnd, milliseconds {initialSlack.count / 2}), milliseconds {});
 }
 
+bool hasLostTasks(const step_record &record)
+{
+    return std::any_of(record.tasks.begin(), record.tasks.end(), [](const auto &task) {
+        return task.status == task_status::Waiting && task.run > 0;
+    });
+}
+
 step_urgency urgencyOf(const dispatch_state &state, const messages::work_queue &queue,
-                       const messages::step_spec &spec, const job_view &view, time_point begunAt,
-                       std::uint32_t step, time_point now)
+                       const messages::step_spec &spec, const step_record &record,
+                       const job_view &view, time_point begunAt, std::uint32_t step, time_point now)
 {
     const auto objective = objectiveOf(queue, view.criticalPath);
     const auto remaining = view.criticalPathFrom[step];
     step_urgency urgency;
     urgency.slackMs = (begunAt + objective - now - remaining).count;
-    urgency.rank = queue.priority();
+    urgency.rank = spec.lasts() && hasLostTasks(record) ? lostServiceRank : queue.priority();
     urgency.isBehind =
         !spec.lasts() && urgency.slackMs < overheadOf(state, objective - view.criticalPath).count;
     if (spec.lasts() || urgency.slackMs >= -remaining.count / 2) {
@@ -98,7 +108,8 @@
     pending.spec = &stepSpecOf(job, name.step);
     pending.queue = &queueOf(queues, job);
     pending.need = targetReservation(*pending.spec);
-    const auto urgency = urgencyOf(state, *pending.queue, *pending.spec, view,
+    const auto &record = job.occurrences.at(name.occurrence).steps[name.step];
+    const auto urgency = urgencyOf(state, *pending.queue, *pending.spec, record, view,
                                    view.occurrenceBegunAt.at(name.occurrence), name.step, now);
     pending.slackMs = urgency.slackMs;
     pending.rank = urgency.rank;
@@ -125,7 +136,8 @@
         const auto &job = state.work->jobs.at(id);
         const auto &queue = queueOf(queues, job);
         for (const auto &[occurrence, step] : view.pendingSteps) {
-            const auto urgency = urgencyOf(state, queue, stepSpecOf(job, step), view,
+            const auto &record = job.occurrences.at(occurrence).steps[step];
+            const auto urgency = urgencyOf(state, queue, stepSpecOf(job, step), record, view,
                                            view.occurrenceBegunAt.at(occurrence), step, now);
             steps.push_back({urgency.rank, urgency.isBehind,
                              urgency.isBehind ? -urgency.slackMs : urgency.slackMs, &id, &view,
--- a/modules/filbert_dispatch/tests/scheduling_test.cpp
+++ b/modules/filbert_dispatch/tests/scheduling_test.cpp
@@ -81,9 +81,12 @@
     CHECK(runningTasksOf(cell, "j") == 0);
 }
 
+// Also guards against long-running tasks that wait for a place as long as the cell is full: nothing
+// was reserved for them.
 TEST_CASE("urgent work goes first, and reserves the targets that it waits for against lower work",
           "[dispatch]")
 {
+    const bool isLasting = GENERATE(false, true);
     dispatch_fixture cell;
     auto *bulk = cell.state.configuration.add_queues();
     *bulk = cell.state.configuration.queues(0);
@@ -91,7 +94,9 @@
     bulk->set_path_prefix("/bulk/");
     bulk->set_priority(2);
     cell.registerTarget("t1", 1, 8'000);
-    cell.accept("large", {cell.step(1, 8'000)});
+    auto largeStep = cell.step(1, 8'000);
+    largeStep.set_lasts(isLasting);
+    cell.accept("large", {largeStep});
     cell.accept("busy", {cell.step(1, 4'000)});
     cell.start({"busy", 0, 0, 0}, 1, "t1");
     messages::work_command command;
@@ -100,6 +105,7 @@
     command.mutable_accept()->set_queue("bulk");
     *command.mutable_accept()->mutable_taken_under() = *findQueue(cell.state.configuration, "bulk");
     command.mutable_accept()->mutable_steps(0)->mutable_need()->set_milli_cores(1'000);
+    command.mutable_accept()->mutable_steps(0)->set_lasts(false);
     cell.apply(command);
     cell.startLeading();
     cell.reportTarget("t1");
@@ -108,6 +114,43 @@
     CHECK(runningTasksOf(cell, "large") == 0);
 }
 
+// Guards against long-running tasks that lose their target and stay away for as long as the cell is
+// full of more urgent work.
+TEST_CASE("a long-running task that has lost its target goes before more urgent work", "[dispatch]")
+{
+    const bool hasRunBefore = GENERATE(false, true);
+    dispatch_fixture cell;
+    cell.registerTarget("t1", 1, 8'000);
+    auto service = cell.step(1, 8'000);
+    service.set_lasts(true);
+    cell.accept("service", {service});
+    cell.state.jobs.at("service").job.mutable_taken_under()->set_priority(2);
+    cell.state.configuration.mutable_queues(0)->set_priority(2);
+    if (hasRunBefore) {
+        cell.start({"service", 0, 0, 0}, 1, "t1");
+        cell.abandonRun({"service", 0, 0, 0}, 1);
+    }
+    auto *urgent = cell.state.configuration.add_queues();
+    *urgent = cell.state.configuration.queues(0);
+    urgent->set_name("urgent");
+    urgent->set_path_prefix("/urgent/");
+    urgent->set_priority(0);
+    cell.accept("busy", {cell.step(1, 4'000)});
+    cell.start({"busy", 0, 0, 0}, 1, "t1");
+    messages::work_command command;
+    *command.mutable_accept() = cell.state.jobs.at("busy").job;
+    command.mutable_accept()->set_id("quick");
+    command.mutable_accept()->set_queue("urgent");
+    *command.mutable_accept()->mutable_taken_under() =
+        *findQueue(cell.state.configuration, "urgent");
+    command.mutable_accept()->mutable_steps(0)->mutable_need()->set_milli_cores(1'000);
+    cell.apply(command);
+    cell.startLeading();
+    cell.reportTarget("t1");
+    cell.runFor({300});
+    CHECK(runningTasksOf(cell, "quick") == (hasRunBefore ? 0 : 1));
+}
+
 TEST_CASE("a step under a policy starts only with a ticket that has not expired", "[dispatch]")
 {
     dispatch_fixture cell;
--- a/modules/filbert_dispatch/ticket_requests.cpp
+++ b/modules/filbert_dispatch/ticket_requests.cpp
@@ -217,10 +217,11 @@
 }
 
 /** Whether the steps that go first may take all free capacity, so that tickets for it would only
-    expire. Best-effort steps use capacity that no other step can have. */
+    expire. Best-effort steps use capacity that no other step can have. Long-running steps are few,
+    and would wait until the cell is no longer full. */
 bool isCapacityContested(const pending_step &step, const service_view &service)
 {
-    return !step.spec->fills_gaps() && !step.isInTurnForTickets
+    return !step.spec->fills_gaps() && !step.spec->lasts() && !step.isInTurnForTickets
         && service.unplacedCores >= service.freeCores;
 }
 
