--- a/modules/filbert_dispatch/tests/scheduling_test.cpp
+++ b/modules/filbert_dispatch/tests/scheduling_test.cpp
@@ -17,6 +17,25 @@
     return cell.state.jobs.at(job).runningTasks;
 }
 
+/** Adds a queue like the first one, and accepts a job there: like "busy", but with a small task. */
+void acceptSmallJob(dispatch_fixture &cell, const std::string &id, const std::string &queue,
+                    int priority)
+{
+    auto *added = cell.state.configuration.add_queues();
+    *added = cell.state.configuration.queues(0);
+    added->set_name(queue);
+    added->set_path_prefix(std::string {"/"}.append(queue).append("/"));
+    added->set_priority(priority);
+    messages::work_command command;
+    auto *job = command.mutable_accept();
+    *job = cell.state.jobs.at("busy").job;
+    job->set_id(id);
+    job->set_queue(queue);
+    *job->mutable_taken_under() = *added;
+    job->mutable_steps(0)->mutable_need()->set_milli_cores(1'000);
+    REQUIRE(cell.apply(command).error == error_kind::None);
+}
+
 } // namespace
 
 TEST_CASE("a gang starts whole or not at all, with one run number", "[dispatch]")
@@ -88,25 +107,13 @@
 {
     const bool isLasting = GENERATE(false, true);
     dispatch_fixture cell;
-    auto *bulk = cell.state.configuration.add_queues();
-    *bulk = cell.state.configuration.queues(0);
-    bulk->set_name("bulk");
-    bulk->set_path_prefix("/bulk/");
-    bulk->set_priority(2);
     cell.registerTarget("t1", 1, 8'000);
     auto largeStep = cell.step(1, 8'000);
     largeStep.set_lasts(isLasting);
     cell.accept("large", {largeStep});
     cell.accept("busy", {cell.step(1, 4'000)});
     cell.start({"busy", 0, 0, 0}, 1, "t1");
-    messages::work_command command;
-    *command.mutable_accept() = cell.state.jobs.at("large").job;
-    command.mutable_accept()->set_id("low");
-    command.mutable_accept()->set_queue("bulk");
-    *command.mutable_accept()->mutable_taken_under() = *findQueue(cell.state.configuration, "bulk");
-    command.mutable_accept()->mutable_steps(0)->mutable_need()->set_milli_cores(1'000);
-    command.mutable_accept()->mutable_steps(0)->set_lasts(false);
-    cell.apply(command);
+    acceptSmallJob(cell, "low", "bulk", 2);
     cell.startLeading();
     cell.reportTarget("t1");
     cell.runFor({300});
@@ -130,21 +137,9 @@
         cell.start({"service", 0, 0, 0}, 1, "t1");
         cell.abandonRun({"service", 0, 0, 0}, 1);
     }
-    auto *urgent = cell.state.configuration.add_queues();
-    *urgent = cell.state.configuration.queues(0);
-    urgent->set_name("urgent");
-    urgent->set_path_prefix("/urgent/");
-    urgent->set_priority(0);
     cell.accept("busy", {cell.step(1, 4'000)});
     cell.start({"busy", 0, 0, 0}, 1, "t1");
-    messages::work_command command;
-    *command.mutable_accept() = cell.state.jobs.at("busy").job;
-    command.mutable_accept()->set_id("quick");
-    command.mutable_accept()->set_queue("urgent");
-    *command.mutable_accept()->mutable_taken_under() =
-        *findQueue(cell.state.configuration, "urgent");
-    command.mutable_accept()->mutable_steps(0)->mutable_need()->set_milli_cores(1'000);
-    cell.apply(command);
+    acceptSmallJob(cell, "quick", "urgent", 0);
     cell.startLeading();
     cell.reportTarget("t1");
     cell.runFor({300});
--- a/modules/filbert_dispatch/tests/target_tracking_test.cpp
+++ b/modules/filbert_dispatch/tests/target_tracking_test.cpp
@@ -305,6 +305,15 @@
     cell.runTargets(duration, {"t2"});
 }
 
+/** Checks that the task of a silent "t1" goes to "t2" only when late leases have expired. */
+void checkLateLeasesCount(dispatch_fixture &cell)
+{
+    silenceFirstTarget(cell, beforeLateLeasesExpire);
+    CHECK(cell.targetOf(firstTask) == "t1");
+    silenceFirstTarget(cell, untilLateLeasesHaveExpired);
+    CHECK(cell.targetOf(firstTask) == "t2");
+}
+
 } // namespace
 
 // Guards against a task that runs twice: a late order to the previous incarnation extended the
@@ -345,10 +354,7 @@
         cell.accept("j", {cell.step(1)});
         cell.start(firstTask, 1, "t1", 2);
         cell.startLeading(2);
-        silenceFirstTarget(cell, beforeLateLeasesExpire);
-        CHECK(cell.targetOf(firstTask) == "t1");
-        silenceFirstTarget(cell, untilLateLeasesHaveExpired);
-        CHECK(cell.targetOf(firstTask) == "t2");
+        checkLateLeasesCount(cell);
     }
     SECTION("but of no target that restarted long ago")
     {
@@ -379,10 +385,7 @@
     acceptOneTask(cell);
     cell.runTargets({500}, {"t1"});
     REQUIRE(cell.targetOf(firstTask) == "t1");
-    silenceFirstTarget(cell, beforeLateLeasesExpire);
-    CHECK(cell.targetOf(firstTask) == "t1");
-    silenceFirstTarget(cell, untilLateLeasesHaveExpired);
-    CHECK(cell.targetOf(firstTask) == "t2");
+    checkLateLeasesCount(cell);
 }
 
 // Guards against a task that runs again although it succeeded: a late poll, meant for the previous
