--- a/modules/filbert_dispatch/placement_pass.h
+++ b/modules/filbert_dispatch/placement_pass.h
@@ -24,6 +24,7 @@
     resource_amounts need; // what a task reserves on its target
     int rank = 0; // the lowest is placed first; see lateRankOffset
     std::int64_t slackMs = 0;
+    bool isBeyondShare = false; // see step_key
     std::unordered_map<std::string_view, int> tasksByTarget; // only if dependsOnTaskCounts()
     bool isSuspect = false; // whether the task to be placed next may have crashed a target
     // Whether it may ask for further tickets although the steps before it lack all free capacity,
--- a/modules/filbert_dispatch/step_order.cpp
+++ b/modules/filbert_dispatch/step_order.cpp
@@ -139,13 +139,14 @@
             const auto &record = job.occurrences.at(occurrence).steps[step];
             const auto urgency = urgencyOf(state, queue, stepSpecOf(job, step), record, view,
                                            view.occurrenceBegunAt.at(occurrence), step, now);
-            steps.push_back({urgency.rank, urgency.isBehind,
+            steps.push_back({urgency.rank, false, urgency.isBehind,
                              urgency.isBehind ? -urgency.slackMs : urgency.slackMs, &id, &view,
                              occurrence, step});
         }
     }
     std::sort(steps.begin(), steps.end(), [](const step_key &a, const step_key &b) {
-        return std::tie(a.rank, a.isBehind, a.order) < std::tie(b.rank, b.isBehind, b.order);
+        return std::tie(a.rank, a.isBeyondShare, a.isBehind, a.order)
+            < std::tie(b.rank, b.isBeyondShare, b.isBehind, b.order);
     });
     return steps;
 }
--- a/modules/filbert_dispatch/step_order.h
+++ b/modules/filbert_dispatch/step_order.h
@@ -17,6 +17,7 @@
 struct step_key
 {
     int rank = 0;
+    bool isBeyondShare = false; // its team already has its share of what is scarce
     bool isBehind = false; // it would end after its objective if it started now
     std::int64_t order = 0; // the lowest first among those of a rank that are equally behind or not
     const std::string *job = nullptr;
