Evacuation of failure domains: command, state, calls and checks before starts

Placement and the checks before a start is sent treat its targets like draining ones, apart from their runs, which go on.

--- a/modules/filbert_dispatch/dispatch_state.cpp
+++ b/modules/filbert_dispatch/dispatch_state.cpp
@@ -290,6 +290,13 @@
 {
     using body = messages::work_command::BodyCase;
     state.isPassDue = true;
+    if (const auto evacuation = readEvacuation(command)) {
+        // The next tick withdraws the starts that wait for these targets.
+        for (const auto &id : targetsInDomain(*state.work, evacuation->failureDomain)) {
+            state.changedTargets.insert(id);
+        }
+        return;
+    }
     switch (command.body_case()) {
     case body::kAccept:
         refreshJob(state, command.accept().id(), now);
--- a/modules/filbert_dispatch/start_checks.cpp
+++ b/modules/filbert_dispatch/start_checks.cpp
@@ -50,6 +50,9 @@
     if (registered.registration.is_draining()) {
         return "its target is draining";
     }
+    if (isEvacuated(*state.work, registered)) {
+        return "the failure domain of its target is evacuated";
+    }
     if (run.mayHaveReachedTarget) {
         return std::nullopt; // it may run there, and is of more use there than stopped
     }
--- a/modules/filbert_dispatch/target_tracking.cpp
+++ b/modules/filbert_dispatch/target_tracking.cpp
@@ -266,6 +266,7 @@
                  const registered_target &registered, time_point now)
 {
     return !registered.hasEnded && !registered.registration.is_draining()
+        && !isEvacuated(*state.work, registered)
         && registered.registration.born() == target.incarnation && target.clockMs
         && !target.leavingSince && !target.isSuspect && now >= target.quarantinedUntil
         && now - target.lastContactAt < state.settings.contactTimeout;
--- a/modules/filbert_node/work_controller.cpp
+++ b/modules/filbert_node/work_controller.cpp
@@ -100,6 +100,9 @@
 {
     // Followers record these too: a new leader sends admission requests before the next hellos.
     peers[peer] = {hello.process(), hello.asks_admission(), now};
+    if (!hello.asks_admission()) { // controllers do not call the policy service
+        controllerDomains[peer] = hello.failure_domain();
+    }
     if (dispatch && hello.asks_admission()) {
         registerCaller(*dispatch, peer, hello.process(), now);
     } else if (dispatch) {
@@ -141,6 +144,12 @@
 {
     std::erase_if(peers,
                   [&](const auto &each) { return now - each.second.lastHelloAt >= peerTimeout; });
+    const auto &members = log.state().membership.members();
+    std::erase_if(controllerDomains, [&](const auto &each) {
+        return !peers.contains(each.first)
+            && std::none_of(members.begin(), members.end(),
+                            [&](const auto &member) { return member.name() == each.first; });
+    });
 }
 
 /** Sends a welcome to every process that has sent a hello recently. Otherwise it would hold its
@@ -382,6 +391,9 @@
     if (dispatch) {
         handleCommittedCommand(*dispatch, command, isRefused, flushTime);
     }
+    if (const auto evacuation = readEvacuation(command); evacuation && !isRefused) {
+        logEvacuation(*evacuation);
+    }
     using body = messages::work_command::BodyCase;
     switch (command.body_case()) {
     case body::kConfigure:
--- a/modules/filbert_node/work_controller.h
+++ b/modules/filbert_node/work_controller.h
@@ -18,6 +18,7 @@
 {
     std::string name;
     std::string address; // tcp://IP:port, for messages of other processes
+    std::set<std::string> failureDomains; // known to the operator; empty = any may be evacuated
     dispatch_settings dispatch;
     membership_settings membership;
     order_router_settings router;
@@ -85,6 +86,12 @@
     /** Changes the scheduling settings of a running controller. */
     void setDispatchSettings(const dispatch_settings &changed);
 
+    /** Changes which failure domains may be evacuated. @param domains  see the settings */
+    void setFailureDomains(std::set<std::string> domains)
+    {
+        settings.failureDomains = std::move(domains);
+    }
+
     const work_state &work() const { return state; }
     const log_member &member() const { return log; }
 
@@ -111,6 +118,9 @@
                           const std::string &id, time_point now, std::int64_t wallMs);
     void handleConfiguration(const answer_address &from,
                              const messages::work_configuration &document);
+    void handleEvacuation(const answer_address &from, const evacuation_order &order);
+    void logEvacuation(const evacuation_order &order);
+    known_domains knownDomains() const;
     void handleHello(const std::string &peer, const messages::peer_hello &hello, time_point now);
     void sendWelcome(const std::string &peer, time_point now);
     void forgetSilentPeers(time_point now);
@@ -170,6 +180,7 @@
     std::map<std::uint64_t, proposed_batch> inFlight; // proposed, not applied yet; by log index
     std::map<std::string, pending_join> pendingJoins; // for membership; by identity
     std::map<std::string, known_peer> peers; // by name of the process
+    std::map<std::string, std::string> controllerDomains; // failure domains by name of the process
     time_point nextPeerReviewAt;
     time_point leadingSince;
     time_point nextJoinAt;
--- a/modules/filbert_node/work_metrics.cpp
+++ b/modules/filbert_node/work_metrics.cpp
@@ -38,6 +38,9 @@
 
 std::string commandName(const messages::work_command &command)
 {
+    if (readEvacuation(command)) {
+        return "evacuate";
+    }
     const auto *field = messages::work_command::descriptor()->FindFieldByNumber(
         static_cast<int>(command.body_case()));
     return field != nullptr ? field->name() : "none";
@@ -68,7 +71,8 @@
                          .Add({}, secondsBuckets)}
     , state {prometheus::BuildGauge()
                  .Name("filbert_work_state")
-                 .Help("Leading (0 or 1), last index applied, members, jobs that are known")
+                 .Help("Leading (0 or 1), last index applied, members, jobs that are known, "
+                       "evacuated failure domains and the runs that go on there")
                  .Register(*registry)}
     , activitySeconds {prometheus::BuildGauge()
                            .Name("filbert_work_activity_seconds")
@@ -88,7 +92,9 @@
 
 void work_metrics::countCommand(const messages::work_command &command)
 {
-    auto &counter = commandCounters[static_cast<int>(command.body_case())];
+    const auto number = readEvacuation(command) ? evacuation_fields::ofCommand
+                                                : static_cast<int>(command.body_case());
+    auto &counter = commandCounters[number];
     if (counter == nullptr) {
         counter = &commands.Add({{"kind", commandName(command)}});
     }
@@ -118,6 +124,12 @@
     state.Add({{"of", "jobs"}}).Set(static_cast<double>(jobs));
 }
 
+void work_metrics::setEvacuation(std::size_t domains, std::size_t runs)
+{
+    state.Add({{"of", "evacuated_domains"}}).Set(static_cast<double>(domains));
+    state.Add({{"of", "runs_in_evacuated_domains"}}).Set(static_cast<double>(runs));
+}
+
 std::string work_metrics::text() const
 {
     const auto totals = activityTimes.totals();
--- a/modules/filbert_node/work_metrics.h
+++ b/modules/filbert_node/work_metrics.h
@@ -49,6 +49,11 @@
     /** Sets the gauges. @param applied last log index that was applied */
     void setState(bool isLeading, std::uint64_t applied, int members, std::size_t jobs);
 
+    /** Sets the gauges of evacuations.
+        @param domains  evacuated failure domains
+        @param runs     runs that go on there */
+    void setEvacuation(std::size_t domains, std::size_t runs);
+
     /** @return the times that the controller's loop spends on each activity; they are among the
         metrics */
     activity_times &activities() { return activityTimes; }
--- a/modules/filbert_node/work_requests.cpp
+++ b/modules/filbert_node/work_requests.cpp
@@ -29,6 +29,10 @@
         answerKind(from, messages::ANSWER_NO_LEADER);
         return;
     }
+    if (const auto evacuation = readEvacuation(request)) {
+        handleEvacuation(from, *evacuation);
+        return;
+    }
     using body = messages::work_request::BodyCase;
     switch (request.body_case()) {
     case body::kJob:
--- a/modules/filbert_work/filbert_work.h
+++ b/modules/filbert_work/filbert_work.h
@@ -28,6 +28,7 @@
     Depends on: filbert_core, filbert_messages, filbert_policy (resource amounts).
 */
 
+#include "evacuation.h"
 #include "queue_lookup.h"
 #include "target_checks.h"
 #include "task_name.h"
--- a/modules/filbert_work/work_commands.cpp
+++ b/modules/filbert_work/work_commands.cpp
@@ -1,5 +1,6 @@
 #include "work_commands.h"
 
+#include "evacuation.h"
 #include "task_name.h"
 #include "team_succession.h"
 
@@ -127,6 +128,9 @@
     if (registered->second.hasEnded || registered->second.registration.born() != command.born()) {
         return {error_kind::Conflict, "this incarnation of the target has ended"};
     }
+    if (isEvacuated(state, registered->second)) {
+        return {error_kind::Conflict, "the failure domain of the target is evacuated"};
+    }
     const auto freeCapacity =
         amountsOf(registered->second.registration.capacity()) - registered->second.used;
     const auto reservation = targetReservation(spec);
@@ -365,6 +369,9 @@
 command_outcome applyCommand(work_state &state, const messages::work_command &command,
                              std::int64_t wallMs)
 {
+    if (const auto evacuation = readEvacuation(command)) {
+        return applyEvacuation(state, *evacuation);
+    }
     using body = messages::work_command::BodyCase;
     switch (command.body_case()) {
     case body::kConfigure:
--- a/modules/filbert_work/work_snapshot.cpp
+++ b/modules/filbert_work/work_snapshot.cpp
@@ -1,5 +1,7 @@
 #include "work_snapshot.h"
 
+#include "evacuation_messages.h"
+
 namespace filbert {
 
 namespace {
@@ -85,6 +87,7 @@
         out->set_restarted_wall_ms(registered.restartedWallMs);
         out->set_restarts(registered.restarts);
     }
+    writeEvacuatedDomains(state.evacuatedDomains, &image);
     return image.SerializeAsString();
 }
 
@@ -107,6 +110,7 @@
     for (const auto &job : image.jobs()) {
         state->jobs.emplace(job.job().id(), readJob(job));
     }
+    state->evacuatedDomains = readEvacuatedDomains(image);
     rebuildDerivedState(*state);
     return {};
 }
--- a/modules/filbert_work/work_state.h
+++ b/modules/filbert_work/work_state.h
@@ -139,14 +139,15 @@
 
 /** The whole state of staged jobs, equal on all controllers at the same index of the log.
 
-    Snapshots store the configuration, the jobs and the targets; members marked as derived are
-    computed from them.
+    Snapshots store the configuration, the jobs, the targets and the evacuated failure domains;
+    members marked as derived are computed from them.
 */
 struct work_state
 {
     messages::work_configuration configuration;
     std::unordered_map<std::string, work_job> jobs; // by id
     std::map<std::string, registered_target> targets; // by id
+    std::set<std::string> evacuatedDomains; // failure domains in which nothing starts
 
     // Derived:
     std::map<std::string, resource_amounts> teamUsage; // by team, of its running tasks
