--- a/modules/filbert_dispatch/tests/dispatch_fixture.h
+++ b/modules/filbert_dispatch/tests/dispatch_fixture.h
@@ -33,7 +33,9 @@
             state.targets.contains(id) ? state.targets.at(id).registration.capacity().milli_cores()
                                        : 8'000);
         if (state.targets.contains(id)) {
-            report.set_address(state.targets.at(id).registration.address());
+            const auto &registration = state.targets.at(id).registration;
+            report.set_address(registration.address());
+            report.set_failure_domain(registration.failure_domain());
         }
         report.set_clock_ms(now.ms);
         report.set_sequence(now.ms);
@@ -52,6 +54,30 @@
         runFor({20});
     }
 
+    /** Registers a target in a failure domain. */
+    void registerTargetIn(const std::string &domain, const std::string &id,
+                          std::int32_t cores = 8'000)
+    {
+        messages::work_command command;
+        *command.mutable_target() = targetRegistration(id, 1, cores);
+        command.mutable_target()->set_failure_domain(domain);
+        apply(command);
+        if (leader) {
+            syncTarget(*leader, id, now);
+        }
+    }
+
+    /** Commits an evacuation or its withdrawal. */
+    void evacuate(const std::string &domain, bool isWithdrawn = false)
+    {
+        messages::work_command command;
+        writeEvacuation({domain, isWithdrawn}, &command);
+        const auto outcome = apply(command);
+        if (leader) {
+            handleCommittedCommand(*leader, command, outcome.error != error_kind::None, now);
+        }
+    }
+
     /** Lets time pass in steps of 10 ms, and commits whatever is proposed. */
     void runFor(milliseconds duration)
     {
