Relays: weighted rendezvous hashing by link and processor, smaller shares for late relays

Targets are assigned within their failure domain in proportion to the scarcer of link and processor. A relay whose answers come late against the other relays of its domain gets half its share within a second, which moves only its own targets, and gets it back in steps. Equal relays get the same targets as before.

order_router::handleAnswers() takes the time; its tests pass it.

--- a/modules/filbert_node/leader_client.cpp
+++ b/modules/filbert_node/leader_client.cpp
@@ -158,6 +158,7 @@
     envelope.mutable_hello()->set_failure_domain(settings.failureDomain);
     envelope.mutable_hello()->set_process(settings.idBase);
     envelope.mutable_hello()->set_link_mbps(settings.linkMbps);
+    envelope.mutable_hello()->set_milli_cores(settings.milliCores);
     for (const auto &address : controllerAddresses()) {
         const auto lastActivityAt = std::max(lastContactAt[address], reconnectedAt[address]);
         if (now - lastActivityAt > settings.silenceTimeout) {
--- a/modules/filbert_node/leader_client.h
+++ b/modules/filbert_node/leader_client.h
@@ -24,6 +24,7 @@
     bool canRelayOrders = false; // whether this process can pass a leader's orders on to targets
     std::string failureDomain; // of this process's host
     std::uint32_t linkMbps = 0; // bandwidth of this process's host; 0 = unknown
+    std::uint32_t milliCores = 0; // processor share of this process's host; 0 = unknown
     // Three hellos fit into the time after which controllers consider a silent process lost.
     milliseconds helloPeriod {300};
     // Period of hellos while no leader is known. It is shorter, since requests wait meanwhile.
--- a/modules/filbert_node/order_router.cpp
+++ b/modules/filbert_node/order_router.cpp
@@ -7,17 +7,10 @@
 
 namespace {
 
-// A relay is not used if another one's link is more than this many times as wide: start orders
-// carry whole task specifications and would saturate the narrow link while the wide one is idle.
-constexpr std::uint64_t maxLinkRatio = 10;
-
-/** @return the rendezvous-hashing weight of a relay for a target, the same in every process */
-std::size_t relayWeight(const std::string &target, const std::string &relay)
+/** @return how long an order has been under way, without the time for which a target may hold it */
+milliseconds delayOf(const target_order &order, time_point sentAt, time_point until)
 {
-    std::string key = target;
-    key += '/';
-    key += relay;
-    return std::hash<std::string> {}(key);
+    return until - sentAt - order.pollWait;
 }
 
 task_name taskFrom(const std::string &text)
@@ -25,6 +18,16 @@
     return parseTaskName(text).value_or(task_name {});
 }
 
+void logShare(const share_change &change, const std::string &reason)
+{
+    log_line {"relay_share_changed", log_line::severity::Info}
+        .with("relay", change.relay)
+        .with("share", change.share)
+        .with("delay_ms", change.typicalDelayMs)
+        .with("others_delay_ms", change.othersDelayMs)
+        .with("reason", reason);
+}
+
 } // namespace
 
 order_router::order_router(const order_router_settings &settings, hooks callbacks)
@@ -41,6 +44,7 @@
     const bool isReplaced = known != relays.end() && known->second.info.process != info.process;
     if (isReplaced) {
         markRelayLost(name, "its process was replaced by a new one", now);
+        shares.paces.erase(name);
     }
     if (isNew || isReplaced) {
         relayByTarget.clear();
@@ -50,6 +54,7 @@
 
 void order_router::unregisterRelay(const std::string &name)
 {
+    shares.paces.erase(name);
     if (relays.erase(name) > 0) {
         relayByTarget.clear();
     }
@@ -62,36 +67,18 @@
     if (found != relayByTarget.end()) {
         return found->second;
     }
-    return relayByTarget[target] = chooseRelay(target, failureDomain, now);
+    return relayByTarget[target] = chooseRelay(usableRelays(now), target, failureDomain);
 }
 
-std::string order_router::chooseRelay(const std::string &target, const std::string &failureDomain,
-                                      time_point now) const
+std::vector<weighted_relay> order_router::usableRelays(time_point now) const
 {
-    const auto isActive = [&](const relay_state &relay) {
-        return now - relay.lastContactAt < settings.relayTimeout;
-    };
-    std::uint64_t widestLink = 0;
+    std::vector<active_relay> active;
     for (const auto &[name, relay] : relays) {
-        widestLink =
-            isActive(relay) ? std::max<std::uint64_t>(widestLink, relay.info.linkMbps) : widestLink;
-    }
-    // Rendezvous hashing: a relay that appears or is lost moves only its own share of the targets,
-    // and a target's connections stay with one relay.
-    std::string best;
-    std::pair<bool, std::size_t> bestWeight;
-    for (const auto &[name, relay] : relays) {
-        if (!isActive(relay) || relay.info.linkMbps * maxLinkRatio < widestLink) {
-            continue;
-        }
-        const std::pair<bool, std::size_t> weight {relay.info.failureDomain == failureDomain,
-                                                   relayWeight(target, name)};
-        if (best.empty() || weight > bestWeight) {
-            best = name;
-            bestWeight = weight;
+        if (now - relay.lastContactAt < settings.relayTimeout) {
+            active.push_back({name, relay.info, shareOf(shares, name)});
         }
     }
-    return best;
+    return weighRelays(active);
 }
 
 void order_router::send(const target_order &order, std::size_t targetCount,
@@ -114,7 +101,7 @@
 void order_router::enqueue(const target_order &order, const std::string &relay, time_point now)
 {
     const auto id = ++lastId;
-    pendingOrders[id] = {order, relay, now + order.timeout + settings.answerGracePeriod};
+    pendingOrders[id] = {order, relay, now, now + order.timeout + settings.answerGracePeriod};
     auto *added = outgoing[relay].mutable_carried()->add_orders();
     *added = toOrderMessage(order);
     added->set_id(id);
@@ -122,8 +109,7 @@
 
 void order_router::enqueueWaiting(time_point now)
 {
-    const bool isRelayKnown = !chooseRelay({}, {}, now).empty();
-    if (waitingOrders.empty() || (!isRelayKnown && now < relayWaitDeadline)) {
+    if (waitingOrders.empty() || (usableRelays(now).empty() && now < relayWaitDeadline)) {
         return;
     }
     for (const auto &[order, failureDomain] : std::exchange(waitingOrders, {})) {
@@ -147,7 +133,8 @@
     }
 }
 
-void order_router::handleAnswers(const std::string &relay, const messages::carried_answers &answers)
+void order_router::handleAnswers(const std::string &relay, const messages::carried_answers &answers,
+                                 time_point now)
 {
     for (const auto &message : answers.answers()) {
         const auto found = pendingOrders.find(message.id());
@@ -155,6 +142,7 @@
             continue; // the order has ended already
         }
         const auto order = std::move(found->second.order);
+        recordAnswerDelay(shares, relay, delayOf(order, found->second.sentAt, now), now);
         pendingOrders.erase(found);
         callbacks.onAnswer(order, toOrderAnswer(message));
     }
@@ -170,6 +158,11 @@
             lost.emplace(pending.relay, "an order timed out without an answer");
         }
     }
+    for (const auto &[name, reason] : lost) {
+        if (recordUnansweredOrder(shares, name, now)) {
+            logShare({name, shareOf(shares, name)}, "an order timed out without an answer");
+        }
+    }
     for (const auto &[name, relay] : relays) {
         if (readUntil - relay.lastContactAt >= settings.relayTimeout) {
             lost.emplace(name, "no hello within the timeout");
@@ -178,6 +171,50 @@
     for (const auto &[name, reason] : lost) {
         markRelayLost(name, reason, now);
     }
+    if (isReviewDue(shares, now)) {
+        reviewRelayShares(readUntil, now);
+    }
+}
+
+std::vector<relay_backlog> order_router::backlogsAt(time_point readUntil) const
+{
+    std::map<std::string, relay_backlog> backlogs;
+    for (const auto &[name, relay] : relays) {
+        backlogs[name] = {name, relay.info.failureDomain, {}};
+    }
+    for (const auto &[id, pending] : pendingOrders) {
+        const auto found = backlogs.find(pending.relay);
+        const auto age = delayOf(pending.order, pending.sentAt, readUntil);
+        if (found != backlogs.end() && age.count >= 0) {
+            found->second.agesMs.push_back(age.count);
+        }
+    }
+    std::vector<relay_backlog> result;
+    result.reserve(backlogs.size());
+    for (auto &[name, backlog] : backlogs) {
+        result.push_back(std::move(backlog));
+    }
+    return result;
+}
+
+void order_router::reviewRelayShares(time_point readUntil, time_point now)
+{
+    const auto changes = reviewShares(shares, backlogsAt(readUntil), now);
+    for (const auto &change : changes) {
+        logShare(change, "compared with the other relays of its failure domain");
+    }
+    if (!changes.empty()) {
+        relayByTarget.clear();
+    }
+}
+
+std::map<std::string, double> order_router::sharesByRelay() const
+{
+    std::map<std::string, double> result;
+    for (const auto &[name, relay] : relays) {
+        result.emplace(name, shareOf(shares, name));
+    }
+    return result;
 }
 
 void order_router::markRelayLost(const std::string &name, const std::string &reason, time_point now)
@@ -212,6 +249,8 @@
     pendingOrders.clear();
     outgoing.clear();
     waitingOrders.clear();
+    shares = {};
+    relayByTarget.clear();
     relayWaitDeadline = now + settings.relayDiscoveryTimeout;
 }
 
--- a/modules/filbert_node/order_router.h
+++ b/modules/filbert_node/order_router.h
@@ -1,6 +1,8 @@
 #pragma once
 
 #include "filbert_dispatch/filbert_dispatch.h"
+#include "relay_choice.h"
+#include "relay_shares.h"
 
 #include <functional>
 #include <map>
@@ -30,19 +32,13 @@
     milliseconds answerGracePeriod {350};
 };
 
-/** What a relay reports of itself in its hellos. */
-struct relay_info
-{
-    std::string failureDomain;
-    std::uint64_t process = 0; // differs between successive processes of one name
-    std::uint32_t linkMbps = 0; // bandwidth of its host; 0 = unknown
-};
-
 /** Sends a leader's orders to targets: directly where there are few targets, otherwise through
     relays, processes that pass the orders on and return the targets' answers.
 
     Each target has one relay, so that connections to it are reused. The relay is in the target's
     failure domain if possible, and is never one whose link is much narrower than another relay's.
+    Relays get targets in proportion to their hosts (see weighRelays()), and fewer while they answer
+    late (see relay_shares).
 
     Each order ends exactly once: with the answer that its relay returns, or as RelayLost if that
     does not come in time. Leases, run numbers and fencing tokens protect targets from late orders,
@@ -91,9 +87,12 @@
     void flush(time_point now);
 
     /** Handles the answers that a relay returns; those that match no pending order are ignored. */
-    void handleAnswers(const std::string &relay, const messages::carried_answers &answers);
+    void handleAnswers(const std::string &relay, const messages::carried_answers &answers,
+                       time_point now);
 
-    /** Ends all orders of each relay that is silent, or has not answered one order in time. */
+    /** Ends all orders of each relay that is silent, or has not answered one order in time. Moves
+        targets away from relays that answer late, and back.
+    */
     void tick(time_point now);
 
     /** Discards all orders, since their term has ended. Orders of the new term wait for a short
@@ -101,6 +100,9 @@
     */
     void startTerm(time_point now);
 
+    /** @return by relay: the fraction of its usual orders that it gets */
+    std::map<std::string, double> sharesByRelay() const;
+
 private:
     struct relay_state
     {
@@ -112,6 +114,7 @@
     {
         target_order order;
         std::string relay;
+        time_point sentAt;
         time_point deadline;
     };
 
@@ -123,8 +126,9 @@
 
     const std::string &relayFor(const std::string &target, const std::string &failureDomain,
                                 time_point now);
-    std::string chooseRelay(const std::string &target, const std::string &failureDomain,
-                            time_point now) const;
+    std::vector<weighted_relay> usableRelays(time_point now) const;
+    void reviewRelayShares(time_point readUntil, time_point now);
+    std::vector<relay_backlog> backlogsAt(time_point readUntil) const;
     void enqueue(const target_order &order, const std::string &relay, time_point now);
     void enqueueWaiting(time_point now);
     void markRelayLost(const std::string &name, const std::string &reason, time_point now);
@@ -132,7 +136,8 @@
     order_router_settings settings;
     hooks callbacks;
     std::map<std::string, relay_state> relays; // without lost ones
-    // Relay by target; cleared when the set of relays changes.
+    relay_shares shares; // of this term
+    // Relay by target; cleared when the set of relays or a share changes.
     std::unordered_map<std::string, std::string> relayByTarget;
     std::map<std::uint64_t, pending_order> pendingOrders;
     std::map<std::string, messages::work_envelope> outgoing; // for the next flush, by relay
--- a/modules/filbert_node/tests/order_router_test.cpp
+++ b/modules/filbert_node/tests/order_router_test.cpp
@@ -157,7 +157,7 @@
     CHECK(fixture.answered[0].second.result == order_result::RelayLost);
     messages::carried_answers late;
     late.add_answers()->set_id(fixture.sent[0].second.carried().orders(0).id());
-    fixture.router.handleAnswers("g1", late);
+    fixture.router.handleAnswers("g1", late, fixture.now);
     CHECK(fixture.answered.size() == 1);
     fixture.send("t1");
     CHECK(fixture.directCalls.size() == 1); // the silent relay is not used before its next hello
@@ -209,7 +209,7 @@
     CHECK(fixture.directCalls.size() == 1);
     messages::carried_answers answers;
     answers.add_answers()->set_id(fixture.sent[0].second.carried().orders(0).id());
-    fixture.router.handleAnswers("g1", answers);
+    fixture.router.handleAnswers("g1", answers, fixture.now);
     REQUIRE(fixture.answered.size() == 1);
     CHECK(fixture.answered[0].first.target == "t1");
 }
@@ -224,7 +224,7 @@
     router_fixture after {2'000};
     after.router.registerRelay("g1", {"a", 1}, after.now);
     after.send("t2");
-    after.router.handleAnswers("g1", answers);
+    after.router.handleAnswers("g1", answers, after.now);
     CHECK(after.answered.empty());
 }
 
@@ -300,3 +300,65 @@
     REQUIRE(fixture.sent[0].second.carried().orders_size() == 1);
     CHECK(fixture.sent[0].second.carried().orders(0).target() == "t2");
 }
+
+// Guards against a relay that falls behind and keeps its targets, and against targets of other
+// relays that move for it.
+TEST_CASE("targets move away from a relay that answers late, and only those", "[relay]")
+{
+    router_fixture fixture;
+    constexpr int targets = 1'000;
+    const auto relaysOfTargets = [&] {
+        fixture.sent.clear();
+        for (int i = 0; i < targets; ++i) {
+            fixture.router.send(router_fixture::orderFor("t" + std::to_string(i)), 350, "a",
+                                fixture.now);
+        }
+        fixture.router.flush(fixture.now);
+        std::map<std::string, std::string> relays;
+        for (const auto &[relay, envelope] : fixture.sent) {
+            for (const auto &order : envelope.carried().orders()) {
+                relays[order.target()] = relay;
+            }
+        }
+        return relays;
+    };
+    const auto answer = [&](bool isLate) {
+        for (const auto &[relay, envelope] : fixture.sent) {
+            messages::carried_answers answers;
+            for (const auto &order : envelope.carried().orders()) {
+                answers.add_answers()->set_id(order.id());
+            }
+            if ((relay == "g1") == isLate) {
+                fixture.router.handleAnswers(relay, answers, fixture.now);
+            }
+        }
+    };
+    std::map<std::string, std::string> before;
+    std::map<std::string, std::string> after;
+    for (int i = 0; i < 2; ++i) {
+        for (const auto *name : {"g1", "g2", "g3"}) {
+            fixture.router.registerRelay(name, {"a", 1, 2, 120}, fixture.now);
+        }
+        after = relaysOfTargets();
+        before = i == 0 ? after : before;
+        CHECK(after == before);
+        fixture.now = fixture.now + milliseconds {10};
+        answer(false);
+        fixture.now = fixture.now + milliseconds {240};
+        answer(true);
+        fixture.router.tick(fixture.now);
+    }
+    CHECK(fixture.router.sharesByRelay().at("g1") == 0.5);
+    after = relaysOfTargets();
+    int moved = 0;
+    for (const auto &[target, relay] : before) {
+        const bool hasMoved = after.at(target) != relay;
+        moved += hasMoved ? 1 : 0;
+        CHECK((!hasMoved || relay == "g1"));
+    }
+    // From a third to a fifth of all targets, as the others keep their weights.
+    CHECK(moved > targets / 10);
+    CHECK(moved < targets / 6);
+    fixture.router.startTerm(fixture.now);
+    CHECK(relaysOfTargets() == before); // a new leader starts without history
+}
--- a/modules/filbert_node/work_controller.cpp
+++ b/modules/filbert_node/work_controller.cpp
@@ -87,7 +87,7 @@
         break;
     case body::kCarriedAnswers: {
         const activity_scope scope {metrics.activities(), activity::Orders};
-        router.handleAnswers(sender, envelope.carried_answers());
+        router.handleAnswers(sender, envelope.carried_answers(), now);
         break;
     }
     default:
@@ -108,8 +108,9 @@
     // A leader does not relay its own orders: its processor time is needed for scheduling.
     const bool isSelf = hello.name() == settings.name;
     if (hello.carries_orders() && !isSelf) {
-        router.registerRelay(peer, {hello.failure_domain(), hello.process(), hello.link_mbps()},
-                             now);
+        router.registerRelay(
+            peer, {hello.failure_domain(), hello.process(), hello.link_mbps(), hello.milli_cores()},
+            now);
     } else {
         router.unregisterRelay(peer);
     }
--- a/modules/filbert_node/work_controller.h
+++ b/modules/filbert_node/work_controller.h
@@ -85,6 +85,9 @@
     /** Changes the scheduling settings of a running controller. */
     void setDispatchSettings(const dispatch_settings &changed);
 
+    /** @return by relay of the leader's orders: the fraction of its usual orders that it gets */
+    std::map<std::string, double> relayShares() const { return router.sharesByRelay(); }
+
     const work_state &work() const { return state; }
     const log_member &member() const { return log; }
 
--- a/modules/filbert_node/work_metrics.cpp
+++ b/modules/filbert_node/work_metrics.cpp
@@ -70,6 +70,10 @@
                  .Name("filbert_work_state")
                  .Help("Leading (0 or 1), last index applied, members, jobs that are known")
                  .Register(*registry)}
+    , relayShares {prometheus::BuildGauge()
+                       .Name("filbert_work_relay_share")
+                       .Help("Fraction of its usual orders that a relay gets, by relay")
+                       .Register(*registry)}
     , activitySeconds {prometheus::BuildGauge()
                            .Name("filbert_work_activity_seconds")
                            .Help("Time that the loop has spent, by activity")
@@ -118,6 +122,22 @@
     state.Add({{"of", "jobs"}}).Set(static_cast<double>(jobs));
 }
 
+void work_metrics::setRelayShares(const std::map<std::string, double> &shares)
+{
+    std::erase_if(relayShareGauges, [&](const auto &each) {
+        const bool isGone = !shares.contains(each.first);
+        if (isGone) {
+            relayShares.Remove(each.second);
+        }
+        return isGone;
+    });
+    for (const auto &[relay, share] : shares) {
+        auto &gauge = relayShareGauges[relay];
+        gauge = gauge == nullptr ? &relayShares.Add({{"relay", relay}}) : gauge;
+        gauge->Set(share);
+    }
+}
+
 std::string work_metrics::text() const
 {
     const auto totals = activityTimes.totals();
--- a/modules/filbert_node/work_metrics.h
+++ b/modules/filbert_node/work_metrics.h
@@ -49,6 +49,9 @@
     /** Sets the gauges. @param applied last log index that was applied */
     void setState(bool isLeading, std::uint64_t applied, int members, std::size_t jobs);
 
+    /** Sets the gauges of the relays' shares. @param shares  by name, of all present relays */
+    void setRelayShares(const std::map<std::string, double> &shares);
+
     /** @return the times that the controller's loop spends on each activity; they are among the
         metrics */
     activity_times &activities() { return activityTimes; }
@@ -69,12 +72,14 @@
     prometheus::Counter &termsLed;
     prometheus::Histogram &commitSeconds;
     prometheus::Family<prometheus::Gauge> &state;
+    prometheus::Family<prometheus::Gauge> &relayShares;
     prometheus::Family<prometheus::Gauge> &activitySeconds;
     prometheus::Family<prometheus::Gauge> &activityCounts;
     // The metrics that are updated most often, since it takes long to find one by its labels.
     std::map<int, prometheus::Counter *> commandCounters; // by number of the field of the command
     std::map<std::pair<order_kind, order_result>, prometheus::Counter *> orderCounters;
     std::map<order_kind, prometheus::Histogram *> orderHistograms;
+    std::map<std::string, prometheus::Gauge *> relayShareGauges; // of present relays, by name
 };
 
 /** Prometheus metrics of an entry host of staged jobs. */
