--- a/modules/filbert_dispatch/dispatch_state.cpp
+++ b/modules/filbert_dispatch/dispatch_state.cpp
@@ -2,6 +2,7 @@
 
 #include "admission_requests.h"
 #include "scheduling.h"
+#include "speed_tracking.h"
 #include "target_tracking.h"
 
 #include <algorithm>
@@ -332,6 +333,7 @@
 void tickTracking(dispatch_state &state, time_point now, std::int64_t wallMs)
 {
     tickTargets(state, now);
+    reviewTargetSpeeds(state, now);
     beginDueOccurrences(state, wallMs);
     removeEndedJobs(state, now, wallMs);
 }
--- a/modules/filbert_dispatch/dispatch_state.h
+++ b/modules/filbert_dispatch/dispatch_state.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "round_trip_estimate.h"
+#include "target_speeds.h"
 
 #include "filbert_work/filbert_work.h"
 
@@ -185,6 +186,7 @@
     std::optional<time_point> leavingSince; // when it reported that it is about to end
     time_point drainDeadline; // when a draining target ends; 0 = not draining
     bool isRemovalProposed = false;
+    target_speed speed;
     bool isInventoryStale = true; // its runs and ended runs are not fully known
     time_point dueAt; // when it is ticked next, unless it changes before; see dueTargets
 };
@@ -409,6 +411,8 @@
     // their place.
     std::size_t targetsInContact = 0;
     time_point nextContactCountAt;
+    target_speeds speeds; // of all targets, learned in this term
+    time_point nextSpeedLogAt;
     round_trip_estimate startAnswerTime; // from sending a start to its answer, of all targets
     round_trip_estimate placementTime; // from placing a task to the answer to its start
     double retryTokens = 0; // early retries of starts that are permitted at present
--- a/modules/filbert_dispatch/filbert_dispatch.h
+++ b/modules/filbert_dispatch/filbert_dispatch.h
@@ -39,6 +39,8 @@
 #include "load_shedding.h"
 #include "report_checks.h"
 #include "scheduling.h"
+#include "speed_tracking.h"
 #include "start_checks.h"
 #include "target_orders.h"
+#include "target_speeds.h"
 #include "target_tracking.h"
--- a/modules/filbert_dispatch/order_answers.cpp
+++ b/modules/filbert_dispatch/order_answers.cpp
@@ -1,4 +1,5 @@
 #include "interference.h"
+#include "speed_tracking.h"
 #include "target_orders.h"
 #include "target_tracking.h"
 
@@ -381,6 +382,7 @@
     target.lastAcknowledgedEnd = std::max(target.lastAcknowledgedEnd, order.lastAppliedEnd);
     std::set<task_name> listed;
     handleReportedRuns(state, target, order, answer, &listed, now);
+    learnFromEnds(state, target, registered, answer, now);
     handleReportedEnds(state, target, registered, answer, &listed, now);
     if (!answer.hasUnreadableRows) { // else nothing follows from what is not listed
         eraseStoppedOrphans(target, order, answer);
--- a/modules/filbert_dispatch/placement_pass.cpp
+++ b/modules/filbert_dispatch/placement_pass.cpp
@@ -242,6 +242,11 @@
     if (spec.lasts()) {
         cost += sameTargetCost * countTasksOnTarget(step, *candidate.target);
     }
+    // Late work gains nothing from a fast target, and best-effort work has no objective.
+    if (!spec.lasts() && !spec.fills_gaps() && step.rank < lateRankOffset) {
+        cost += speedCost(candidate.target->speed, {spec.estimate_ms()}, {step.slackMs},
+                          step.queue->priority() == 0);
+    }
     if (step.isSuspect) {
         cost += trialCost(pass, candidate);
     }
--- a/modules/filbert_dispatch/target_orders.cpp
+++ b/modules/filbert_dispatch/target_orders.cpp
@@ -205,6 +205,7 @@
         std::clamp(doubled, state.settings.initialQuarantine, state.settings.maxQuarantine);
     target.quarantinedUntil = now + target.quarantinePeriod;
     target.failedJobs.clear();
+    forgetSpeed(target.speed);
     state.isPassDue = true;
     log_line {"target_avoided", log_line::severity::Warning}
         .with("target", target.id)
--- a/modules/filbert_dispatch/target_tracking.cpp
+++ b/modules/filbert_dispatch/target_tracking.cpp
@@ -1,6 +1,7 @@
 #include "target_tracking.h"
 
 #include "crash_suspects.h"
+#include "speed_tracking.h"
 #include "start_checks.h"
 #include "target_orders.h"
 
@@ -433,6 +434,7 @@
             return false;
         }
         target.reportSequence = static_cast<std::uint64_t>(report.sequence());
+        noteColdTime(target, report.cold_ms(), now);
         if (now - target.lastContactAt >= state.settings.contactTimeout) {
             state.changedTargets.insert(report.id()); // a poll may be due again
         }
--- a/modules/filbert_node/tests/order_router_test.cpp
+++ b/modules/filbert_node/tests/order_router_test.cpp
@@ -310,8 +310,8 @@
     const auto relaysOfTargets = [&] {
         fixture.sent.clear();
         for (int i = 0; i < targets; ++i) {
-            fixture.router.send(router_fixture::orderFor("t" + std::to_string(i)), 350, "a",
-                                fixture.now);
+            fixture.router.send(router_fixture::orderFor(std::to_string(i).insert(0, "t")), 350,
+                                "a", fixture.now);
         }
         fixture.router.flush(fixture.now);
         std::map<std::string, std::string> relays;
--- a/modules/filbert_node/tests/relay_choice_test.cpp
+++ b/modules/filbert_node/tests/relay_choice_test.cpp
@@ -12,7 +12,7 @@
 
 std::string targetName(int number)
 {
-    return "target-" + std::to_string(number);
+    return std::to_string(number).insert(0, "target-");
 }
 
 std::map<std::string, int> countByRelay(const std::vector<weighted_relay> &relays)
@@ -50,7 +50,7 @@
     const auto milliCores = GENERATE(0U, 120U);
     std::vector<active_relay> relays;
     for (int i = 0; i < 30; ++i) {
-        relays.push_back({"gateway-" + std::to_string(i),
+        relays.push_back({std::to_string(i).insert(0, "gateway-"),
                           {std::string(1, static_cast<char>('a' + i % 3)), 1, 2, milliCores}});
     }
     for (int i = 0; i < targetCount; ++i) {
