--- a/modules/filbert_node/work_controller.h
+++ b/modules/filbert_node/work_controller.h
@@ -92,6 +92,9 @@
         settings.failureDomains = std::move(domains);
     }
 
+    /** @return by relay of the leader's orders: the fraction of its usual orders that it gets */
+    std::map<std::string, double> relayShares() const { return router.sharesByRelay(); }
+
     const work_state &work() const { return state; }
     const log_member &member() const { return log; }
 
--- a/modules/filbert_node/work_metrics.cpp
+++ b/modules/filbert_node/work_metrics.cpp
@@ -74,6 +74,10 @@
                  .Help("Leading (0 or 1), last index applied, members, jobs that are known, "
                        "evacuated failure domains and the runs that go on there")
                  .Register(*registry)}
+    , relayShares {prometheus::BuildGauge()
+                       .Name("filbert_work_relay_share")
+                       .Help("Fraction of its usual orders that a relay gets, by relay")
+                       .Register(*registry)}
     , activitySeconds {prometheus::BuildGauge()
                            .Name("filbert_work_activity_seconds")
                            .Help("Time that the loop has spent, by activity")
@@ -130,6 +134,22 @@
     state.Add({{"of", "runs_in_evacuated_domains"}}).Set(static_cast<double>(runs));
 }
 
+void work_metrics::setRelayShares(const std::map<std::string, double> &shares)
+{
+    std::erase_if(relayShareGauges, [&](const auto &each) {
+        const bool isGone = !shares.contains(each.first);
+        if (isGone) {
+            relayShares.Remove(each.second);
+        }
+        return isGone;
+    });
+    for (const auto &[relay, share] : shares) {
+        auto &gauge = relayShareGauges[relay];
+        gauge = gauge == nullptr ? &relayShares.Add({{"relay", relay}}) : gauge;
+        gauge->Set(share);
+    }
+}
+
 std::string work_metrics::text() const
 {
     const auto totals = activityTimes.totals();
