Team shares and job admission: token bucket per team, predicted wait per queue

Jobs that a team sends beyond its weight in jobs per second rank after what other teams send within theirs. Not connected to submissions yet.

--- a/modules/filbert_dispatch/dispatch_state.cpp
+++ b/modules/filbert_dispatch/dispatch_state.cpp
@@ -1,6 +1,7 @@
 #include "dispatch_state.h"
 
 #include "admission_requests.h"
+#include "job_acceptance.h"
 #include "scheduling.h"
 #include "target_tracking.h"
 
@@ -37,6 +38,7 @@
             syncTarget(state, start.target(), now);
         }
         state.changedTargets.insert(start.target());
+        recordStartedRun(state, task, now);
         orderStart(state, start, ticket, now);
         return;
     }
@@ -76,6 +78,9 @@
     std::set<std::string> jobs;
     for (const auto &end : ends.ends()) {
         jobs.insert(end.task().job());
+        if (end.kind() == messages::END_DONE) {
+            recordEndedRun(state, toTaskName(end.task()), now);
+        }
         log_line {"run_ended"}
             .with("task", toString(toTaskName(end.task())))
             .with("run", end.run())
@@ -275,6 +280,7 @@
             }
         }
     }
+    restoreShares(state, now, wallMs);
     for (const auto &[id, target] : state.targets) {
         for (const auto &[task, run] : target.runs) {
             if (needsTrial(*findTask(work, task))) {
@@ -293,6 +299,7 @@
     switch (command.body_case()) {
     case body::kAccept:
         refreshJob(state, command.accept().id(), now);
+        handleAcceptedJob(state, command.accept().id(), now);
         break;
     case body::kCancel:
         refreshJob(state, command.cancel(), now);
@@ -342,6 +349,7 @@
     if (isDue) {
         state.isPassDue = false;
         state.nextPassAt = now + state.settings.passPeriod;
+        reviewWaitingJobs(state, now);
         placeWaitingTasks(state, now);
         const auto pause =
             static_cast<std::int64_t>(state.pendingStepCount / stepsPerMillisecond
--- a/modules/filbert_dispatch/dispatch_state.h
+++ b/modules/filbert_dispatch/dispatch_state.h
@@ -1,6 +1,8 @@
 #pragma once
 
+#include "job_admission.h"
 #include "round_trip_estimate.h"
+#include "team_shares.h"
 
 #include "filbert_work/filbert_work.h"
 
@@ -249,6 +251,9 @@
     // Pairs of occurrence and step, of steps with waiting tasks.
     std::set<std::pair<std::uint32_t, std::uint32_t>> pendingSteps;
     std::set<std::pair<std::uint32_t, std::uint32_t>> upcomingSteps; // pending soon
+    waiting_work waiting; // without long-running steps
+    bool isCharged = false; // to its team; see team_shares
+    bool isBeyondShare = false; // its team had sent more than it was owed when it was accepted
 };
 
 enum class order_kind { Start, Stop, Poll, SetWorkRate };
@@ -424,6 +429,9 @@
     // steps cause.
     time_point earliestPassAt;
     std::size_t pendingStepCount = 0; // as of the last pass
+    team_shares teamShares;
+    std::unordered_map<std::string, share_claims> shareClaims; // by service, as of the last pass
+    job_admission jobAdmission;
     dispatch_totals totals;
     dispatch_effects effects;
 };
--- a/modules/filbert_dispatch/filbert_dispatch.h
+++ b/modules/filbert_dispatch/filbert_dispatch.h
@@ -27,6 +27,7 @@
     - gang: a step whose tasks start together or not at all.
     - latency-sensitive step: one with a latency target.
     - best-effort step: one that reserves no cores and uses those that other steps leave idle.
+    - share: the number of jobs per second that a team is owed when capacity is short: its weight.
     - slack: how much later a step could start and its job still end within its objective.
     - placement pass: one iteration over all waiting tasks that reserves starts on targets.
 
@@ -36,9 +37,12 @@
 #include "admission_requests.h"
 #include "dispatch_state.h"
 #include "interference.h"
+#include "job_acceptance.h"
+#include "job_admission.h"
 #include "load_shedding.h"
 #include "report_checks.h"
 #include "scheduling.h"
 #include "start_checks.h"
 #include "target_orders.h"
 #include "target_tracking.h"
+#include "team_shares.h"
--- /dev/null
+++ b/modules/filbert_dispatch/job_admission.cpp
@@ -0,0 +1,317 @@
+#include "job_admission.h"
+
+#include "scheduling.h"
+
+#include <algorithm>
+#include <functional>
+
+namespace filbert {
+
+namespace {
+
+constexpr milliseconds servedPeriod {500};
+// The rate is that of the shortest time, in periods, in which so many tasks were served: it then
+// is known to about a fifth (the square root of the number), and follows a change within seconds.
+constexpr std::int64_t minServedTasks = 20;
+// Shorter ones show the pace of passes and of answers of the policy service rather than capacity.
+constexpr milliseconds minServedTime {1'000};
+// A wait below this is the way of a start to its target: a pass, a policy call, a commit.
+constexpr milliseconds minContendedWait {250};
+// A result that comes later than this many times its objective is of no use to its caller.
+constexpr std::int64_t maxUsefulObjectives = 3;
+constexpr milliseconds minRetryDelay {1'000}; // callers are told whole seconds
+// Callers try a job four times; what is known about the wait is outdated long before.
+constexpr milliseconds maxRetryDelay {20'000};
+constexpr std::int64_t retrySpreadDivisor = 2; // returns are spread over half of the delay
+constexpr std::size_t maxTrackedSubmissions = 20'000; // 4 MB
+constexpr std::size_t maxComparisons = 1'000; // between two calls of their reader
+
+std::size_t indexOf(work_class rank)
+{
+    return static_cast<std::size_t>(rank);
+}
+
+waiting_work &operator+=(waiting_work &sum, const waiting_work &work)
+{
+    sum.ready += work.ready;
+    sum.unstarted += work.unstarted;
+    return sum;
+}
+
+waiting_work &operator-=(waiting_work &sum, const waiting_work &work)
+{
+    sum.ready -= work.ready;
+    sum.unstarted -= work.unstarted;
+    return sum;
+}
+
+/** @return what waits in the classes up to one */
+waiting_work waitingUpTo(const queue_flow &flow, work_class rank)
+{
+    waiting_work sum;
+    for (std::size_t i = 0; i <= indexOf(rank); ++i) {
+        sum += flow.waiting[i];
+        sum += flow.committed[i];
+        sum += flow.underWay[i];
+    }
+    return sum;
+}
+
+served_work &servedNow(queue_flow &flow, time_point now)
+{
+    const auto number = now.ms / servedPeriod.count;
+    auto &period = flow.served[static_cast<std::size_t>(number) % flow.served.size()];
+    if (period.number != number) {
+        period = {};
+        period.number = number;
+    }
+    return period;
+}
+
+/** @return milli-cores per millisecond; nothing if too few tasks were served to know it */
+std::optional<double> servedRate(const queue_flow &flow, time_point since, time_point now)
+{
+    served_work sum;
+    const auto current = now.ms / servedPeriod.count;
+    const auto oldest = std::max(current - static_cast<std::int64_t>(flow.served.size()) + 1,
+                                 since.ms / servedPeriod.count);
+    for (auto number = current; number >= oldest; --number) {
+        const auto &period = flow.served[static_cast<std::size_t>(number) % flow.served.size()];
+        if (period.number == number) {
+            sum.startedCores += period.startedCores;
+            sum.endedCores += period.endedCores;
+            sum.startedTasks += period.startedTasks;
+            sum.endedTasks += period.endedTasks;
+        }
+        const time_point begin {std::max(number * servedPeriod.count, since.ms)};
+        const auto elapsed = now - begin;
+        if (elapsed >= minServedTime
+            && std::max(sum.startedTasks, sum.endedTasks) >= minServedTasks) {
+            // More starts than ends while a burst fills idle targets; later it is the same.
+            return static_cast<double>(std::max(sum.startedCores, sum.endedCores))
+                / static_cast<double>(elapsed.count);
+        }
+    }
+    return std::nullopt;
+}
+
+milliseconds waitFor(std::int64_t milliCores, double rate)
+{
+    return milliseconds {static_cast<std::int64_t>(static_cast<double>(milliCores) / rate)};
+}
+
+bool isContended(const queue_flow &flow, time_point now)
+{
+    const auto waiting = waitingUpTo(flow, work_class::Late).ready;
+    if (waiting == 0) {
+        return false;
+    }
+    const auto rate = servedRate(flow, {}, now);
+    return !rate || waitFor(waiting, *rate) > minContendedWait;
+}
+
+waiting_work workOf(const messages::staged_job &job)
+{
+    waiting_work work;
+    for (const auto &spec : job.steps()) {
+        const auto cores = countedCores(spec) * std::max(spec.count(), 1);
+        work.unstarted += cores;
+        work.ready += spec.depends_on().empty() ? cores : 0;
+    }
+    return work;
+}
+
+/** @return when a refused job should come again; the same for each decision about one job, and
+    different for jobs that are refused together */
+milliseconds retryDelay(const std::string &id, milliseconds delay)
+{
+    const auto capped = std::clamp(delay, minRetryDelay, maxRetryDelay);
+    const auto spread = std::max(capped.count / retrySpreadDivisor, minRetryDelay.count);
+    const auto hash = static_cast<std::int64_t>(std::hash<std::string> {}(id) >> 1U);
+    return capped + milliseconds {hash % spread};
+}
+
+void remember(job_admission &admission, const submission &submitted, work_class rank,
+              const std::optional<wait_forecast> &forecast, milliseconds waited, time_point now)
+{
+    const auto &queue = submitted.queue->name();
+    accepted_submission accepted;
+    accepted.firstSubmittedAt = now - waited;
+    accepted.acceptedAt = now;
+    accepted.queue = queue;
+    accepted.rank = rank;
+    accepted.work = workOf(*submitted.job);
+    if (forecast && rank != work_class::Late) {
+        accepted.expectedWait = forecast->untilStart;
+    }
+    if (admission.submissions.size() < maxTrackedSubmissions
+        && admission.submissions.emplace(*submitted.id, accepted).second) {
+        admission.flows[queue].underWay[indexOf(rank)] += accepted.work;
+    }
+}
+
+} // namespace
+
+std::string_view reasonName(refusal_reason reason)
+{
+    constexpr std::array<std::string_view, refusalReasonCount> names {
+        "none", "invalid", "long_turns", "would_be_late", "beyond_share"};
+    return names[static_cast<std::size_t>(reason)];
+}
+
+std::int64_t countedCores(const messages::step_spec &spec)
+{
+    return std::max<std::int64_t>(spec.need().milli_cores(), 1);
+}
+
+bool hasNoObjective(const messages::staged_job &job)
+{
+    const auto &steps = job.steps();
+    return job.repeat_count() > 0
+        || std::any_of(steps.begin(), steps.end(), [](const auto &step) { return step.lasts(); });
+}
+
+std::optional<wait_forecast> forecastWait(const job_admission &admission, const std::string &queue,
+                                          work_class rank, time_point now)
+{
+    const auto found = admission.flows.find(queue);
+    if (found == admission.flows.end()) {
+        return std::nullopt;
+    }
+    const auto &flow = found->second;
+    if (flow.contendedSince.ms == 0) {
+        return std::nullopt;
+    }
+    const auto rate = servedRate(flow, flow.contendedSince, now);
+    if (!rate) {
+        return std::nullopt;
+    }
+    const auto before = waitingUpTo(flow, rank);
+    const auto all = waitingUpTo(flow, work_class::Late);
+    return wait_forecast {waitFor(before.ready, *rate), waitFor(before.unstarted, *rate),
+                          waitFor(all.unstarted, *rate)};
+}
+
+submission_decision decideSubmission(job_admission &admission, load_shedding &shedding,
+                                     const submission &submitted, time_point now)
+{
+    const auto &id = *submitted.id;
+    const auto &job = *submitted.job;
+    const auto rank = submitted.isBeyondShare ? work_class::BeyondShare : work_class::WithinShare;
+    const auto forecast = forecastWait(admission, submitted.queue->name(), rank, now);
+    submission_decision decision;
+    decision.expectedWait = forecast ? forecast->untilStart : milliseconds {};
+    if (hasNoObjective(job)) {
+        return decision;
+    }
+    const auto refusedAt = firstRefusal(shedding, id);
+    decision.waited = refusedAt ? now - *refusedAt : milliseconds {};
+    const auto paths = criticalPathsOf(job);
+    const auto path =
+        paths.empty() ? milliseconds {} : *std::max_element(paths.begin(), paths.end());
+    const auto objective = objectiveOf(*submitted.queue, path);
+    const auto initialSlack = std::max(objective - path, milliseconds {});
+    const auto startAndEnd = std::min(submitted.startAndEnd, milliseconds {initialSlack.count / 2});
+    const auto mayWait = objective - path - startAndEnd - decision.waited;
+    const bool isLate = forecast && forecast->total > mayWait;
+    if (isLate) {
+        const auto usefulWait =
+            mayWait + milliseconds {objective.count * (maxUsefulObjectives - 1)};
+        if (!refusedAt || forecast->totalIfLate > usefulWait) {
+            const auto missing =
+                (refusedAt ? forecast->totalIfLate - usefulWait : forecast->total - mayWait);
+            // Later than this it could not be in time any more, whatever has ended until then.
+            const auto latest = mayWait >= minRetryDelay ? mayWait : maxRetryDelay;
+            decision.reason =
+                submitted.isBeyondShare ? refusal_reason::BeyondShare : refusal_reason::WouldBeLate;
+            decision.retryAfter = retryDelay(id, std::min(missing, latest));
+            rememberRefusal(shedding, id, now);
+            return decision;
+        }
+    }
+    if (refusesJob(shedding, id, job, *submitted.queue, now, submitted.isBeyondShare)) {
+        decision.reason = refusal_reason::LongTurns;
+        // The shortest that callers can be told; a leader has time again within some seconds.
+        decision.retryAfter = minRetryDelay;
+        return decision;
+    }
+    remember(admission, submitted, isLate ? work_class::Late : rank, forecast, decision.waited,
+             now);
+    return decision;
+}
+
+void beginReview(job_admission &admission)
+{
+    for (auto &[queue, flow] : admission.flows) {
+        flow.waiting = {};
+        flow.committed = {};
+    }
+}
+
+void addWaiting(job_admission &admission, const std::string &queue, work_class rank,
+                const waiting_work &work)
+{
+    admission.flows[queue].waiting[indexOf(rank)] += work;
+}
+
+void endReview(job_admission &admission, time_point now)
+{
+    for (auto &[queue, flow] : admission.flows) {
+        if (!isContended(flow, now)) {
+            flow.contendedSince = {};
+        } else if (flow.contendedSince.ms == 0) {
+            flow.contendedSince = now;
+        }
+    }
+}
+
+std::optional<time_point> recordCommitted(job_admission &admission, const std::string &id)
+{
+    const auto found = admission.submissions.find(id);
+    if (found == admission.submissions.end() || found->second.isCommitted) {
+        return std::nullopt;
+    }
+    auto &accepted = found->second;
+    auto &flow = admission.flows[accepted.queue];
+    flow.underWay[indexOf(accepted.rank)] -= accepted.work;
+    flow.committed[indexOf(accepted.rank)] += accepted.work;
+    accepted.isCommitted = true;
+    const auto firstSubmittedAt = accepted.firstSubmittedAt;
+    if (!accepted.expectedWait) {
+        admission.submissions.erase(found); // there is nothing to compare its wait with
+    }
+    return firstSubmittedAt;
+}
+
+void recordStarted(job_admission &admission, const std::string &queue, const std::string &id,
+                   std::int64_t milliCores, time_point now)
+{
+    auto &period = servedNow(admission.flows[queue], now);
+    period.startedCores += milliCores;
+    ++period.startedTasks;
+    const auto accepted = admission.submissions.extract(id);
+    if (accepted && accepted.mapped().expectedWait
+        && admission.comparisons.size() < maxComparisons) {
+        admission.comparisons.push_back(
+            {queue, *accepted.mapped().expectedWait, now - accepted.mapped().acceptedAt});
+    }
+}
+
+void recordEnded(job_admission &admission, const std::string &queue, std::int64_t milliCores,
+                 time_point now)
+{
+    auto &period = servedNow(admission.flows[queue], now);
+    period.endedCores += milliCores;
+    ++period.endedTasks;
+}
+
+void forgetSubmission(job_admission &admission, const std::string &id)
+{
+    const auto forgotten = admission.submissions.extract(id);
+    if (forgotten && !forgotten.mapped().isCommitted) {
+        const auto &accepted = forgotten.mapped();
+        admission.flows[accepted.queue].underWay[indexOf(accepted.rank)] -= accepted.work;
+    }
+}
+
+} // namespace filbert
--- a/modules/filbert_dispatch/load_shedding.cpp
+++ b/modules/filbert_dispatch/load_shedding.cpp
@@ -17,6 +17,9 @@
 // accepted job makes work for about a second, but a burst lasts only some seconds.
 constexpr std::int64_t maxLevelIncrease = 4;
 constexpr int maxRefusalLevel = 18; // what is accepted shows whether there is time again
+// Jobs beyond the share of their team are refused in advance of those that would be next. The part
+// that is refused stays the same over some hundred jobs.
+constexpr int maxAdvancedCredit = 5 * refusalSteps;
 constexpr std::size_t maxRefusedJobs = 10'000; // ids that are remembered: 1 MB
 constexpr milliseconds refusalMemory {30'000}; // longer than callers go on trying
 
@@ -77,24 +80,36 @@
 }
 
 bool refusesJob(load_shedding &shedding, const std::string &id, const messages::staged_job &job,
-                const messages::work_queue &queue, time_point now)
+                const messages::work_queue &queue, time_point now, bool isBeyondShare)
 {
     if (shedding.refusalLevel == 0) {
         return false;
     }
-    const auto refused = shedding.firstRefusedAt.find(id);
-    if (refused != shedding.firstRefusedAt.end()) {
-        return !canBeInTime(job, queue, now - refused->second);
+    if (const auto refusedAt = firstRefusal(shedding, id)) {
+        return !canBeInTime(job, queue, now - *refusedAt);
     }
     shedding.refusalCredit += shedding.refusalLevel;
-    if (shedding.refusalCredit < refusalSteps) {
+    const int neededCredit = isBeyondShare ? -maxAdvancedCredit : refusalSteps;
+    if (shedding.refusalCredit < neededCredit) {
         return false;
     }
     shedding.refusalCredit -= refusalSteps;
+    rememberRefusal(shedding, id, now);
+    return true;
+}
+
+std::optional<time_point> firstRefusal(const load_shedding &shedding, const std::string &id)
+{
+    const auto refused = shedding.firstRefusedAt.find(id);
+    return refused == shedding.firstRefusedAt.end() ? std::nullopt
+                                                    : std::optional {refused->second};
+}
+
+void rememberRefusal(load_shedding &shedding, const std::string &id, time_point now)
+{
     if (shedding.firstRefusedAt.size() < maxRefusedJobs) {
         shedding.firstRefusedAt.emplace(id, now);
     }
-    return true;
 }
 
 } // namespace filbert
--- a/modules/filbert_dispatch/load_shedding.h
+++ b/modules/filbert_dispatch/load_shedding.h
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 
 namespace filbert {
@@ -23,7 +24,7 @@
     // How many of the jobs that are submitted for the first time are refused; see refusedPercent().
     int refusalLevel = 0;
     int refusalCredit = 0; // grows by the level with each job, until one is refused
-    std::map<std::string, time_point> firstRefusedAt; // by id of the job
+    std::map<std::string, time_point> firstRefusedAt; // by id of the job, whatever the reason was
 };
 
 /** Records that a turn begins, and adjusts the fraction of refused jobs to the length of the turns.
@@ -38,9 +39,16 @@
     A job that comes again after its refusal is accepted if it can still be in time, so that work
     which is not urgent is only put off. One that cannot waits until the leader has time again.
 
+    @param isBeyondShare  whether its team sends more than it is owed: such jobs are refused first
     @return whether the job is refused
 */
 bool refusesJob(load_shedding &shedding, const std::string &id, const messages::staged_job &job,
-                const messages::work_queue &queue, time_point now);
+                const messages::work_queue &queue, time_point now, bool isBeyondShare = false);
+
+/** @return when a job was refused first, or nothing if it was not, or long ago */
+std::optional<time_point> firstRefusal(const load_shedding &shedding, const std::string &id);
+
+/** Remembers that a job was refused, unless it was refused before. */
+void rememberRefusal(load_shedding &shedding, const std::string &id, time_point now);
 
 } // namespace filbert
--- a/modules/filbert_dispatch/step_order.cpp
+++ b/modules/filbert_dispatch/step_order.cpp
@@ -1,9 +1,11 @@
 #include "step_order.h"
 
+#include "job_acceptance.h"
 #include "scheduling.h"
 
 #include <algorithm>
 #include <cmath>
+#include <tuple>
 
 namespace filbert {
 
@@ -44,16 +46,15 @@
 {
     int rank = 0; // see pending_step::rank
     std::int64_t slackMs = 0;
+    bool isBeyondShare = false; // see step_key
     bool isBehind = false; // see step_key
 };
 
-/** @return how long it takes, apart from the work itself, until a task that is placed now has
-    started and its end is known, as learned from starts; at most half of the slack that the job had
-    in the beginning */
+/** @return startAndEndTime(), but at most half of the slack that the job had in the beginning */
 milliseconds overheadOf(const dispatch_state &state, milliseconds initialSlack)
 {
-    const milliseconds startAndEnd {std::llround(2 * state.placementTime.meanMs)};
-    return std::max(std::min(startAndEnd, milliseconds {initialSlack.count / 2}), milliseconds {});
+    return std::max(std::min(startAndEndTime(state), milliseconds {initialSlack.count / 2}),
+                    milliseconds {});
 }
 
 bool hasLostTasks(const step_record &record)
@@ -64,9 +65,10 @@
 }
 
 step_urgency urgencyOf(const dispatch_state &state, const messages::work_queue &queue,
-                       const messages::step_spec &spec, const step_record &record,
-                       const job_view &view, time_point begunAt, std::uint32_t step, time_point now)
+                       const work_job &job, const step_record &record, const job_view &view,
+                       time_point begunAt, std::uint32_t step, time_point now)
 {
+    const auto &spec = stepSpecOf(job, step);
     const auto objective = objectiveOf(queue, view.criticalPath);
     const auto remaining = view.criticalPathFrom[step];
     step_urgency urgency;
@@ -74,7 +76,11 @@
     urgency.rank = spec.lasts() && hasLostTasks(record) ? lostServiceRank : queue.priority();
     urgency.isBehind =
         !spec.lasts() && urgency.slackMs < overheadOf(state, objective - view.criticalPath).count;
-    if (spec.lasts() || urgency.slackMs >= -remaining.count / 2) {
+    urgency.isBeyondShare = isHeldBack(state, view, queue.service(), job.job.team());
+    if (urgency.isBeyondShare) {
+        urgency.rank = std::max(urgency.rank, lateRankOffset - 1);
+    }
+    if (spec.lasts() || !isLateRank(milliseconds {urgency.slackMs}, remaining)) {
         return urgency;
     }
     const bool isOfNoUse = urgency.slackMs < -objective.count * (maxUsefulObjectives - 1);
@@ -82,6 +88,21 @@
     return urgency;
 }
 
+/** Adds the tasks of a step that have not started. */
+void addWaiting(waiting_work &waiting, const work_job &job, const occurrence_record &occurrence,
+                std::uint32_t step)
+{
+    const auto &spec = stepSpecOf(job, step);
+    const auto &record = occurrence.steps[step];
+    if (spec.lasts() || isStepDone(spec, record)) {
+        return;
+    }
+    const auto tasks = record.tasks.size() - record.doneTasks - record.runningTasks;
+    const auto cores = countedCores(spec) * static_cast<std::int64_t>(tasks);
+    waiting.unstarted += cores;
+    waiting.ready += isStepReady(job, occurrence, step) ? cores : 0;
+}
+
 /** Has the targets that run tasks of a job ticked, since these are to be stopped. */
 void markTargetsOfRuns(dispatch_state &state, const work_job &job)
 {
@@ -109,10 +130,11 @@
     pending.queue = &queueOf(queues, job);
     pending.need = targetReservation(*pending.spec);
     const auto &record = job.occurrences.at(name.occurrence).steps[name.step];
-    const auto urgency = urgencyOf(state, *pending.queue, *pending.spec, record, view,
+    const auto urgency = urgencyOf(state, *pending.queue, job, record, view,
                                    view.occurrenceBegunAt.at(name.occurrence), name.step, now);
     pending.slackMs = urgency.slackMs;
     pending.rank = urgency.rank;
+    pending.isBeyondShare = urgency.isBeyondShare;
     return pending;
 }
 
@@ -137,20 +159,31 @@
         const auto &queue = queueOf(queues, job);
         for (const auto &[occurrence, step] : view.pendingSteps) {
             const auto &record = job.occurrences.at(occurrence).steps[step];
-            const auto urgency = urgencyOf(state, queue, stepSpecOf(job, step), record, view,
+            const auto urgency = urgencyOf(state, queue, job, record, view,
                                            view.occurrenceBegunAt.at(occurrence), step, now);
-            steps.push_back({urgency.rank, false, urgency.isBehind,
+            steps.push_back({urgency.rank, urgency.isBeyondShare, queue.priority(),
+                             urgency.isBehind,
                              urgency.isBehind ? -urgency.slackMs : urgency.slackMs, &id, &view,
                              occurrence, step});
         }
     }
     std::sort(steps.begin(), steps.end(), [](const step_key &a, const step_key &b) {
-        return std::tie(a.rank, a.isBeyondShare, a.isBehind, a.order)
-            < std::tie(b.rank, b.isBeyondShare, b.isBehind, b.order);
+        return std::tie(a.rank, a.isBeyondShare, a.priority, a.isBehind, a.order)
+            < std::tie(b.rank, b.isBeyondShare, b.priority, b.isBehind, b.order);
     });
     return steps;
 }
 
+bool isLateRank(milliseconds slack, milliseconds remaining)
+{
+    return slack.count < -remaining.count / 2;
+}
+
+milliseconds startAndEndTime(const dispatch_state &state)
+{
+    return {std::llround(2 * state.placementTime.meanMs)};
+}
+
 milliseconds objectiveOf(const messages::work_queue &queue, milliseconds criticalPath)
 {
     const auto stretched = static_cast<double>(criticalPath.count) * queue.slack_factor();
@@ -181,6 +214,7 @@
         }
         state.jobs.erase(id);
         state.repeatingJobs.erase(id);
+        forgetSubmission(state.jobAdmission, id);
         for (auto view = state.admissions.lower_bound({id, 0, 0, 0});
              view != state.admissions.end() && view->first.job == id;) {
             view =
@@ -199,9 +233,11 @@
     }
     view.pendingSteps.clear();
     view.upcomingSteps.clear();
+    view.waiting = {};
     for (const auto &[number, occurrence] : job->second.occurrences) {
         view.occurrenceBegunAt.emplace(number, now);
         for (std::uint32_t step = 0; step < occurrence.steps.size(); ++step) {
+            addWaiting(view.waiting, job->second, occurrence, step);
             if (isPending(job->second, occurrence, step)) {
                 view.pendingSteps.emplace(number, step);
             } else if (isUpcoming(job->second, occurrence, step)) {
--- a/modules/filbert_dispatch/step_order.h
+++ b/modules/filbert_dispatch/step_order.h
@@ -17,7 +17,8 @@
 struct step_key
 {
     int rank = 0;
-    bool isBeyondShare = false; // its team already has its share of what is scarce
+    bool isBeyondShare = false; // see isHeldBack()
+    int priority = 0; // of its queue; it decides among those beyond a share
     bool isBehind = false; // it would end after its objective if it started now
     std::int64_t order = 0; // the lowest first among those of a rank that are equally behind or not
     const std::string *job = nullptr;
@@ -30,8 +31,20 @@
 
     In each rank, the step with the least slack goes first among those that can be in time. After
     these, the one that is the least behind goes first. If more waits than can be served, each would
-    be served a little too late otherwise. */
+    be served a little too late otherwise.
+
+    A step that is beyond the share of its team has the rank of the least urgent queue, and goes
+    after all others of this rank: so that the rules for reservations, for which the rank decides,
+    hold for it as for others. */
 std::vector<step_key> pendingStepsInOrder(const dispatch_state &state, const queue_index &queues,
                                           time_point now);
 
+/** Whether work ranks with what is late: it would end so much after its objective that other work
+    goes before it, whatever the priorities. @param remaining  its critical path from now */
+bool isLateRank(milliseconds slack, milliseconds remaining);
+
+/** @return how long it takes, apart from the work itself, until a task that is placed now has
+    started and its end is known, as learned from starts */
+milliseconds startAndEndTime(const dispatch_state &state);
+
 } // namespace filbert
