--- a/modules/filbert_node/work_controller.cpp
+++ b/modules/filbert_node/work_controller.cpp
@@ -261,6 +261,9 @@
     if (command.has_start()) {
         handleCommittedCommand(*dispatch, command, true, now); // releases what it has reserved
     }
+    if (command.has_accept()) {
+        forgetSubmission(dispatch->jobAdmission, command.accept().id());
+    }
     answerKind(to, messages::ANSWER_MALFORMED, "a text of the request is not valid UTF-8");
 }
 
@@ -610,6 +613,7 @@
         }
         const activity_scope placement {activities, activity::Placement};
         tickPlacement(*dispatch, now);
+        reportWaits(now);
     }
     proposePending(now, wallMs);
     if (const auto error = log.flush(now)) {
--- a/modules/filbert_node/work_controller.h
+++ b/modules/filbert_node/work_controller.h
@@ -109,6 +109,10 @@
     void handleSubmission(const answer_address &from, const messages::job_call &call,
                           const messages::work_queue &queue, const std::string &team,
                           const std::string &id, time_point now, std::int64_t wallMs);
+    void refuseJob(const answer_address &from, const submission_decision &decision,
+                   const std::string &id, const messages::work_queue &queue,
+                   const std::string &team, const std::string &why);
+    void reportWaits(time_point now);
     void handleConfiguration(const answer_address &from,
                              const messages::work_configuration &document);
     void handleHello(const std::string &peer, const messages::peer_hello &hello, time_point now);
@@ -176,6 +180,7 @@
     event_limit refusalLimit; // of log lines
     event_limit skipLimit;
     event_limit reportLimit;
+    event_limit waitLimit;
     time_point flushTime; // time of the current flush(), for the hooks of `log`
     order_router router;
     bool isStopping = false;
--- a/modules/filbert_node/work_metrics.cpp
+++ b/modules/filbert_node/work_metrics.cpp
@@ -56,6 +56,11 @@
     , unreadable {counterFamily(*registry, "filbert_work_unreadable_total",
                                 "Messages dropped, commands refused and log entries skipped since "
                                 "they cannot be parsed, by kind")}
+    , refusedJobs {counterFamily(*registry, "filbert_work_refused_jobs_total",
+                                 "Submissions that were refused, by reason")}
+    , waitErrorSeconds {histogramFamily(*registry, "filbert_work_wait_error_seconds",
+                                        "Difference between the predicted and the actual wait of a "
+                                        "job until its first start, by sign")}
     , orderSeconds {histogramFamily(*registry, "filbert_work_order_seconds",
                                     "Time from an order to its answer, by kind")}
     , refusedReports {counterFamily(*registry, "filbert_work_refused_reports_total",
@@ -110,6 +115,13 @@
     histogram->Observe(secondsOf(duration));
 }
 
+void work_metrics::observeWaitError(milliseconds expected, milliseconds actual)
+{
+    const bool isLonger = actual > expected;
+    waitErrorSeconds.Add({{"actual", isLonger ? "longer" : "shorter"}}, secondsBuckets)
+        .Observe(secondsOf(isLonger ? actual - expected : expected - actual));
+}
+
 void work_metrics::setState(bool isLeading, std::uint64_t applied, int members, std::size_t jobs)
 {
     state.Add({{"of", "leading"}}).Set(isLeading ? 1 : 0);
--- a/modules/filbert_node/work_metrics.h
+++ b/modules/filbert_node/work_metrics.h
@@ -33,6 +33,12 @@
     }
     /** Counts a report of a target that was refused, as invalid or as contrary to what is known. */
     void countRefusedReport() { refusedReports.Increment(); }
+    void countRefusedJob(refusal_reason reason)
+    {
+        refusedJobs.Add({{"reason", std::string {reasonName(reason)}}}).Increment();
+    }
+    /** Records the wait of a job until its first start, if it was predicted. */
+    void observeWaitError(milliseconds expected, milliseconds actual);
     void countTermLed() { termsLed.Increment(); }
     /** Counts something that cannot be parsed, or could not be by others.
         @param what  "message", "command" or "entry" */
@@ -64,6 +70,8 @@
     prometheus::Family<prometheus::Counter> &orders;
     prometheus::Family<prometheus::Counter> &suspicions;
     prometheus::Family<prometheus::Counter> &unreadable;
+    prometheus::Family<prometheus::Counter> &refusedJobs;
+    prometheus::Family<prometheus::Histogram> &waitErrorSeconds;
     prometheus::Family<prometheus::Histogram> &orderSeconds;
     prometheus::Counter &refusedReports;
     prometheus::Counter &termsLed;
--- a/modules/filbert_node/work_requests.cpp
+++ b/modules/filbert_node/work_requests.cpp
@@ -9,8 +9,6 @@
 
 constexpr std::size_t jobIdLength = 16; // hexadecimal digits of a job id
 constexpr milliseconds formationRetryDelay {500}; // forming a cell takes about a second
-// The shortest that callers can be told; a leader has time again within some seconds.
-constexpr milliseconds overloadRetryDelay {1'000};
 
 bool isJobId(std::string_view text)
 {
@@ -19,6 +17,18 @@
            });
 }
 
+std::string explanationOf(refusal_reason reason)
+{
+    switch (reason) {
+    case refusal_reason::LongTurns:
+        return "the cell is overloaded";
+    case refusal_reason::BeyondShare:
+        return "the job would be late, and its team sends more than its share";
+    default:
+        return "the job would be late: too much work waits before it";
+    }
+}
+
 } // namespace
 
 void work_controller::handleRequest(const answer_address &from,
@@ -182,19 +192,16 @@
         problem = findProblem(call.job()).value_or("");
     }
     if (!problem.empty()) {
-        log_line {"job_refused"}.with("job", id).with("queue", queue.name()).with("why", problem);
-        answerKind(from, messages::ANSWER_MALFORMED, problem);
+        refuseJob(from, {refusal_reason::Invalid, {}, {}, {}}, id, queue, team, problem);
         return;
     }
+    submission_decision decision;
     // One that is on its way to the log may be accepted, so that it cannot be refused any more.
-    if (!access && refusesJob(shedding, id, call.job(), queue, now)) {
-        log_line {"job_refused"}
-            .with("job", id)
-            .with("queue", queue.name())
-            .with("why", "the leader is overloaded")
-            .with("refused_percent", refusedPercent(shedding));
-        answerKind(from, messages::ANSWER_NOT_NOW, "the cell is overloaded",
-                   overloadRetryDelay.count);
+    if (!access) {
+        decision = decideSubmission(*dispatch, shedding, id, call.job(), queue, team, now);
+    }
+    if (decision.reason != refusal_reason::None) {
+        refuseJob(from, decision, id, queue, team, explanationOf(decision.reason));
         return;
     }
     messages::work_command command;
@@ -203,11 +210,46 @@
     job->set_id(id);
     job->set_queue(queue.name());
     job->set_team(team);
-    job->set_accepted_wall_ms(wallMs);
+    job->set_accepted_wall_ms(wallMs - decision.waited.count); // its objective counts from then
     *job->mutable_taken_under() = queue;
     propose(std::move(command), from);
 }
 
+/** Tells a caller that its job is not accepted. @param why  for the caller */
+void work_controller::refuseJob(const answer_address &from, const submission_decision &decision,
+                                const std::string &id, const messages::work_queue &queue,
+                                const std::string &team, const std::string &why)
+{
+    metrics.countRefusedJob(decision.reason);
+    log_line {"job_refused"}
+        .with("reason", reasonName(decision.reason))
+        .with("team", team)
+        .with("queue", queue.name())
+        .with("expected_wait_ms", decision.expectedWait.count)
+        .with("retry_after_ms", decision.retryAfter.count)
+        .with("waited_ms", decision.waited.count)
+        .with("job", id)
+        .with("why", why);
+    const bool isInvalid = decision.reason == refusal_reason::Invalid;
+    answerKind(from, isInvalid ? messages::ANSWER_MALFORMED : messages::ANSWER_NOT_NOW, why,
+               decision.retryAfter.count);
+}
+
+/** Logs and counts by how much the waits of jobs that have started differ from the predictions. */
+void work_controller::reportWaits(time_point now)
+{
+    for (const auto &each : std::exchange(dispatch->jobAdmission.comparisons, {})) {
+        metrics.observeWaitError(each.expected, each.actual);
+        if (const auto leftOut = waitLimit.admit(now)) {
+            log_line {"wait_compared"}
+                .with("queue", each.queue)
+                .with("expected_wait_ms", each.expected.count)
+                .with("wait_ms", each.actual.count)
+                .with("left_out", *leftOut);
+        }
+    }
+}
+
 void work_controller::handleConfiguration(const answer_address &from,
                                           const messages::work_configuration &document)
 {
