Shares protect pressed work of others; model of a cell with too few targets

Work of others with time to spare does not hold back a team beyond its share. The waiting work is ordered by latest start. A team without a weight in the configuration has none.

--- a/modules/filbert_dispatch/job_acceptance.cpp
+++ b/modules/filbert_dispatch/job_acceptance.cpp
@@ -17,21 +17,56 @@
     return configured == nullptr ? 0 : configured->weight();
 }
 
-/** @return the class of a job among those of its queue, by the first of its waiting steps */
-work_class classOf(const dispatch_state &state, const work_job &job, const job_view &view,
-                   const messages::work_queue &queue, time_point now)
+/** A job with waiting work. */
+struct waiting_job
 {
+    const work_job *job = nullptr;
+    const job_view *view = nullptr;
+    const messages::work_queue *queue = nullptr;
+    milliseconds initialSlack;
+    milliseconds slack; // of the first of its waiting steps; the initial one if none waits
+};
+
+waiting_job describe(const work_job &job, const job_view &view, const queue_index &queues,
+                     time_point now)
+{
+    waiting_job waiting {&job, &view, &queueOf(queues, job), {}, {}};
+    const auto objective = objectiveOf(*waiting.queue, view.criticalPath);
+    waiting.initialSlack = objective - view.criticalPath;
+    waiting.slack = waiting.initialSlack;
     if (!view.pendingSteps.empty()) {
         const auto [occurrence, step] = *view.pendingSteps.begin();
-        const auto objective = objectiveOf(queue, view.criticalPath);
-        const auto remaining = view.criticalPathFrom[step];
-        const auto slack = view.occurrenceBegunAt.at(occurrence) + objective - now - remaining;
-        if (isLateRank(slack, remaining)) {
-            return work_class::Late;
-        }
+        waiting.slack =
+            view.occurrenceBegunAt.at(occurrence) + objective - now - view.criticalPathFrom[step];
+    }
+    return waiting;
+}
+
+/** Whether a waiting job has used up half of its slack, and can still be in time. */
+bool isPressed(const waiting_job &waiting)
+{
+    return waiting.slack.count >= 0 && waiting.slack.count < waiting.initialSlack.count / 2;
+}
+
+void claimShare(dispatch_state &state, const waiting_job &waiting)
+{
+    const auto &team = waiting.job->job.team();
+    if (!waiting.view->pendingSteps.empty() && !waiting.view->isBeyondShare
+        && weightOf(state, team) > 0) {
+        addClaim(state.shareClaims[waiting.queue->service()], team,
+                 isPressed(waiting) ? waiting.queue->priority() : share_claims::unpressed);
     }
-    return isHeldBack(state, view, queue.service(), job.job.team()) ? work_class::BeyondShare
-                                                                    : work_class::WithinShare;
+}
+
+work_class classOf(const dispatch_state &state, const waiting_job &waiting)
+{
+    if (waiting.slack.count < 0) {
+        return work_class::Late;
+    }
+    const bool isHeldBack =
+        heldBackTo(state, *waiting.view, waiting.queue->service(), waiting.job->job.team())
+            .has_value();
+    return isHeldBack ? work_class::BeyondShare : work_class::WithinShare;
 }
 
 } // namespace
@@ -79,22 +114,17 @@
 {
     const auto queues = queuesOf(state);
     state.shareClaims.clear();
+    std::vector<waiting_job> waitingJobs;
     for (const auto &[id, view] : state.jobs) {
-        if (view.pendingSteps.empty() || view.isBeyondShare) {
-            continue;
-        }
-        const auto &job = state.work->jobs.at(id);
-        if (weightOf(state, job.job.team()) > 0) {
-            addClaim(state.shareClaims[queueOf(queues, job).service()], job.job.team());
+        if (view.waiting.unstarted > 0) {
+            waitingJobs.push_back(describe(state.work->jobs.at(id), view, queues, now));
+            claimShare(state, waitingJobs.back());
         }
     }
     beginReview(state.jobAdmission);
-    for (const auto &[id, view] : state.jobs) {
-        if (view.waiting.unstarted > 0) {
-            const auto &job = state.work->jobs.at(id);
-            addWaiting(state.jobAdmission, job.job.queue(),
-                       classOf(state, job, view, queueOf(queues, job), now), view.waiting);
-        }
+    for (const auto &waiting : waitingJobs) {
+        addWaiting(state.jobAdmission, waiting.job->job.queue(), classOf(state, waiting),
+                   {now + waiting.slack, waiting.view->waiting});
     }
     endReview(state.jobAdmission, now);
 }
@@ -115,14 +145,14 @@
     }
 }
 
-bool isHeldBack(const dispatch_state &state, const job_view &view, const std::string &service,
-                const std::string &team)
+std::optional<int> heldBackTo(const dispatch_state &state, const job_view &view,
+                              const std::string &service, const std::string &team)
 {
     if (!view.isBeyondShare) {
-        return false;
+        return std::nullopt;
     }
     const auto claims = state.shareClaims.find(service);
-    return claims != state.shareClaims.end() && hasOtherClaim(claims->second, team);
+    return claims == state.shareClaims.end() ? std::nullopt : claimOfOthers(claims->second, team);
 }
 
 submission_decision decideSubmission(dispatch_state &state, load_shedding &shedding,
@@ -136,8 +166,8 @@
     submitted.queue = &queue;
     const bool isBeyond = isBeyondShare(state.teamShares, team, weightOf(state, team), now);
     const auto claims = state.shareClaims.find(queue.service());
-    submitted.isBeyondShare =
-        isBeyond && claims != state.shareClaims.end() && hasOtherClaim(claims->second, team);
+    submitted.isBeyondShare = isBeyond && claims != state.shareClaims.end()
+        && claimOfOthers(claims->second, team).has_value();
     submitted.startAndEnd = startAndEndTime(state);
     return decideSubmission(state.jobAdmission, shedding, submitted, now);
 }
--- a/modules/filbert_dispatch/job_acceptance.h
+++ b/modules/filbert_dispatch/job_acceptance.h
@@ -20,10 +20,11 @@
 void recordStartedRun(dispatch_state &state, const task_name &task, time_point now);
 void recordEndedRun(dispatch_state &state, const task_name &task, time_point now);
 
-/** Whether a job ranks after those of other teams at present: it is beyond its team's share, and
-    another team waits for the same targets within its own. */
-bool isHeldBack(const dispatch_state &state, const job_view &view, const std::string &service,
-                const std::string &team);
+/** @return nothing if a job ranks as if there were no shares; else it is beyond its team's share
+    while another team waits for the same targets within its own. It then ranks after the others of
+    its rank, and its rank is no more urgent than the result. */
+std::optional<int> heldBackTo(const dispatch_state &state, const job_view &view,
+                              const std::string &service, const std::string &team);
 
 /** Decides about a submitted job that is not known yet.
     @param team  its name; empty = the queue is open to all, and the job has none */
--- a/modules/filbert_dispatch/job_admission.cpp
+++ b/modules/filbert_dispatch/job_admission.cpp
@@ -4,6 +4,8 @@
 
 #include <algorithm>
 #include <functional>
+#include <iterator>
+#include <limits>
 
 namespace filbert {
 
@@ -23,6 +25,7 @@
 // Callers try a job four times; what is known about the wait is outdated long before.
 constexpr milliseconds maxRetryDelay {20'000};
 constexpr std::int64_t retrySpreadDivisor = 2; // returns are spread over half of the delay
+constexpr time_point endOfTime {std::numeric_limits<std::int64_t>::max()};
 constexpr std::size_t maxTrackedSubmissions = 20'000; // 4 MB
 constexpr std::size_t maxComparisons = 1'000; // between two calls of their reader
 
@@ -45,18 +48,32 @@
     return sum;
 }
 
-/** @return what waits in the classes up to one */
-waiting_work waitingUpTo(const queue_flow &flow, work_class rank)
+/** @return the work of the entries up to a latest start */
+waiting_work sumUntil(const std::vector<waiting_entry> &entries, time_point latestStart)
+{
+    const auto after = std::upper_bound(
+        entries.begin(), entries.end(), latestStart,
+        [](time_point limit, const waiting_entry &entry) { return limit < entry.latestStart; });
+    return after == entries.begin() ? waiting_work {} : std::prev(after)->work;
+}
+
+/** @return what waits in the classes before one, and in this up to a latest start */
+waiting_work waitingBefore(const queue_flow &flow, work_class rank, time_point latestStart)
 {
     waiting_work sum;
     for (std::size_t i = 0; i <= indexOf(rank); ++i) {
-        sum += flow.waiting[i];
+        sum += sumUntil(flow.waiting[i], i < indexOf(rank) ? endOfTime : latestStart);
         sum += flow.committed[i];
         sum += flow.underWay[i];
     }
     return sum;
 }
 
+waiting_work allWaiting(const queue_flow &flow)
+{
+    return waitingBefore(flow, work_class::Late, endOfTime);
+}
+
 served_work &servedNow(queue_flow &flow, time_point now)
 {
     const auto number = now.ms / servedPeriod.count;
@@ -102,7 +119,7 @@
 
 bool isContended(const queue_flow &flow, time_point now)
 {
-    const auto waiting = waitingUpTo(flow, work_class::Late).ready;
+    const auto waiting = allWaiting(flow).ready;
     if (waiting == 0) {
         return false;
     }
@@ -172,7 +189,7 @@
 }
 
 std::optional<wait_forecast> forecastWait(const job_admission &admission, const std::string &queue,
-                                          work_class rank, time_point now)
+                                          work_class rank, time_point latestStart, time_point now)
 {
     const auto found = admission.flows.find(queue);
     if (found == admission.flows.end()) {
@@ -186,8 +203,8 @@
     if (!rate) {
         return std::nullopt;
     }
-    const auto before = waitingUpTo(flow, rank);
-    const auto all = waitingUpTo(flow, work_class::Late);
+    const auto before = waitingBefore(flow, rank, latestStart);
+    const auto all = allWaiting(flow);
     return wait_forecast {waitFor(before.ready, *rate), waitFor(before.unstarted, *rate),
                           waitFor(all.unstarted, *rate)};
 }
@@ -198,9 +215,7 @@
     const auto &id = *submitted.id;
     const auto &job = *submitted.job;
     const auto rank = submitted.isBeyondShare ? work_class::BeyondShare : work_class::WithinShare;
-    const auto forecast = forecastWait(admission, submitted.queue->name(), rank, now);
     submission_decision decision;
-    decision.expectedWait = forecast ? forecast->untilStart : milliseconds {};
     if (hasNoObjective(job)) {
         return decision;
     }
@@ -213,6 +228,9 @@
     const auto initialSlack = std::max(objective - path, milliseconds {});
     const auto startAndEnd = std::min(submitted.startAndEnd, milliseconds {initialSlack.count / 2});
     const auto mayWait = objective - path - startAndEnd - decision.waited;
+    const auto forecast =
+        forecastWait(admission, submitted.queue->name(), rank, now + mayWait, now);
+    decision.expectedWait = forecast ? forecast->untilStart : milliseconds {};
     const bool isLate = forecast && forecast->total > mayWait;
     if (isLate) {
         const auto usefulWait =
@@ -243,20 +261,31 @@
 void beginReview(job_admission &admission)
 {
     for (auto &[queue, flow] : admission.flows) {
-        flow.waiting = {};
+        for (auto &entries : flow.waiting) {
+            entries.clear();
+        }
         flow.committed = {};
     }
 }
 
 void addWaiting(job_admission &admission, const std::string &queue, work_class rank,
-                const waiting_work &work)
+                const waiting_entry &entry)
 {
-    admission.flows[queue].waiting[indexOf(rank)] += work;
+    admission.flows[queue].waiting[indexOf(rank)].push_back(entry);
 }
 
 void endReview(job_admission &admission, time_point now)
 {
     for (auto &[queue, flow] : admission.flows) {
+        for (auto &entries : flow.waiting) {
+            std::sort(entries.begin(), entries.end(),
+                      [](const auto &a, const auto &b) { return a.latestStart < b.latestStart; });
+            waiting_work sum;
+            for (auto &entry : entries) {
+                sum += entry.work;
+                entry.work = sum;
+            }
+        }
         if (!isContended(flow, now)) {
             flow.contendedSince = {};
         } else if (flow.contendedSince.ms == 0) {
--- a/modules/filbert_dispatch/job_admission.h
+++ b/modules/filbert_dispatch/job_admission.h
@@ -35,7 +35,8 @@
     std::int64_t unstarted = 0; // of these and of those whose steps are not ready yet
 };
 
-/** How a waiting job ranks among those of its queue: the first class is served first. */
+/** How a waiting job ranks among those of its queue: the first class is served first, and in each
+    of them the job with the earliest latest start. */
 enum class work_class { WithinShare, BeyondShare, Late };
 constexpr std::size_t workClassCount = 3;
 
@@ -49,10 +50,17 @@
     std::int64_t endedTasks = 0;
 };
 
+/** Waiting work with the latest time at which it could start and its job still be in time. */
+struct waiting_entry
+{
+    time_point latestStart;
+    waiting_work work; // with that of all earlier entries, once a review has ended
+};
+
 /** What waits in a queue, and how fast it is served. */
 struct queue_flow
 {
-    std::array<waiting_work, workClassCount> waiting; // as of the last review
+    std::array<std::vector<waiting_entry>, workClassCount> waiting; // as of the last review; sorted
     std::array<waiting_work, workClassCount> committed; // accepted since then
     std::array<waiting_work, workClassCount> underWay; // to the log
     std::array<served_work, 48> served; // a ring of periods
@@ -98,9 +106,10 @@
     milliseconds totalIfLate; // the same if it ranks after all that can be in time
 };
 
-/** @return nothing if the queue has not been contended for long enough */
+/** @param latestStart  of the job
+    @return nothing if the queue has not been contended for long enough */
 std::optional<wait_forecast> forecastWait(const job_admission &admission, const std::string &queue,
-                                          work_class rank, time_point now);
+                                          work_class rank, time_point latestStart, time_point now);
 
 /** A job that is submitted and that is not known yet. */
 struct submission
@@ -132,7 +141,7 @@
 /** Replaces what waits: call addWaiting() for each job and then endReview(). */
 void beginReview(job_admission &admission);
 void addWaiting(job_admission &admission, const std::string &queue, work_class rank,
-                const waiting_work &work);
+                const waiting_entry &entry);
 void endReview(job_admission &admission, time_point now);
 
 /** @return when a job that is now in the log was submitted first, or nothing if this leader has not
--- a/modules/filbert_dispatch/step_order.cpp
+++ b/modules/filbert_dispatch/step_order.cpp
@@ -76,9 +76,9 @@
     urgency.rank = spec.lasts() && hasLostTasks(record) ? lostServiceRank : queue.priority();
     urgency.isBehind =
         !spec.lasts() && urgency.slackMs < overheadOf(state, objective - view.criticalPath).count;
-    urgency.isBeyondShare = isHeldBack(state, view, queue.service(), job.job.team());
-    if (urgency.isBeyondShare) {
-        urgency.rank = std::max(urgency.rank, lateRankOffset - 1);
+    if (const auto limit = heldBackTo(state, view, queue.service(), job.job.team())) {
+        urgency.isBeyondShare = true;
+        urgency.rank = std::max(urgency.rank, std::min(*limit, lateRankOffset - 1));
     }
     if (spec.lasts() || !isLateRank(milliseconds {urgency.slackMs}, remaining)) {
         return urgency;
--- a/modules/filbert_dispatch/step_order.h
+++ b/modules/filbert_dispatch/step_order.h
@@ -17,7 +17,7 @@
 struct step_key
 {
     int rank = 0;
-    bool isBeyondShare = false; // see isHeldBack()
+    bool isBeyondShare = false; // see heldBackTo()
     int priority = 0; // of its queue; it decides among those beyond a share
     bool isBehind = false; // it would end after its objective if it started now
     std::int64_t order = 0; // the lowest first among those of a rank that are equally behind or not
@@ -33,9 +33,9 @@
     these, the one that is the least behind goes first. If more waits than can be served, each would
     be served a little too late otherwise.
 
-    A step that is beyond the share of its team has the rank of the least urgent queue, and goes
-    after all others of this rank: so that the rules for reservations, for which the rank decides,
-    hold for it as for others. */
+    A step that is beyond the share of its team goes after the others of its rank. The rank itself
+    is raised to that of less urgent work of others which is pressed, so that the rules for
+    reservations, for which the rank decides, hold for it as for others. */
 std::vector<step_key> pendingStepsInOrder(const dispatch_state &state, const queue_index &queues,
                                           time_point now);
 
--- a/modules/filbert_dispatch/team_shares.cpp
+++ b/modules/filbert_dispatch/team_shares.cpp
@@ -53,15 +53,29 @@
     return false;
 }
 
-void addClaim(share_claims &claims, std::string_view team)
+void addClaim(share_claims &claims, std::string_view team, int priority)
 {
-    claims.areSeveral = claims.areSeveral || (!claims.team.empty() && claims.team != team);
-    claims.team = claims.team.empty() ? team : claims.team;
+    if (claims.team.empty() || claims.team == team) {
+        claims.team = team;
+        claims.priority = std::max(claims.priority, priority);
+        return;
+    }
+    const auto other = claims.otherPriority.value_or(share_claims::unpressed);
+    if (priority > claims.priority) {
+        claims.otherPriority = std::max(other, claims.priority);
+        claims.team = team;
+        claims.priority = priority;
+    } else {
+        claims.otherPriority = std::max(other, priority);
+    }
 }
 
-bool hasOtherClaim(const share_claims &claims, std::string_view team)
+std::optional<int> claimOfOthers(const share_claims &claims, std::string_view team)
 {
-    return claims.areSeveral || (!claims.team.empty() && claims.team != team);
+    if (claims.team.empty()) {
+        return std::nullopt;
+    }
+    return claims.team == team ? claims.otherPriority : std::optional {claims.priority};
 }
 
 } // namespace filbert
--- a/modules/filbert_dispatch/team_shares.h
+++ b/modules/filbert_dispatch/team_shares.h
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -35,18 +36,29 @@
     @return whether the job is beyond the share of the team */
 bool chargeJob(team_shares &shares, const std::string &team, std::int32_t weight, time_point now);
 
-/** The teams that wait within their shares for the targets of one service. Shares decide only
-    between teams: a team that waits alone is served as if it had no share. */
+/** What teams wait for within their shares, for the targets of one service.
+
+    Shares decide only between teams: a team that waits alone is served as if it had no share. And
+    work with time to spare needs no protection yet: it is in time also if more urgent work of
+    others goes first that is beyond a share. It is protected once it is pressed, having used up
+   half of its slack.
+*/
 struct share_claims
 {
-    std::string_view team; // one of them; empty = there is none
-    bool areSeveral = false;
+    static constexpr int unpressed = -1; // instead of the priority
+
+    std::string_view team; // one with the least urgent pressed work; empty = none waits
+    int priority = unpressed; // of that work
+    std::optional<int> otherPriority; // the same of all other teams; nothing = no other waits
 };
 
-/** Adds a team that waits within its share. @param team  must outlive the claims */
-void addClaim(share_claims &claims, std::string_view team);
+/** Adds work that a team waits for within its share.
+    @param team      must outlive the claims
+    @param priority  of its queue if it is pressed, else share_claims::unpressed */
+void addClaim(share_claims &claims, std::string_view team, int priority);
 
-/** @return whether another team waits within its share */
-bool hasOtherClaim(const share_claims &claims, std::string_view team);
+/** @return nothing if no other team waits within its share; else the priority of the least urgent
+    work of others that is pressed, or share_claims::unpressed */
+std::optional<int> claimOfOthers(const share_claims &claims, std::string_view team);
 
 } // namespace filbert
