--- a/modules/filbert_dispatch/admission_requests.cpp
+++ b/modules/filbert_dispatch/admission_requests.cpp
@@ -3,7 +3,10 @@
 #include <algorithm>
 #include <cmath>
 #include <functional>
+#include <map>
 #include <queue>
+#include <set>
+#include <tuple>
 #include <utility>
 
 namespace filbert {
@@ -13,16 +16,25 @@
 // A process without contact for this long, three missed hellos, gets no requests.
 constexpr milliseconds callerTimeout {1'500};
 constexpr milliseconds answerGracePeriod {250}; // added to the expected duration: many round trips
-// One of this many callers in contact is kept free for quick policies.
-constexpr std::size_t callersPerQuickCaller = 3;
 // A request that still waits for a caller after this time, several times the duration of a call, is
-// logged. If it is a slow one, see starvedRequest().
+// logged.
 constexpr milliseconds longAdmissionWait {2'000};
 constexpr milliseconds waitLogPeriod {1'000}; // bounds the lines about requests that wait
-// For each level by which its rank is lower, a request counts as made this much later. It thus
-// precedes more urgent requests that are made after that time. Otherwise gangs that renew their
-// tickets all the time would keep work of lower priority from any call.
-constexpr milliseconds agePerRank {500};
+// A request that has waited this long for each level of its rank goes first, if no other call of
+// its rank and speed is under way. Otherwise gangs that renew their tickets all the time would keep
+// work of lower priority from any call.
+constexpr milliseconds maxWaitPerRank {500};
+// A request without a caller is withdrawn after this time, and the next pass makes those that are
+// needed then: a longer queue would be in the order of the past.
+constexpr milliseconds bindingPeriod {100};
+// A step that makes no request for this long after one was withdrawn waits anew.
+constexpr milliseconds maxWaitGap {1'000};
+// While quick calls are made, a slow one takes no caller if no other caller is then expected to be
+// free within this time, a part of the shortest objectives. With many callers that is never so.
+constexpr milliseconds maxQuickWait {100};
+constexpr milliseconds quickTrafficWindow {1'000}; // quick calls are made if the last is so recent
+constexpr std::size_t maxCallTargets = 20; // that a call under a costly policy names
+constexpr milliseconds budgetPeriod {150}; // passes are 100 ms apart at the most, and take time
 
 /** A caller that can get a request, by the time until which it has work. */
 using available_caller = std::pair<time_point, std::string>;
@@ -32,14 +44,10 @@
     return !caller.isAvoided && now - caller.lastContactAt < callerTimeout;
 }
 
-/** @return how many callers are kept free for quick calls: a share of those in contact, which is
-    never all of them */
-std::size_t countKeptFree(const dispatch_state &state, time_point now)
+/** @return when a caller is expected to have no call any more */
+time_point expectedFreeAt(const admission_caller &caller, time_point now)
 {
-    const auto inContact =
-        std::count_if(state.callers.begin(), state.callers.end(),
-                      [&](const auto &each) { return isInContact(each.second, now); });
-    return static_cast<std::size_t>(inContact) / callersPerQuickCaller;
+    return caller.pendingRequests.empty() ? now : std::max(caller.busyUntil, now);
 }
 
 /** @return the callers that are in contact and have at most a certain amount of work left, those
@@ -49,7 +57,7 @@
 {
     std::vector<available_caller> available;
     for (const auto &[name, caller] : state.callers) {
-        const auto freeAt = caller.pendingRequests.empty() ? now : std::max(caller.busyUntil, now);
+        const auto freeAt = expectedFreeAt(caller, now);
         const bool isFree = caller.pendingRequests.empty() || freeAt - now < maxQueuedTime;
         if (isFree && isInContact(caller, now)) {
             available.emplace_back(freeAt, name);
@@ -76,6 +84,28 @@
     }
 }
 
+/** Expects the further answers of a caller that has just answered: it begins its next call now, be
+    it earlier or later than expected. */
+void expectFurtherAnswers(dispatch_state &state, const std::string &name, time_point now)
+{
+    const auto caller = state.callers.find(name);
+    if (caller == state.callers.end()) {
+        return;
+    }
+    std::vector<pending_admission *> further;
+    for (const auto id : caller->second.pendingRequests) {
+        further.push_back(&state.pendingAdmissions.at(id));
+    }
+    std::stable_sort(further.begin(), further.end(),
+                     [](const auto *a, const auto *b) { return a->expectedAt < b->expectedAt; });
+    auto freeAt = now;
+    for (auto *pending : further) {
+        freeAt = freeAt + pending->expectedDuration;
+        pending->expectedAt = freeAt;
+    }
+    caller->second.busyUntil = freeAt;
+}
+
 bool isStillNeeded(const dispatch_state &state, const task_name &step)
 {
     const auto job = state.jobs.find(step.job);
@@ -84,19 +114,42 @@
         && (job->second.pendingSteps.contains(which) || job->second.upcomingSteps.contains(which));
 }
 
-void sendToCaller(dispatch_state &state, const std::string &caller, std::uint64_t id,
-                  pending_admission &pending, time_point now)
+/** Counts a call by its purpose. */
+void countCall(dispatch_totals &totals, const pending_admission &pending)
+{
+    switch (pending.purpose) {
+    case call_purpose::First:
+        ++totals.firstRequests;
+        break;
+    case call_purpose::Further:
+        ++totals.furtherRequests;
+        break;
+    case call_purpose::Renewal:
+        ++totals.renewals;
+        break;
+    }
+    totals.namedTargets += pending.targets.size();
+}
+
+void sendToCaller(dispatch_state &state, const std::string &caller, pending_admission &pending,
+                  time_point now)
 {
     auto &called = state.callers[caller];
-    const auto begin = called.pendingRequests.empty() ? now : std::max(called.busyUntil, now);
+    const auto begin = expectedFreeAt(called, now);
+    if (!std::exchange(pending.wasSent, true)) {
+        countCall(state.totals, pending);
+    }
+    if (const auto view = state.admissions.find(pending.step); view != state.admissions.end()) {
+        view->second.waitsSince = {};
+    }
     pending.caller = caller;
     pending.sentAt = now;
     pending.expectedAt = begin + pending.expectedDuration;
     called.busyUntil = pending.expectedAt;
-    called.pendingRequests.insert(id);
+    called.pendingRequests.insert(pending.id);
     admission_call call;
     call.caller = caller;
-    call.request.set_id(id);
+    call.request.set_id(pending.id);
     *call.request.mutable_step() = toTaskReference(pending.step);
     for (const auto &target : pending.targets) {
         call.request.add_targets(target);
@@ -113,14 +166,36 @@
     }
 }
 
+/** @return the longest expected duration of a call under any policy */
+milliseconds longestCall(const dispatch_state &state)
+{
+    milliseconds longest;
+    for (const auto &queue : state.work->configuration.queues()) {
+        longest = std::max(longest, expectedAdmissionDuration(queue.admission(), maxCallTargets));
+    }
+    return longest;
+}
+
+/** Whether a call may have waited for one that the caller makes for an earlier leader, of which
+    this one does not know. */
+bool mayWaitForEarlierLeader(const dispatch_state &state, const pending_admission &pending,
+                             milliseconds longestCall)
+{
+    return state.term > 1 && pending.sentAt - state.leadingSince <= longestCall;
+}
+
 void reviewPending(dispatch_state &state, time_point now)
 {
+    const auto longest = longestCall(state);
     // Answers may have arrived while this process did something else.
     const auto sinceReview = now - std::exchange(state.lastAdmissionReviewAt, now);
     const auto gracePeriod = answerGracePeriod + sinceReview;
     for (auto entry = state.pendingAdmissions.begin(); entry != state.pendingAdmissions.end();) {
         auto &[id, pending] = *entry;
-        const bool isOverdue = !pending.caller.empty() && now - pending.expectedAt > gracePeriod;
+        const auto earlierCalls =
+            mayWaitForEarlierLeader(state, pending, longest) ? longest : milliseconds {};
+        const bool isOverdue =
+            !pending.caller.empty() && now - pending.expectedAt > gracePeriod + earlierCalls;
         const bool isNeeded = isStillNeeded(state, pending.step);
         if (isOverdue) {
             log_line {"admission_unanswered", log_line::severity::Warning}
@@ -147,25 +222,59 @@
     return pending.expectedDuration <= maxQuickAdmissionTime;
 }
 
-/** @return the id of the slow request that has waited for a caller longest, if that is long and no
-    slow one has a caller; else 0. Quick ones could keep it waiting for ever. */
-std::uint64_t starvedRequest(const dispatch_state &state, time_point now)
+/** The waiting requests in the order in which they get callers. */
+using waiting_requests = std::vector<pending_admission *>;
+
+/** Requests of one rank that are quick or not. */
+using request_kind = std::pair<int, bool>;
+
+request_kind kindOf(const pending_admission &pending)
 {
-    std::uint64_t oldest = 0;
+    return {pending.order.rank, isQuick(pending)};
+}
+
+/** @return for each kind of request without a call under way: the one that has waited longest, if
+    that is too long */
+std::set<const pending_admission *> overdueRequests(const dispatch_state &state, time_point now)
+{
+    std::map<request_kind, const pending_admission *> oldest; // nullptr = a call is under way
     for (const auto &[id, pending] : state.pendingAdmissions) {
-        if (isQuick(pending)) {
-            continue;
-        }
+        const auto [entry, isNew] = oldest.emplace(kindOf(pending), &pending);
         if (!pending.caller.empty()) {
-            return 0;
+            entry->second = nullptr;
+        } else if (entry->second != nullptr && pending.waitsSince < entry->second->waitsSince) {
+            entry->second = &pending;
         }
-        if (now - pending.requestedAt >= longAdmissionWait
-            && (oldest == 0
-                || pending.requestedAt < state.pendingAdmissions.at(oldest).requestedAt)) {
-            oldest = id;
+    }
+    std::set<const pending_admission *> overdue;
+    for (const auto &[kind, pending] : oldest) {
+        const milliseconds maxWait {maxWaitPerRank.count * std::max(kind.first, 1)};
+        if (pending != nullptr && now - pending->waitsSince >= maxWait) {
+            overdue.insert(pending);
+        }
+    }
+    return overdue;
+}
+
+/** @return the requests without a caller: first those that have waited too long, then in the order
+    of the last pass. Of equal ones, quick calls go before slow ones, which they delay little. */
+waiting_requests waitingRequests(dispatch_state &state,
+                                 const std::set<const pending_admission *> &overdue)
+{
+    waiting_requests waiting;
+    for (auto &[id, pending] : state.pendingAdmissions) {
+        if (pending.caller.empty()) {
+            waiting.push_back(&pending);
         }
     }
-    return oldest;
+    const auto keyOf = [&](const pending_admission *each) {
+        const auto &order = each->order;
+        return std::tuple {!overdue.contains(each), order.rank, order.isBeyondShare,
+                           !isQuick(*each), order.place};
+    };
+    std::stable_sort(waiting.begin(), waiting.end(),
+                     [&](const auto *a, const auto *b) { return keyOf(a) < keyOf(b); });
+    return waiting;
 }
 
 /** Forgets callers that are silent. Each registers itself again with its next hello. */
@@ -178,20 +287,20 @@
 }
 
 /** Logs the request that has waited longest for a caller, if that is long. */
-void logLongWait(dispatch_state &state, time_point now)
+void logLongWait(dispatch_state &state, const waiting_requests &waiting, time_point now)
 {
     if (now < state.nextAdmissionWaitLogAt) {
         return;
     }
     const pending_admission *oldest = nullptr;
     std::size_t count = 0;
-    for (const auto &[id, pending] : state.pendingAdmissions) {
-        if (!pending.caller.empty() || now - pending.requestedAt < longAdmissionWait) {
+    for (const auto *pending : waiting) {
+        if (!pending->caller.empty() || now - pending->waitsSince < longAdmissionWait) {
             continue;
         }
         ++count;
-        if (oldest == nullptr || pending.requestedAt < oldest->requestedAt) {
-            oldest = &pending;
+        if (oldest == nullptr || pending->waitsSince < oldest->waitsSince) {
+            oldest = pending;
         }
     }
     if (oldest == nullptr) {
@@ -200,21 +309,111 @@
     state.nextAdmissionWaitLogAt = now + waitLogPeriod;
     log_line {"admission_waits", log_line::severity::Warning}
         .with("step", stepToString(oldest->step))
-        .with("waited_ms", (now - oldest->requestedAt).count)
+        .with("waited_ms", (now - oldest->waitsSince).count)
         .with("expected_ms", oldest->expectedDuration.count)
         .with("waiting", count)
         .with("callers", state.callers.size())
-        .with("free", countFreeCallers(availableCallers(state, now, {}), state))
-        .with("kept_free", countKeptFree(state, now));
+        .with("free", countFreeCallers(availableCallers(state, now, {}), state));
 }
 
+/** Counts the time since the last review in which callers were idle. */
+void countIdleTime(dispatch_state &state, time_point now)
+{
+    const auto elapsed = static_cast<std::uint64_t>(
+        std::max<std::int64_t>((now - state.lastAdmissionReviewAt).count, 0));
+    if (state.lastAdmissionReviewAt.ms > 0) {
+        state.totals.idleCallerMs += elapsed * state.idleCallers;
+        state.totals.needlesslyIdleCallerMs +=
+            state.areRequestsWaiting ? elapsed * state.idleCallers : 0;
+    }
+}
+
+/** Gives callers to waiting requests. */
+class caller_assignment
+{
+public:
+    caller_assignment(dispatch_state &state, time_point now)
+        : state {state}
+        , now {now}
+        , areQuickCallsMade {state.lastQuickCallAt.ms > 0
+                             && now - state.lastQuickCallAt < quickTrafficWindow}
+    {
+        for (const auto &[name, caller] : state.callers) {
+            if (isInContact(caller, now)) {
+                freeTimes.insert(expectedFreeAt(caller, now));
+            }
+        }
+        for (auto &each : availableCallers(state, now, state.settings.maxQueuedAdmissionTime)) {
+            callers.push(std::move(each));
+        }
+    }
+
+    bool hasCaller() const { return !callers.empty(); }
+
+    /** Whether a slow call would leave no caller for quick ones soon. */
+    bool delaysQuickCalls() const
+    {
+        const auto nextFree = std::next(freeTimes.begin()); // besides the one that takes the call
+        return areQuickCallsMade && (nextFree == freeTimes.end() || *nextFree - now > maxQuickWait);
+    }
+
+    void send(pending_admission &pending)
+    {
+        const auto [freeAt, name] = callers.top();
+        callers.pop();
+        sendToCaller(state, name, pending, now);
+        const auto busyUntil = state.callers[name].busyUntil;
+        freeTimes.erase(freeTimes.find(freeAt));
+        freeTimes.insert(busyUntil);
+        if (busyUntil - now < state.settings.maxQueuedAdmissionTime) {
+            callers.emplace(busyUntil, name);
+        }
+    }
+
+private:
+    dispatch_state &state;
+    time_point now;
+    bool areQuickCallsMade;
+    std::multiset<time_point> freeTimes; // of all callers in contact
+    std::priority_queue<available_caller, std::vector<available_caller>, std::greater<>> callers;
+};
+
 } // namespace
 
-std::size_t countSpareCallers(const dispatch_state &state, time_point now)
+call_budget callBudget(const dispatch_state &state, time_point now)
+{
+    call_budget budget;
+    for (const auto &[name, caller] : state.callers) {
+        if (!isInContact(caller, now)) {
+            continue;
+        }
+        const auto spare = budgetPeriod.count - (expectedFreeAt(caller, now) - now).count;
+        budget.callerMs += static_cast<double>(std::max<std::int64_t>(spare, 0));
+        budget.freeCallers += caller.pendingRequests.empty() ? 1 : 0;
+    }
+    for (const auto &[id, pending] : state.pendingAdmissions) {
+        if (pending.caller.empty()) {
+            countCall(budget, pending.order.rank, isQuick(pending), pending.expectedDuration);
+        }
+    }
+    return budget;
+}
+
+void withdrawUnsentRequests(dispatch_state &state, time_point now)
 {
-    const auto free = countFreeCallers(availableCallers(state, now, {}), state);
-    const auto keptFree = countKeptFree(state, now);
-    return free > keptFree ? free - keptFree : 0;
+    std::erase_if(state.pendingAdmissions, [&](const auto &each) {
+        const auto &pending = each.second;
+        if (pending.wasSent || now - pending.requestedAt < bindingPeriod) {
+            return false;
+        }
+        const auto view = state.admissions.find(pending.step);
+        if (view != state.admissions.end()) {
+            --view->second.pendingRequests;
+            view->second.withdrawnAt = now;
+        }
+        ++state.totals.withdrawnRequests;
+        return true;
+    });
 }
 
 milliseconds expectedAdmissionDuration(const messages::admission_policy &policy,
@@ -245,27 +444,37 @@
     return isUsable ? &found->second.text : nullptr;
 }
 
-void requestAdmission(dispatch_state &state, const task_name &step,
-                      const messages::work_queue &queue, int rank,
-                      const std::vector<std::string> &targets, std::size_t maxPerCall,
-                      time_point now)
+bool requestAdmission(dispatch_state &state, const task_name &step,
+                      const messages::work_queue &queue, const call_order &order,
+                      call_purpose purpose, const std::vector<std::string> &targets,
+                      std::size_t maxPerCall, time_point now)
 {
     auto &view = state.admissions[step];
-    if (view.pendingRequests > 0 || now < view.nextRequestAt) {
-        return;
+    if (view.pendingRequests > 0 || now < view.nextRequestAt || targets.empty()) {
+        return false;
+    }
+    if (view.waitsSince.ms == 0 || now - view.withdrawnAt > maxWaitGap) {
+        view.waitsSince = now;
     }
     for (std::size_t from = 0; from < targets.size(); from += maxPerCall) {
         const auto first = targets.begin() + static_cast<std::ptrdiff_t>(from);
         const auto count = std::min(maxPerCall, targets.size() - from);
         ++view.pendingRequests;
         auto &pending = state.pendingAdmissions[++state.lastAdmissionId];
+        pending.id = state.lastAdmissionId;
         pending.step = step;
         pending.expectedDuration = expectedAdmissionDuration(queue.admission(), count);
+        pending.purpose = purpose;
         pending.targets.assign(first, first + static_cast<std::ptrdiff_t>(count));
-        pending.rank = rank;
+        pending.order = order;
         pending.requestedAt = now;
+        pending.waitsSince = view.waitsSince;
         state.areAdmissionsDue = true;
+        if (isQuick(pending)) {
+            state.lastQuickCallAt = now;
+        }
     }
+    return true;
 }
 
 void registerCaller(dispatch_state &state, const std::string &name, std::uint64_t process,
@@ -302,6 +511,7 @@
     auto &pending = found->second;
     state.areAdmissionsDue = true;
     releaseCaller(state, pending.caller, answer.id());
+    expectFurtherAnswers(state, pending.caller, now);
     if (!answer.is_answered()) {
         pending.caller.clear(); // tickAdmissions() sends it to another
         return;
@@ -311,7 +521,11 @@
     view.requestedTargets.insert(pending.targets.begin(), pending.targets.end());
     view.hasNewTickets = true;
     for (const auto &ticket : answer.admitted()) {
-        view.tickets[ticket.target()] = {ticket.ticket(), now, 0, {}};
+        auto &known = view.tickets[ticket.target()];
+        state.totals.unusedTickets += known.issuedAt.ms > 0 && !known.isUsed ? 1 : 0;
+        known = {ticket.ticket(), now, false, 0, {}};
+        view.newestTicketAt = now;
+        ++state.totals.issuedTickets;
     }
     log_line {"admission"}
         .with("step", stepToString(pending.step))
@@ -333,44 +547,26 @@
     }
     state.nextAdmissionReviewAt = now + state.settings.admissionReviewPeriod;
     ++state.admissionReviews;
+    countIdleTime(state, now);
     reviewPending(state, now);
     eraseSilentCallers(state, now);
-    const auto starved = starvedRequest(state, now);
-    std::vector<std::pair<time_point, std::uint64_t>> waiting; // by the time that decides the order
-    for (const auto &[id, pending] : state.pendingAdmissions) {
-        if (pending.caller.empty()) {
-            const milliseconds handicap {agePerRank.count * pending.rank};
-            waiting.emplace_back(id == starved ? time_point {} : pending.requestedAt + handicap,
-                                 id);
-        }
-    }
-    if (waiting.empty()) {
-        return;
-    }
-    std::sort(waiting.begin(), waiting.end());
-    const auto available = availableCallers(state, now, state.settings.maxQueuedAdmissionTime);
-    auto freeCount = countFreeCallers(available, state);
-    const auto keptFree = countKeptFree(state, now);
-    std::priority_queue<available_caller, std::vector<available_caller>, std::greater<>> callers {
-        std::greater<> {}, available};
-    for (const auto &[time, id] : waiting) {
-        if (callers.empty()) {
+    const auto overdue = overdueRequests(state, now);
+    const auto waiting = waitingRequests(state, overdue);
+    caller_assignment callers {state, now};
+    for (auto *pending : waiting) {
+        if (!callers.hasCaller()) {
             break;
         }
-        auto &pending = state.pendingAdmissions[id];
-        if (!isQuick(pending) && id != starved && freeCount <= keptFree) {
+        if (!isQuick(*pending) && !overdue.contains(pending) && callers.delaysQuickCalls()) {
             continue;
         }
-        const auto name = callers.top().second;
-        callers.pop();
-        freeCount -= state.callers[name].pendingRequests.empty() ? 1 : 0;
-        sendToCaller(state, name, id, pending, now);
-        const auto freeAt = state.callers[name].busyUntil;
-        if (freeAt - now < state.settings.maxQueuedAdmissionTime) {
-            callers.emplace(freeAt, name);
-        }
+        callers.send(*pending);
     }
-    logLongWait(state, now);
+    state.idleCallers = countFreeCallers(availableCallers(state, now, {}), state);
+    state.areRequestsWaiting = std::any_of(waiting.begin(), waiting.end(), [](const auto *pending) {
+        return pending->caller.empty();
+    });
+    logLongWait(state, waiting, now);
 }
 
 } // namespace filbert
--- a/modules/filbert_dispatch/admission_requests.h
+++ b/modules/filbert_dispatch/admission_requests.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "capacity_claims.h"
 #include "dispatch_state.h"
 
 namespace filbert {
@@ -10,18 +11,27 @@
 /** Requests tickets for a step from the policy service, unless a request for that step is pending.
 
     The service takes one call at a time from each process, so calls are spread over the callers in
-    contact. Some of these are kept free for quick calls, see maxQuickAdmissionTime. Quick calls
-    also wait at busy callers, so that these need not wait for the leader between two calls.
+    contact. A request waits for a caller until a later pass withdraws it and makes those that are
+    needed then. Quick calls also wait at busy callers, so that these need not wait for the leader
+    between two calls.
 
     @param step        the step, as a task name with index 0
-    @param rank        of the step, see pending_step::rank
+    @param order       decides which of the waiting requests gets a caller first
     @param targets     to name in the request, the preferred ones first
     @param maxPerCall  maximum number of targets in a call; further ones go into parallel calls
+    @return whether a request was made
 */
-void requestAdmission(dispatch_state &state, const task_name &step,
-                      const messages::work_queue &queue, int rank,
-                      const std::vector<std::string> &targets, std::size_t maxPerCall,
-                      time_point now);
+bool requestAdmission(dispatch_state &state, const task_name &step,
+                      const messages::work_queue &queue, const call_order &order,
+                      call_purpose purpose, const std::vector<std::string> &targets,
+                      std::size_t maxPerCall, time_point now);
+
+/** Withdraws the requests that no caller has got since an earlier pass: the pass that begins makes
+    those that are needed now. */
+void withdrawUnsentRequests(dispatch_state &state, time_point now);
+
+/** @return the calls that a pass may request now */
+call_budget callBudget(const dispatch_state &state, time_point now);
 
 /** Registers a process that can call the policy service, or notes that it is still there.
     @param name     of the process
@@ -42,10 +52,6 @@
 /** Sends waiting requests to free callers, and overdue ones to other callers. */
 void tickAdmissions(dispatch_state &state, time_point now);
 
-/** @return how many callers are free now for a call that is not quick, beyond those kept free for
-    quick calls */
-std::size_t countSpareCallers(const dispatch_state &state, time_point now);
-
 /** @return the expected duration of a call that names a number of targets */
 milliseconds expectedAdmissionDuration(const messages::admission_policy &policy,
                                        std::size_t targets);
--- a/modules/filbert_dispatch/dispatch_state.cpp
+++ b/modules/filbert_dispatch/dispatch_state.cpp
@@ -1,6 +1,7 @@
 #include "dispatch_state.h"
 
 #include "admission_requests.h"
+#include "capacity_claims.h"
 #include "scheduling.h"
 #include "target_tracking.h"
 
@@ -46,6 +47,24 @@
         .with("target", start.target());
 }
 
+/** Counts the capacity that ended runs release. */
+void countReleases(dispatch_state &state, const messages::end_runs_command &ends, time_point now)
+{
+    const auto target = state.work->targets.find(ends.target());
+    if (target == state.work->targets.end()) {
+        return;
+    }
+    const auto &service = target->second.registration.service();
+    for (const auto &end : ends.ends()) {
+        const auto job = state.work->jobs.find(end.task().job());
+        if (job == state.work->jobs.end()) {
+            continue;
+        }
+        const auto released = targetReservation(stepSpecOf(job->second, end.task().step()));
+        addRelease(state.releases[{service, released.accelerators > 0}], released, now);
+    }
+}
+
 /** Removes the ended runs from the view of their target, except those that another run replaced. */
 void removeEndedRuns(dispatch_state &state, const messages::end_runs_command &ends)
 {
@@ -69,6 +88,7 @@
                          time_point now)
 {
     removeEndedRuns(state, ends);
+    countReleases(state, ends, now);
     const auto target = state.targets.find(ends.target());
     if (target != state.targets.end()) {
         target->second.nextPollAt = now;
--- a/modules/filbert_dispatch/dispatch_state.h
+++ b/modules/filbert_dispatch/dispatch_state.h
@@ -197,6 +197,7 @@
     {
         std::string text;
         time_point issuedAt;
+        bool isUsed = false; // a task was placed with it
         // Where its target is in the list of a certain version; see service_targets.
         mutable std::uint64_t listVersion = 0;
         mutable std::optional<std::size_t> listIndex;
@@ -205,6 +206,11 @@
     std::unordered_set<std::string> requestedTargets; // targets named in answered requests
     std::size_t pendingRequests = 0; // those without an answer yet
     time_point nextRequestAt;
+    time_point newestTicketAt; // when the newest ticket was issued; 0 = there is none
+    // Since when the step has had a request that no caller has got; 0 = it has none. A request that
+    // is withdrawn and made anew keeps this time.
+    time_point waitsSince;
+    time_point withdrawnAt; // when its last request was withdrawn
     bool hasNewTickets = false; // an answer has arrived since a pass last tried the step
 };
 
@@ -216,14 +222,35 @@
     time_point expiresAt; // 0 = none is needed
 };
 
+/** What a call of the policy service is for. */
+enum class call_purpose {
+    First, // the first tickets of a step: the best fits, targets without free capacity last
+    Further, // targets that were not named before
+    Renewal, // targets whose earlier tickets expire
+};
+constexpr std::size_t callPurposeCount = 3;
+
+/** What decides which of the waiting requests gets a caller first: the order of the pass that made
+    them. */
+struct call_order
+{
+    int rank = 0; // see pending_step::rank
+    bool isBeyondShare = false; // see pending_step::isBeyondShare
+    std::size_t place = 0; // of the step among the pending ones
+};
+
 /** A request to the policy service that waits for a caller or for its answer. */
 struct pending_admission
 {
+    std::uint64_t id = 0;
     task_name step;
     std::vector<std::string> targets;
     milliseconds expectedDuration; // how long the call should take
-    int rank = 0; // of the step when it was requested; see pending_step::rank
+    call_purpose purpose = call_purpose::First;
+    call_order order;
     time_point requestedAt;
+    time_point waitsSince; // see admission_view::waitsSince
+    bool wasSent = false; // to any caller; such a request is not withdrawn
     std::string caller; // the process that makes the call; empty = it waits for one
     time_point sentAt;
     time_point expectedAt; // when the answer should come, after those of earlier calls
@@ -356,6 +383,15 @@
     std::unordered_map<std::string_view, std::size_t> indexById;
 };
 
+/** The capacity that runs release, learned from those that have ended: amounts whose weights decay
+    with age, so that the sum divided by the time constant is a rate. */
+struct release_estimate
+{
+    double milliCores = 0;
+    double accelerators = 0;
+    time_point updatedAt;
+};
+
 /** What the leader has done since its term began. */
 struct dispatch_totals
 {
@@ -365,11 +401,17 @@
     std::uint64_t unplacedSteps = 0; // of those: steps for which it found too little
     std::uint64_t consideredCandidates = 0; // targets considered for a step
     std::uint64_t proposedStarts = 0;
-    // Requests to the policy service by purpose, and the targets that they named.
+    // Calls of the policy service by purpose, and the targets that they named.
     std::uint64_t firstRequests = 0;
     std::uint64_t furtherRequests = 0;
     std::uint64_t renewals = 0;
     std::uint64_t namedTargets = 0;
+    std::uint64_t withdrawnRequests = 0; // before a caller got them
+    std::uint64_t issuedTickets = 0;
+    std::uint64_t unusedTickets = 0; // of these: renewed without a start in between
+    // Summed over reviews: time that callers were idle, and such while a request waited.
+    std::uint64_t idleCallerMs = 0;
+    std::uint64_t needlesslyIdleCallerMs = 0;
     std::uint64_t rankedTargets = 0; // targets considered for such a request
     std::uint64_t starts = 0; // orders, with repetitions
     std::uint64_t stops = 0;
@@ -404,6 +446,11 @@
     time_point lastAdmissionReviewAt;
     time_point nextAdmissionWaitLogAt;
     std::uint64_t admissionReviews = 0;
+    std::size_t idleCallers = 0; // as of the last review
+    bool areRequestsWaiting = false; // for a caller, as of the last review
+    time_point lastQuickCallAt; // when a quick request was last made; 0 = never
+    // By service, and whether the runs held accelerators: targets with these serve other steps.
+    std::map<std::pair<std::string, bool>, release_estimate> releases;
     std::map<std::string, time_point> lostAnswers; // by target: when its last answer got lost
     // As of the last count. Others may be gone for good, and are known as long as nothing takes
     // their place.
--- a/modules/filbert_dispatch/placement_pass.cpp
+++ b/modules/filbert_dispatch/placement_pass.cpp
@@ -50,6 +50,7 @@
     ++view.availableCandidates;
     view.totalCores += candidate.capacity.milliCores;
     view.freeCores += std::max<std::int64_t>(candidate.unusedCores, 0);
+    view.freeAccelerators += std::max<std::int64_t>(candidate.free.accelerators, 0);
     view.maxFreeCores = std::max(view.maxFreeCores, candidate.free.milliCores);
     view.maxFreeAccelerators = std::max(view.maxFreeAccelerators, candidate.free.accelerators);
 }
@@ -296,6 +297,7 @@
     }
     candidate.unusedCores -= sign * cores;
     service.freeCores -= sign * cores;
+    service.freeAccelerators -= sign * step.need.accelerators;
     if (step.isSuspect && sign > 0) {
         startTrial(service, candidate, task.job);
     }
--- a/modules/filbert_dispatch/placement_pass.h
+++ b/modules/filbert_dispatch/placement_pass.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "capacity_claims.h"
 #include "dispatch_state.h"
 
 #include <limits>
@@ -27,9 +28,7 @@
     bool isBeyondShare = false; // see step_key
     std::unordered_map<std::string_view, int> tasksByTarget; // only if dependsOnTaskCounts()
     bool isSuspect = false; // whether the task to be placed next may have crashed a target
-    // Whether it may ask for further tickets although the steps before it lack all free capacity,
-    // since these may be unable to use it.
-    bool isInTurnForTickets = false;
+    std::size_t place = 0; // among the pending steps of the pass
 };
 
 /** A target that takes work, as a placement pass sees it. */
@@ -61,11 +60,13 @@
     std::int64_t maxFreeAccelerators = 0;
     std::int64_t totalCores = 0;
     std::int64_t freeCores = 0;
+    std::int64_t freeAccelerators = 0;
     // byFreeCores as a heap, in which entries are corrected when they come to the top; see
     // fitsAnywhere(). Empty until it is needed.
     std::vector<std::pair<std::int64_t, std::size_t>> freeCoresHeap;
     std::size_t unplacedSteps = 0; // steps for which there was no capacity
-    std::int64_t unplacedCores = 0; // that the steps before the present one lack, in milli-cores
+    std::size_t mismatchedSteps = 0; // steps with tickets, but not for the free capacity
+    capacity_claims claims;
     std::size_t reservedCandidates = 0;
     std::set<std::string> trialJobs; // jobs with a suspected task that is being tried
     int urgentPriority = std::numeric_limits<int>::max(); // of its most urgent queue; 0 is highest
@@ -79,6 +80,7 @@
     time_point now;
     queue_index queues;
     std::map<std::string, service_view> services;
+    call_budget calls;
 };
 
 /** @return the targets of a service, collected when the pass first needs them */
--- a/modules/filbert_dispatch/scheduling.cpp
+++ b/modules/filbert_dispatch/scheduling.cpp
@@ -21,9 +21,8 @@
 // passesPerRetry passes at the most.
 constexpr std::size_t maxRetriedSteps = 32;
 constexpr std::size_t passesPerRetry = 8; // at most 0.3 s if passes are 40 ms apart
-// Of the steps that wait behind others for all free capacity, so many may ask for tickets in a
-// pass.
-constexpr std::size_t maxAskingSteps = 8;
+// Steps with tickets for targets without capacity, while others have some: 2 ms of processor time.
+constexpr std::size_t maxMismatchedSteps = 200;
 constexpr double acceleratorWeight = 1e6; // accelerators count first, then thousandths of a core
 
 /** @return the indices of the candidates with free resources on which the step is admitted now */
@@ -94,7 +93,8 @@
                              candidate.target->id, pass.now);
         FILBERT_INVARIANT(ticket != nullptr, "a start under a policy has a ticket");
         const milliseconds validity {step.queue->admission().ticket_ms()};
-        const auto &issued = admissionOf(pass, step)->tickets.at(candidate.target->id);
+        auto &issued = pass.state.admissions.at(step.name).tickets.at(candidate.target->id);
+        issued.isUsed = true;
         pass.state.reservedTickets[task] = {*ticket, pass.now, issued.issuedAt + validity};
     }
     log_line {"placed"}
@@ -159,6 +159,19 @@
     service.reservedCandidates += count;
 }
 
+/** Counts a step that was not placed: for want of capacity, or with tickets for other targets than
+    those with free capacity. A step without tickets counts as neither. */
+void countUnplaced(placement_pass &pass, const pending_step &step, service_view &service)
+{
+    ++pass.state.totals.unplacedSteps;
+    if (!fitsAnywhere(service, step.need) || !step.queue->has_admission()) {
+        ++service.unplacedSteps;
+    } else if (const auto *view = admissionOf(pass, step);
+               view != nullptr && hasUsableTickets(pass, *view, step.queue->admission())) {
+        ++service.mismatchedSteps;
+    }
+}
+
 void placeTasks(placement_pass &pass, pending_step &step, service_view &service)
 {
     const auto &record = *findStep(*pass.state.work, step.name);
@@ -195,14 +208,12 @@
     }
     step.isSuspect = unplaced == 0 && unplacedSuspects > 0;
     if (unplaced > 0) {
-        ++service.unplacedSteps;
-        ++pass.state.totals.unplacedSteps;
+        countUnplaced(pass, step, service);
         reserveCandidates(pass, step, service, unplaced);
     }
     if (unplaced + unplacedSuspects > 0) {
-        requestTickets(pass, step, service);
+        claimOrRequestTickets(pass, step, service, unplaced + unplacedSuspects);
     }
-    service.unplacedCores += step.need.milliCores * static_cast<std::int64_t>(unplaced);
 }
 
 using gang_placement = std::vector<std::pair<task_name, placement_candidate *>>;
@@ -264,15 +275,12 @@
     }
     const auto plan = planGangPlacement(pass, step, service, record.tasks.size());
     if (plan.empty()) {
-        ++service.unplacedSteps;
-        ++pass.state.totals.unplacedSteps;
+        countUnplaced(pass, step, service);
         const bool isLate = step.rank >= lateRankOffset;
         if (isLate || !preemptFor(pass, step, service, record.tasks.size())) {
             reserveCandidates(pass, step, service, record.tasks.size());
         }
-        requestTickets(pass, step, service);
-        service.unplacedCores +=
-            step.need.milliCores * static_cast<std::int64_t>(record.tasks.size());
+        claimOrRequestTickets(pass, step, service, record.tasks.size());
         return;
     }
     std::uint32_t run = 0;
@@ -306,46 +314,79 @@
         return false;
     }
     const auto view = state.admissions.find(step);
-    if (view != state.admissions.end() && std::exchange(view->second.hasNewTickets, false)) {
-        return true;
+    return (view != state.admissions.end() && view->second.hasNewTickets)
+        || isInTurn(state, step, pendingSteps, maxRetriedSteps);
+}
+
+bool isServiceBusy(const service_view &service)
+{
+    return service.unplacedSteps >= maxUnplacedSteps
+        || service.mismatchedSteps >= maxMismatchedSteps;
+}
+
+/** Whether a step can neither start nor request tickets in this pass: it has no tickets, and no
+    request could still be sent. */
+bool isIdleInPass(const placement_pass &pass, const task_name &step, int rank,
+                  const messages::work_queue &queue)
+{
+    if (!queue.has_admission() || mayRequest(pass.calls, rank, queue.admission())) {
+        return false;
+    }
+    const auto view = pass.state.admissions.find(step);
+    return view == pass.state.admissions.end()
+        || (view->second.pendingRequests == 0 && !view->second.hasNewTickets
+            && !hasUsableTickets(pass, view->second, queue.admission()));
+}
+
+void placeStep(placement_pass &pass, const step_key &key, std::size_t place, service_view &service)
+{
+    const task_name name {*key.job, key.occurrence, key.step, 0};
+    ++pass.state.totals.triedSteps;
+    auto step = pendingStepOf(pass.state, pass.queues, name, *key.view, pass.now);
+    step.isBeyondShare = key.isBeyondShare;
+    step.place = place;
+    if (const auto view = pass.state.admissions.find(name); view != pass.state.admissions.end()) {
+        view->second.hasNewTickets = false;
+    }
+    if (dependsOnTaskCounts(*step.spec)) {
+        step.tasksByTarget = countTasksByTarget(pass, step.name);
+    }
+    if (step.spec->is_gang()) {
+        placeGang(pass, step, service);
+    } else {
+        placeTasks(pass, step, service);
     }
-    return isInTurn(state, step, pendingSteps, maxRetriedSteps);
 }
 
 } // namespace
 
 void placeWaitingTasks(dispatch_state &state, time_point now)
 {
-    placement_pass pass {state, now, queuesOf(state), {}};
+    withdrawUnsentRequests(state, now);
+    placement_pass pass {state, now, queuesOf(state), {}, callBudget(state, now)};
     auto &totals = state.totals;
     ++totals.passes;
     const auto keys = pendingStepsInOrder(state, pass.queues, now);
     state.pendingStepCount = keys.size();
     totals.orderedSteps += keys.size();
-    for (const auto &key : keys) {
+    for (std::size_t place = 0; place < keys.size(); ++place) {
+        const auto &key = keys[place];
         const auto &job = state.work->jobs.at(*key.job);
-        auto &service = serviceOf(pass, queueOf(pass.queues, job).service());
+        const auto &queue = queueOf(pass.queues, job);
+        auto &service = serviceOf(pass, queue.service());
         const task_name name {*key.job, key.occurrence, key.step, 0};
-        if (service.unplacedSteps >= maxUnplacedSteps
-            && !isTriedInThisPass(state, name, stepSpecOf(job, key.step), service, keys.size())) {
-            continue;
-        }
-        ++totals.triedSteps;
-        auto step = pendingStepOf(state, pass.queues, name, *key.view, now);
-        step.isInTurnForTickets = isInTurn(state, name, keys.size(), maxAskingSteps);
-        if (dependsOnTaskCounts(*step.spec)) {
-            step.tasksByTarget = countTasksByTarget(pass, step.name);
-        }
-        if (step.spec->is_gang()) {
-            placeGang(pass, step, service);
-        } else {
-            placeTasks(pass, step, service);
+        const bool isSkipped = isServiceBusy(service)
+            ? !isTriedInThisPass(state, name, stepSpecOf(job, key.step), service, keys.size())
+            : isIdleInPass(pass, name, key.rank, queue);
+        if (!isSkipped) {
+            placeStep(pass, key, place, service);
         }
     }
     for (const auto &[id, view] : state.jobs) {
         for (const auto &[occurrence, step] : view.upcomingSteps) {
-            prefetchTickets(
-                pass, pendingStepOf(state, pass.queues, {id, occurrence, step, 0}, view, now));
+            auto upcoming = pendingStepOf(state, pass.queues, {id, occurrence, step, 0}, view, now);
+            upcoming.place = keys.size();
+            prefetchTickets(pass, upcoming);
         }
     }
 }
--- a/modules/filbert_dispatch/ticket_requests.cpp
+++ b/modules/filbert_dispatch/ticket_requests.cpp
@@ -15,17 +15,23 @@
 // need too.
 constexpr std::size_t targetsPerTask = 3;
 constexpr std::size_t extraTargets = 15;
-constexpr std::size_t targetsPerCostlyCall = 20; // if each named target takes 4 ms or more
+// For targets that cost 4 ms or more each: with six more, of which a third is admitted, a step that
+// loses one of its places to another step has a second choice.
+constexpr std::size_t extraCostlyTargets = 6;
+constexpr std::size_t targetsPerCostlyCall = 20;
 constexpr double costlyPerTargetMs = 4.0;
 // Calls of a costly policy run in parallel, since one after the other they take seconds. A step
 // uses only a share of the free callers, which leaves some to other steps.
 constexpr std::size_t maxCostlyCalls = 3;
-constexpr std::size_t spareCallersPerCall = 2;
+constexpr std::size_t freeCallersPerCall = 4;
 // Tickets to renew, besides one for each member of a gang, or each task under a policy that is not
 // costly.
 constexpr std::size_t targetsPerRefresh = 8;
 // If a call takes this long, tickets are renewed before there is capacity.
 constexpr milliseconds slowAdmissionTime {300};
+// A policy admits a third of the targets or more. So many steps make slow calls for one free place,
+// which would stay free for another call if a single one is not admitted.
+constexpr std::int64_t slowCallsPerFreePlace = 3;
 constexpr milliseconds requestDelay {100}; // between requests of a step for further tickets
 
 bool isCostly(const messages::work_queue &queue)
@@ -33,57 +39,92 @@
     return queue.admission().per_target_ms() >= costlyPerTargetMs;
 }
 
-std::size_t costlyCallLimit(const placement_pass &pass)
+bool isSlowPolicy(const messages::admission_policy &policy)
 {
-    return std::clamp<std::size_t>(countSpareCallers(pass.state, pass.now) / spareCallersPerCall, 1,
-                                   maxCostlyCalls);
+    return expectedAdmissionDuration(policy, 1) >= slowAdmissionTime;
 }
 
-/** Which targets a request for tickets names. */
-enum class ticket_request {
-    First, // the best fits, those without free capacity last
-    Further, // those that were not named before
-    Renewal, // those whose earlier tickets expire
-};
+/** @return how many calls for one step may run in parallel, by the callers that are free and that
+    no other request of this pass gets */
+std::size_t costlyCallLimit(const placement_pass &pass)
+{
+    const auto free =
+        pass.calls.freeCallers - std::min(pass.calls.freeCallers, pass.calls.waitingSlow);
+    return std::clamp<std::size_t>(free / freeCallersPerCall, 1, maxCostlyCalls);
+}
 
-/** Counts a request by its purpose. */
-void countRequest(dispatch_totals &totals, ticket_request kind, std::size_t targets)
+/** @return whether a request was made */
+bool requestAdmissionFor(placement_pass &pass, const pending_step &step, call_purpose purpose,
+                         const std::vector<std::string> &targets)
 {
-    if (targets == 0) {
-        return;
+    const auto perCall = isCostly(*step.queue) ? targetsPerCostlyCall : targetsPerRequest;
+    if (!requestAdmission(pass.state, step.name, *step.queue,
+                          {step.rank, step.isBeyondShare, step.place}, purpose, targets, perCall,
+                          pass.now)) {
+        return false;
     }
-    switch (kind) {
-    case ticket_request::First:
-        ++totals.firstRequests;
-        break;
-    case ticket_request::Further:
-        ++totals.furtherRequests;
-        break;
-    case ticket_request::Renewal:
-        ++totals.renewals;
-        break;
+    for (std::size_t from = 0; from < targets.size(); from += perCall) {
+        const auto duration = expectedAdmissionDuration(step.queue->admission(),
+                                                        std::min(perCall, targets.size() - from));
+        countCall(pass.calls, step.rank, duration <= maxQuickAdmissionTime, duration);
     }
-    totals.namedTargets += targets;
+    return true;
 }
 
-void requestAdmissionFor(placement_pass &pass, const pending_step &step, ticket_request kind,
-                         const std::vector<std::string> &targets)
+/** @return how many tasks fit into free resources, up to a maximum */
+std::int64_t countFitting(const resource_amounts &need, const resource_amounts &free,
+                          std::int64_t maxCount)
 {
-    countRequest(pass.state.totals, kind, targets.size());
-    requestAdmission(pass.state, step.name, *step.queue, step.rank, targets,
-                     isCostly(*step.queue) ? targetsPerCostlyCall : targetsPerRequest, pass.now);
+    const auto times = [&](std::int64_t needed, std::int64_t available) {
+        return needed > 0 ? std::clamp<std::int64_t>(available / needed, 0, maxCount) : maxCount;
+    };
+    return std::min({times(need.milliCores, free.milliCores), times(need.memoryMb, free.memoryMb),
+                     times(need.accelerators, free.accelerators)});
+}
+
+/** @return the places for tasks of the step's size, counted once in a pass */
+fitting_tasks &fittingTasksOf(const pending_step &step, service_view &service)
+{
+    constexpr std::int64_t maxPerTarget = 1'000;
+    const auto &need = step.need;
+    const auto [entry, isNew] = service.claims.bySize.emplace(
+        task_size {need.milliCores, need.memoryMb, need.accelerators, step.spec->required_label()},
+        fitting_tasks {});
+    auto &fitting = entry->second;
+    if (!isNew) {
+        return fitting;
+    }
+    for (const auto &candidate : service.candidates) {
+        if (!isEligible(step, candidate)) {
+            continue;
+        }
+        fitting.isPossible = true;
+        const auto count = countFitting(need, candidate.free, maxPerTarget);
+        fitting.tasks += count;
+        fitting.targets += count > 0 ? 1 : 0;
+    }
+    return fitting;
 }
 
-/** @return the maximum number of targets to name in a request */
-std::size_t maxTargetsOf(const placement_pass &pass, const pending_step &step, ticket_request kind)
+/** @return the maximum number of targets to name in a request
+    @param waiting  tasks without a place */
+std::size_t maxTargetsOf(const placement_pass &pass, const pending_step &step,
+                         const fitting_tasks &fitting, std::size_t waiting, call_purpose purpose)
 {
-    const auto tasks = static_cast<std::size_t>(step.spec->count());
-    if (kind == ticket_request::Renewal) {
-        return targetsPerRefresh + (step.spec->is_gang() || !isCostly(*step.queue) ? tasks : 0);
+    if (purpose == call_purpose::Renewal) {
+        return targetsPerRefresh + (step.spec->is_gang() || !isCostly(*step.queue) ? waiting : 0);
+    }
+    if (!isCostly(*step.queue)) {
+        return std::min(targetsPerRequest, waiting * targetsPerTask + extraTargets);
+    }
+    const auto maxTargets = targetsPerCostlyCall * costlyCallLimit(pass);
+    if (step.spec->is_gang()) {
+        return maxTargets; // the members need tickets that are valid at the same time
     }
-    return isCostly(*step.queue)
-        ? targetsPerCostlyCall * costlyCallLimit(pass)
-        : std::min(targetsPerRequest, tasks * targetsPerTask + extraTargets);
+    const auto perTarget = static_cast<std::size_t>(
+        std::max<std::int64_t>(fitting.targets > 0 ? fitting.tasks / fitting.targets : 1, 1));
+    const auto neededTargets = (waiting + perTarget - 1) / perTarget;
+    return std::min(maxTargets, neededTargets * targetsPerTask + extraCostlyTargets);
 }
 
 /** Whether the step has a choice among admitted targets, as soon as these have capacity. */
@@ -133,16 +174,15 @@
 /** @return targets to name in a request, the best fits with free capacity first */
 std::vector<std::string> targetsToRequest(const placement_pass &pass, const pending_step &step,
                                           const service_view &service, const admission_view &view,
-                                          ticket_request kind)
+                                          call_purpose purpose, std::size_t maxTargets)
 {
     constexpr double noCapacityCost = 1'000.0; // puts targets without capacity after all others
-    const auto maxTargets = maxTargetsOf(pass, step, kind);
     std::vector<std::pair<double, std::size_t>> ranked;
     const auto consider = [&](std::size_t index) {
         const auto &candidate = service.candidates[index];
         ++pass.state.totals.rankedTargets;
         const bool isWanted = isEligible(step, candidate)
-            && (kind == ticket_request::Renewal
+            && (purpose == call_purpose::Renewal
                 || !view.requestedTargets.contains(candidate.target->id));
         if (isWanted) {
             const bool hasCapacity = hasCapacityFor(pass, step, service, candidate);
@@ -150,13 +190,13 @@
                 fitCost(pass, step, candidate) + (hasCapacity ? 0.0 : noCapacityCost), index);
         }
     };
-    if (kind == ticket_request::Renewal) {
+    if (purpose == call_purpose::Renewal) {
         for (const auto &[id, ticket] : view.tickets) {
             if (const auto index = candidateIndexOf(service, id, ticket)) {
                 consider(*index);
             }
         }
-    } else if (kind == ticket_request::Further && knowsEnoughTargets(step, view)) {
+    } else if (purpose == call_purpose::Further && knowsEnoughTargets(step, view)) {
         // More tickets for targets without capacity would only expire.
         considerUntilEnough(step, service, true, [&](std::size_t index) {
             if (fits(step.need, service.candidates[index].free)) {
@@ -184,17 +224,6 @@
     return ids;
 }
 
-/** @return how many tasks fit into free resources, up to a maximum */
-std::int64_t countFitting(const resource_amounts &need, const resource_amounts &free,
-                          std::int64_t maxCount)
-{
-    const auto times = [&](std::int64_t needed, std::int64_t available) {
-        return needed > 0 ? std::min(maxCount, available / needed) : maxCount;
-    };
-    return std::min({times(need.milliCores, free.milliCores), times(need.memoryMb, free.memoryMb),
-                     times(need.accelerators, free.accelerators)});
-}
-
 /** Whether the admitted targets have capacity for what starts at once: a task or a whole gang. */
 bool hasAdmittedCapacity(const placement_pass &pass, const pending_step &step,
                          const service_view &service, const admission_view &view)
@@ -216,53 +245,114 @@
     return fittingTasks >= requiredTasks;
 }
 
-/** Whether the steps that go first may take all free capacity, so that tickets for it would only
-    expire. Best-effort steps use capacity that no other step can have. Long-running steps are few,
-    and would wait until the cell is no longer full. */
-bool isCapacityContested(const pending_step &step, const service_view &service)
+/** @return the period from now in which a ticket that is requested now becomes usable and expires,
+    halfway through */
+milliseconds ticketHorizon(const messages::admission_policy &policy)
 {
-    return !step.spec->fills_gaps() && !step.spec->lasts() && !step.isInTurnForTickets
-        && service.unplacedCores >= service.freeCores;
+    return expectedAdmissionDuration(policy, targetsPerCostlyCall)
+        + milliseconds {policy.ticket_ms() / 2};
 }
 
-} // namespace
-
-void requestTickets(placement_pass &pass, const pending_step &step, const service_view &service)
+/** Determines once in a pass what the runs of a service release before tickets expire. */
+void estimateRelease(const placement_pass &pass, const pending_step &step, service_view &service)
 {
-    if (!step.queue->has_admission()) {
+    if (std::exchange(service.claims.isReleaseKnown, true)) {
         return;
     }
-    auto &view = pass.state.admissions[step.name];
-    if (view.pendingRequests > 0 || pass.now < view.nextRequestAt) {
-        return;
+    const auto horizon = ticketHorizon(step.queue->admission());
+    for (const bool hasAccelerators : {false, true}) {
+        const auto found = pass.state.releases.find({step.queue->service(), hasAccelerators});
+        if (found != pass.state.releases.end()) {
+            service.claims.releasing[hasAccelerators] +=
+                expectedRelease(found->second, horizon, pass.now);
+        }
     }
+}
+
+/** Requests the tickets that bring the step nearest to a start.
+    @return whether a request was made */
+bool requestTickets(placement_pass &pass, const pending_step &step, service_view &service,
+                    admission_view &view, std::size_t waiting)
+{
+    const auto request = [&](call_purpose purpose) {
+        const auto maxTargets =
+            maxTargetsOf(pass, step, fittingTasksOf(step, service), waiting, purpose);
+        return requestAdmissionFor(
+            pass, step, purpose, targetsToRequest(pass, step, service, view, purpose, maxTargets));
+    };
     if (view.requestedTargets.empty()) {
-        requestAdmissionFor(pass, step, ticket_request::First,
-                            targetsToRequest(pass, step, service, view, ticket_request::First));
-        return;
-    }
-    if (isCapacityContested(step, service)) {
-        return;
+        return request(call_purpose::First);
     }
     const auto &policy = step.queue->admission();
+    bool isRequested = false;
     if (hasAdmittedCapacity(pass, step, service, view)) {
-        requestAdmissionFor(pass, step, ticket_request::Renewal,
-                            targetsToRequest(pass, step, service, view, ticket_request::Renewal));
+        isRequested = request(call_purpose::Renewal);
+    } else {
+        isRequested = request(call_purpose::Further);
+        if (!isRequested && isSlowPolicy(policy) && !hasUsableTickets(pass, view, policy)) {
+            isRequested = request(call_purpose::Renewal);
+        }
+    }
+    view.nextRequestAt = pass.now + requestDelay;
+    return isRequested;
+}
+
+/** Whether a step may ask for tickets whatever the steps before it claim. Best-effort steps use
+    capacity that no other step can have. Long-running steps are few, and would wait until the cell
+    is no longer full. */
+bool isExemptFromClaims(const pending_step &step)
+{
+    return step.spec->fills_gaps() || step.spec->lasts();
+}
+
+} // namespace
+
+bool mayRequest(const call_budget &calls, int rank, const messages::admission_policy &policy)
+{
+    return mayRequestCall(calls, rank,
+                          expectedAdmissionDuration(policy, 1) <= maxQuickAdmissionTime);
+}
+
+bool hasUsableTickets(const placement_pass &pass, const admission_view &view,
+                      const messages::admission_policy &policy)
+{
+    return view.newestTicketAt.ms > 0
+        && isTicketUsable(pass.state, {{}, view.newestTicketAt}, policy, pass.now);
+}
+
+void claimOrRequestTickets(placement_pass &pass, const pending_step &step, service_view &service,
+                           std::size_t waiting)
+{
+    auto &claims = service.claims;
+    if (!step.queue->has_admission()) {
+        claims.releasing[step.need.accelerators > 0] -= scaledBy(step.need, waiting);
         return;
     }
-    const auto furtherTargets =
-        targetsToRequest(pass, step, service, view, ticket_request::Further);
-    const bool hasUsableTicket =
-        std::any_of(view.tickets.begin(), view.tickets.end(), [&](auto &each) {
-            return isTicketUsable(pass.state, each.second, policy, pass.now);
-        });
-    if (!furtherTargets.empty()) {
-        requestAdmissionFor(pass, step, ticket_request::Further, furtherTargets);
-    } else if (expectedAdmissionDuration(policy, 1) >= slowAdmissionTime && !hasUsableTicket) {
-        requestAdmissionFor(pass, step, ticket_request::Renewal,
-                            targetsToRequest(pass, step, service, view, ticket_request::Renewal));
+    auto &view = pass.state.admissions[step.name];
+    const bool hasTickets = hasUsableTickets(pass, view, step.queue->admission());
+    const bool isWaitingForAnswer = view.pendingRequests > 0;
+    const bool canRequest = !isWaitingForAnswer && pass.now >= view.nextRequestAt
+        && mayRequest(pass.calls, step.rank, step.queue->admission());
+    if (!canRequest && !isWaitingForAnswer && !hasTickets) {
+        return;
     }
-    view.nextRequestAt = pass.now + requestDelay;
+    estimateRelease(pass, step, service);
+    auto &fitting = fittingTasksOf(step, service);
+    const resource_amounts free {service.freeCores, 0, service.freeAccelerators};
+    const bool isSlow = isSlowPolicy(step.queue->admission());
+    auto claimable = claimableTasks(claims, step.need, static_cast<std::int64_t>(waiting), free,
+                                    fitting, isSlow ? slowCallsPerFreePlace : 1);
+    const bool isInTurn = isExemptFromClaims(step) || claimable.free > 0
+        || (claimable.releasing > 0 && (isSlow || view.requestedTargets.empty()));
+    const bool isRequested =
+        canRequest && isInTurn && requestTickets(pass, step, service, view, waiting);
+    if (!isRequested && !isWaitingForAnswer) {
+        if (!hasTickets) {
+            return;
+        }
+        claimable.free = 0; // its tickets are not for what is free
+    }
+    claimCapacity(claims, step.need, claimable, fitting);
 }
 
 void prefetchTickets(placement_pass &pass, const pending_step &step)
@@ -270,16 +360,20 @@
     const bool isQuick = step.queue->has_admission()
         && expectedAdmissionDuration(step.queue->admission(), targetsPerRequest)
             <= maxQuickAdmissionTime;
-    if (!isQuick) {
+    if (!isQuick || !mayRequest(pass.calls, step.rank, step.queue->admission())) {
         return;
     }
     auto &admission = pass.state.admissions[step.name];
     if (!admission.requestedTargets.empty() || admission.pendingRequests > 0) {
         return;
     }
-    const auto &service = serviceOf(pass, step.queue->service());
-    requestAdmissionFor(pass, step, ticket_request::First,
-                        targetsToRequest(pass, step, service, admission, ticket_request::First));
+    auto &service = serviceOf(pass, step.queue->service());
+    const auto purpose = call_purpose::First;
+    const auto waiting = static_cast<std::size_t>(step.spec->count());
+    const auto maxTargets =
+        maxTargetsOf(pass, step, fittingTasksOf(step, service), waiting, purpose);
+    requestAdmissionFor(pass, step, purpose,
+                        targetsToRequest(pass, step, service, admission, purpose, maxTargets));
 }
 
 } // namespace filbert
--- a/modules/filbert_dispatch/ticket_requests.h
+++ b/modules/filbert_dispatch/ticket_requests.h
@@ -4,8 +4,20 @@
 
 namespace filbert {
 
-/** Requests tickets for a step that could not be placed, if its queue has a policy. */
-void requestTickets(placement_pass &pass, const pending_step &step, const service_view &service);
+/** Claims capacity for the waiting tasks of a step that could not be placed. If its queue has a
+    policy, it requests tickets for what the steps before it leave free, or for what is released
+    before such tickets expire. A step whose turn is later makes no request and claims nothing.
+    @param waiting  number of its tasks that wait */
+void claimOrRequestTickets(placement_pass &pass, const pending_step &step, service_view &service,
+                           std::size_t waiting);
+
+/** Whether a request under a policy may still be made in this pass.
+    @param rank  of the step */
+bool mayRequest(const call_budget &calls, int rank, const messages::admission_policy &policy);
+
+/** Whether a step has tickets that can be used for a start now. */
+bool hasUsableTickets(const placement_pass &pass, const admission_view &view,
+                      const messages::admission_policy &policy);
 
 /** Requests tickets for a step that will soon be pending, if its policy decides quickly. */
 void prefetchTickets(placement_pass &pass, const pending_step &step);
