Gangs: targets are reserved for all members together, until they can start

A reservation is planned by the expected ends of runs, stated in the log, bounded in what it leaves idle, and ends. Work of lower priority that ends before the gang can start, or that fits beside it, uses the reserved targets. The tickets for these are requested in one call when the start is near.

--- a/modules/filbert_dispatch/dispatch_state.h
+++ b/modules/filbert_dispatch/dispatch_state.h
@@ -392,6 +392,31 @@
     time_point updatedAt;
 };
 
+/** Targets that are kept free for a gang until all its members can start. */
+struct gang_reservation
+{
+    std::string service;
+    std::map<std::string, std::size_t> members; // by target
+    resource_amounts need; // of a member
+    int rank = 0; // work of this rank or a higher one waits
+    bool isLate = false; // the gang is late; only one such at a time has a reservation
+    time_point madeAt;
+    time_point updatedAt;
+    time_point plannedStartAt; // as expected when it was made
+    time_point expectedStartAt; // as expected now
+    time_point endsAt; // at the latest
+    // What was left idle on these targets, in milli-cores x ms, and the bound on it.
+    std::int64_t idleCoreMs = 0;
+    std::int64_t maxIdleCoreMs = 0;
+};
+
+/** What is remembered of the reservations of a gang that waits. */
+struct gang_plan_attempt
+{
+    time_point nextAt;
+    std::int64_t idleCoreMs = 0; // left idle by its earlier reservations
+};
+
 /** What the leader has done since its term began. */
 struct dispatch_totals
 {
@@ -412,6 +437,8 @@
     // Summed over reviews: time that callers were idle, and such while a request waited.
     std::uint64_t idleCallerMs = 0;
     std::uint64_t needlesslyIdleCallerMs = 0;
+    std::uint64_t gangReservations = 0;
+    std::uint64_t gangIdleCoreMs = 0; // left idle by those that have ended, in cores x ms
     std::uint64_t rankedTargets = 0; // targets considered for such a request
     std::uint64_t starts = 0; // orders, with repetitions
     std::uint64_t stops = 0;
@@ -437,6 +464,8 @@
     std::map<std::string, admission_caller> callers; // those heard from recently, by name
     std::map<std::string, resource_amounts> teamReserved;
     std::map<task_name, reserved_ticket> reservedTickets; // of proposed starts
+    std::map<task_name, gang_reservation> gangReservations; // by step
+    std::map<task_name, gang_plan_attempt> gangPlans; // by step, of gangs that wait
     std::map<task_name, std::string> abandonments; // proposed ones: target by task
     std::map<task_name, std::string> suspectStarts; // target by task, see crash_suspects.h
     std::set<std::pair<std::string, std::uint32_t>> proposedOccurrences; // (job, occurrence)
--- a/modules/filbert_dispatch/placement_pass.cpp
+++ b/modules/filbert_dispatch/placement_pass.cpp
@@ -1,6 +1,7 @@
 #include "placement_pass.h"
 
 #include "crash_suspects.h"
+#include "gang_reservations.h"
 #include "target_tracking.h"
 
 #include <algorithm>
@@ -12,6 +13,9 @@
 // The fraction of its cores that a best-effort task must find unused.
 constexpr double minUnusedCoreFraction = 0.6;
 
+// From a placement to the start of the task, and from its end until the leader knows of it.
+constexpr milliseconds backfillMargin {200};
+
 // Terms of fitCost(). Their unit is an accelerator left idle, which packing is to avoid.
 
 // A task that is far from its data takes 1.5 times as long, which is more than any packing gains.
@@ -88,6 +92,27 @@
     return count;
 }
 
+/** Whether a task of a step that starts now ends before the gang starts that a target is reserved
+    for. */
+bool endsBeforeGang(const pending_step &step, const placement_candidate &candidate)
+{
+    return !step.spec->lasts()
+        && milliseconds {step.spec->estimate_ms()} + backfillMargin <= candidate.reservedIn;
+}
+
+/** Whether the reservations of a target let work of a step start there. */
+bool isOpenTo(const pending_step &step, const placement_candidate &candidate)
+{
+    if (candidate.reservedFor.job.empty()) {
+        return candidate.reservedRank >= step.rank;
+    }
+    const bool goesFirst = step.rank < candidate.reservedRank;
+    if (goesFirst || candidate.reservedFor == step.name) {
+        return true;
+    }
+    return endsBeforeGang(step, candidate) || fits(step.need, candidate.spare);
+}
+
 } // namespace
 
 bool fits(const resource_amounts &need, const resource_amounts &free)
@@ -138,6 +163,7 @@
         }
     }
     findTrials(pass, view);
+    applyReservations(pass, view, service);
     return view;
 }
 
@@ -192,8 +218,8 @@
 
 bool isEligible(const pending_step &step, const placement_candidate &candidate)
 {
-    return candidate.isAvailable && candidate.reservedRank >= step.rank
-        && fits(step.need, candidate.capacity) && hasLabel(candidate, step.spec->required_label())
+    return candidate.isAvailable && isOpenTo(step, candidate) && fits(step.need, candidate.capacity)
+        && hasLabel(candidate, step.spec->required_label())
         && remainingTasksAllowed(step, candidate) > 0;
 }
 
@@ -201,8 +227,8 @@
                     const service_view &service, const placement_candidate &candidate)
 {
     // What holds for all kinds of steps comes before the branches for some of them.
-    if (!fits(step.need, candidate.free) || !mayBeTried(step, service, candidate)
-        || remainingTasksAllowed(step, candidate) == 0) {
+    if (!fits(step.need, candidate.free) || !isOpenTo(step, candidate)
+        || !mayBeTried(step, service, candidate) || remainingTasksAllowed(step, candidate) == 0) {
         return false;
     }
     const auto &spec = *step.spec;
@@ -295,6 +321,13 @@
         releaseStart(pass.state, task);
         candidate.free += step.need;
     }
+    const bool isBesideGang = !candidate.reservedFor.job.empty()
+        && candidate.reservedFor != step.name && !endsBeforeGang(step, candidate);
+    if (isBesideGang && sign > 0) {
+        candidate.spare -= step.need;
+    } else if (isBesideGang) {
+        candidate.spare += step.need;
+    }
     candidate.unusedCores -= sign * cores;
     service.freeCores -= sign * cores;
     service.freeAccelerators -= sign * step.need.accelerators;
--- a/modules/filbert_dispatch/placement_pass.h
+++ b/modules/filbert_dispatch/placement_pass.h
@@ -44,6 +44,11 @@
     // The job of the suspected tasks that are being tried there; it takes no other work then.
     std::string trialJob;
     int reservedRank = noReservation; // work with a higher rank is not placed here
+    // The gang that it is reserved for: other work of the same rank is not placed here either,
+    // unless it ends before the gang can start or is content with what the gang leaves.
+    task_name reservedFor; // empty job = none
+    milliseconds reservedIn; // until that start
+    resource_amounts spare; // free then beside the gang
 };
 
 /** The targets of one service, as a placement pass sees them. */
@@ -68,6 +73,7 @@
     std::size_t mismatchedSteps = 0; // steps with tickets, but not for the free capacity
     capacity_claims claims;
     std::size_t reservedCandidates = 0;
+    std::size_t gangPlans = 0; // attempts in this pass to reserve targets for a gang
     std::set<std::string> trialJobs; // jobs with a suspected task that is being tried
     int urgentPriority = std::numeric_limits<int>::max(); // of its most urgent queue; 0 is highest
 };
--- a/modules/filbert_dispatch/preemption.cpp
+++ b/modules/filbert_dispatch/preemption.cpp
@@ -94,7 +94,9 @@
     const auto *view = admissionOf(pass, step);
     std::vector<preemption_plan> plans;
     for (auto &candidate : service.candidates) {
-        if (candidate.reservedRank != noReservation || !isEligible(step, candidate)
+        const bool isReservedForOther =
+            candidate.reservedRank != noReservation && candidate.reservedFor != step.name;
+        if (isReservedForOther || !isEligible(step, candidate)
             || !isAdmitted(step, view, candidate)) {
             continue;
         }
--- a/modules/filbert_dispatch/scheduling.cpp
+++ b/modules/filbert_dispatch/scheduling.cpp
@@ -2,6 +2,7 @@
 
 #include "admission_requests.h"
 #include "crash_suspects.h"
+#include "gang_reservations.h"
 #include "placement_pass.h"
 #include "preemption.h"
 #include "step_order.h"
@@ -278,7 +279,9 @@
         countUnplaced(pass, step, service);
         const bool isLate = step.rank >= lateRankOffset;
         if (isLate || !preemptFor(pass, step, service, record.tasks.size())) {
-            reserveCandidates(pass, step, service, record.tasks.size());
+            reserveForGang(pass, step, service, record.tasks.size());
+        } else {
+            endReservation(pass.state, step.name, "its capacity is preempted", pass.now);
         }
         claimOrRequestTickets(pass, step, service, record.tasks.size());
         return;
@@ -292,6 +295,8 @@
     for (const auto &[task, candidate] : plan) {
         proposeStart(pass, step, *candidate, task, run, checkpoint);
     }
+    endReservation(pass.state, step.name, "the gang starts", pass.now);
+    pass.state.gangPlans.erase(step.name);
 }
 
 /** Whether it is a step's turn in this pass: in one of passesPerRetry passes or, if many steps are
@@ -375,10 +380,11 @@
         const auto &queue = queueOf(pass.queues, job);
         auto &service = serviceOf(pass, queue.service());
         const task_name name {*key.job, key.occurrence, key.step, 0};
+        const auto &spec = stepSpecOf(job, key.step);
         const bool isSkipped = isServiceBusy(service)
-            ? !isTriedInThisPass(state, name, stepSpecOf(job, key.step), service, keys.size())
+            ? !isTriedInThisPass(state, name, spec, service, keys.size())
             : isIdleInPass(pass, name, key.rank, queue);
-        if (!isSkipped) {
+        if (!isSkipped || (spec.is_gang() && isGangDue(state, name, now))) {
             placeStep(pass, key, place, service);
         }
     }
--- a/modules/filbert_dispatch/ticket_requests.cpp
+++ b/modules/filbert_dispatch/ticket_requests.cpp
@@ -1,6 +1,7 @@
 #include "ticket_requests.h"
 
 #include "admission_requests.h"
+#include "gang_reservations.h"
 
 #include <algorithm>
 #include <functional>
@@ -32,6 +33,7 @@
 // A policy admits a third of the targets or more. So many steps make slow calls for one free place,
 // which would stay free for another call if a single one is not admitted.
 constexpr std::int64_t slowCallsPerFreePlace = 3;
+constexpr milliseconds callLead {150}; // a pass, and the way of a call to its caller and back
 constexpr milliseconds requestDelay {100}; // between requests of a step for further tickets
 
 bool isCostly(const messages::work_queue &queue)
@@ -289,7 +291,9 @@
         isRequested = request(call_purpose::Renewal);
     } else {
         isRequested = request(call_purpose::Further);
-        if (!isRequested && isSlowPolicy(policy) && !hasUsableTickets(pass, view, policy)) {
+        // Those of a gang expire all at once: see requestGangTickets().
+        if (!isRequested && isSlowPolicy(policy) && !step.spec->is_gang()
+            && !hasUsableTickets(pass, view, policy)) {
             isRequested = request(call_purpose::Renewal);
         }
     }
@@ -297,6 +301,30 @@
     return isRequested;
 }
 
+/** Requests tickets for all targets that are reserved for a gang, in one call, so that they are
+    valid together when it is expected to start. */
+void requestGangTickets(placement_pass &pass, const pending_step &step,
+                        const gang_reservation &reservation, const admission_view &view)
+{
+    const auto &policy = step.queue->admission();
+    const auto startAt = std::max(reservation.expectedStartAt, pass.now);
+    const auto duration = expectedAdmissionDuration(policy, reservation.members.size());
+    if (startAt - pass.now > duration + callLead) {
+        return;
+    }
+    std::vector<std::string> targets;
+    bool areValid = true;
+    for (const auto &[target, members] : reservation.members) {
+        targets.push_back(target);
+        const auto ticket = view.tickets.find(target);
+        areValid = areValid && ticket != view.tickets.end()
+            && isTicketUsable(pass.state, ticket->second, policy, startAt + callLead);
+    }
+    if (!areValid) {
+        requestAdmissionFor(pass, step, call_purpose::Renewal, targets);
+    }
+}
+
 /** Whether a step may ask for tickets whatever the steps before it claim. Best-effort steps use
     capacity that no other step can have. Long-running steps are few, and would wait until the cell
     is no longer full. */
@@ -337,6 +365,16 @@
         return;
     }
     estimateRelease(pass, step, service);
+    if (step.spec->is_gang()) {
+        claims.releasing[step.need.accelerators > 0] -= scaledBy(step.need, waiting);
+        const auto *reservation = reservationOf(pass.state, step.name);
+        if (canRequest && reservation != nullptr) {
+            requestGangTickets(pass, step, *reservation, view);
+        } else if (canRequest) {
+            requestTickets(pass, step, service, view, waiting);
+        }
+        return;
+    }
     auto &fitting = fittingTasksOf(step, service);
     const resource_amounts free {service.freeCores, 0, service.freeAccelerators};
     const bool isSlow = isSlowPolicy(step.queue->admission());
