--- a/modules/filbert_dispatch/dispatch_state.h
+++ b/modules/filbert_dispatch/dispatch_state.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "cold_targets.h"
 #include "round_trip_estimate.h"
 
 #include "filbert_work/filbert_work.h"
@@ -184,11 +185,19 @@
     milliseconds quarantinePeriod;
     std::optional<time_point> leavingSince; // when it reported that it is about to end
     time_point drainDeadline; // when a draining target ends; 0 = not draining
+    cold_period cold;
     bool isRemovalProposed = false;
     bool isInventoryStale = true; // its runs and ended runs are not fully known
     time_point dueAt; // when it is ticked next, unless it changes before; see dueTargets
 };
 
+/** What an incarnation of a target that is not registered yet has reported about being slow. */
+struct announced_cold_period
+{
+    std::int64_t incarnation = 0;
+    cold_period cold;
+};
+
 /** What is known about the admission of a step: the targets on which the policy service lets it
     run, and the tickets for these. */
 struct admission_view
@@ -386,6 +395,7 @@
     std::map<std::string, tracked_target> targets; // by id
     // By service; derived from `targets` when a pass needs it, empty while they change.
     std::map<std::string, service_targets> targetsByService;
+    std::map<std::string, announced_cold_period> announcedColdPeriods; // by target, cold ones only
     std::uint64_t lastListVersion = 0; // of service_targets
     std::map<std::string, job_view> jobs; // by id; without ended ones
     std::set<std::string> repeatingJobs; // ids of those that begin occurrences at set times
--- a/modules/filbert_dispatch/filbert_dispatch.h
+++ b/modules/filbert_dispatch/filbert_dispatch.h
@@ -34,6 +34,8 @@
 */
 
 #include "admission_requests.h"
+#include "cold_reports.h"
+#include "cold_targets.h"
 #include "dispatch_state.h"
 #include "interference.h"
 #include "load_shedding.h"
--- a/modules/filbert_dispatch/placement_pass.cpp
+++ b/modules/filbert_dispatch/placement_pass.cpp
@@ -37,6 +37,8 @@
     candidate.free = candidate.capacity - registered->used - target->reservedResources;
     candidate.unusedCores =
         candidate.free.milliCores - registered->bestEffortCores - target->reservedBestEffortCores;
+    candidate.coldTimeLeft = coldTimeLeft(target->cold, pass.now);
+    candidate.usableFraction = usableFraction(target->cold, pass.now);
     return candidate;
 }
 
@@ -49,6 +51,7 @@
     view.byFreeCores.emplace_back(candidate.free.milliCores, view.candidates.size() - 1);
     ++view.availableCandidates;
     view.totalCores += candidate.capacity.milliCores;
+    view.coldCores += candidate.coldTimeLeft.count > 0 ? candidate.capacity.milliCores : 0;
     view.freeCores += std::max<std::int64_t>(candidate.unusedCores, 0);
     view.maxFreeCores = std::max(view.maxFreeCores, candidate.free.milliCores);
     view.maxFreeAccelerators = std::max(view.maxFreeAccelerators, candidate.free.accelerators);
@@ -74,6 +77,20 @@
     }
 }
 
+/** @return what placing a task of the step on a target costs because the target is cold */
+double coldCostOf(const pending_step &step, const placement_candidate &candidate)
+{
+    if (candidate.coldTimeLeft.count == 0) {
+        return 0;
+    }
+    cold_task task;
+    task.estimate = {step.spec->estimate_ms()};
+    task.isUrgent =
+        step.queue->priority() == 0 || step.slackMs < candidate.coldTimeLeft.count;
+    task.isSlowStartHarmless = step.spec->lasts() && step.spec->latency_target_ms() == 0;
+    return coldCost(task, candidate.coldTimeLeft);
+}
+
 /** @return how many tasks of the step a target has or gets, with those that it runs although the
     log does not have them there, and that have yet to be stopped */
 int countTasksOnTarget(const pending_step &step, const tracked_target &target)
@@ -196,6 +213,11 @@
         && remainingTasksAllowed(step, candidate) > 0;
 }
 
+bool isColdAmongWarm(const service_view &service, const placement_candidate &candidate)
+{
+    return candidate.coldTimeLeft.count > 0 && service.coldCores * 2 <= service.totalCores;
+}
+
 bool hasCapacityFor(const placement_pass &pass, const pending_step &step,
                     const service_view &service, const placement_candidate &candidate)
 {
@@ -204,6 +226,11 @@
         || remainingTasksAllowed(step, candidate) == 0) {
         return false;
     }
+    if (isColdAmongWarm(service, candidate)
+        && !isWithinColdLimit(candidate.capacity, candidate.free, step.need,
+                              candidate.usableFraction)) {
+        return false;
+    }
     const auto &spec = *step.spec;
     if (spec.fills_gaps()) {
         const auto neededCores =
@@ -245,6 +272,7 @@
     if (step.isSuspect) {
         cost += trialCost(pass, candidate);
     }
+    cost += coldCostOf(step, candidate);
     return cost;
 }
 
--- a/modules/filbert_dispatch/placement_pass.h
+++ b/modules/filbert_dispatch/placement_pass.h
@@ -41,6 +41,8 @@
     resource_amounts free; // neither used by runs nor reserved for starts
     std::int64_t unusedCores = 0; // those of the free cores that best-effort runs do not use either
     std::string_view rack; // points into the labels of the registration, which outlive the pass
+    milliseconds coldTimeLeft; // how long it will still be slow; 0 = it is warm
+    double usableFraction = 1.0; // of its capacity, while it is cold
     bool isAvailable = false; // whether it accepts work; if not, nothing is placed there
     // The job of the suspected tasks that are being tried there; it takes no other work then.
     std::string trialJob;
@@ -60,6 +62,7 @@
     std::int64_t maxFreeCores = 0;
     std::int64_t maxFreeAccelerators = 0;
     std::int64_t totalCores = 0;
+    std::int64_t coldCores = 0; // those of totalCores that belong to cold targets
     std::int64_t freeCores = 0;
     // byFreeCores as a heap, in which entries are corrected when they come to the top; see
     // fitsAnywhere(). Empty until it is needed.
@@ -106,8 +109,12 @@
     reservations and tasks per target, not by policy. */
 bool isEligible(const pending_step &step, const placement_candidate &candidate);
 
+/** Whether a target is cold while most of its service's capacity is warm. It takes less work then,
+    and none waits for it. */
+bool isColdAmongWarm(const service_view &service, const placement_candidate &candidate);
+
 /** Whether a target has free capacity for a task of the step now, also under the rules for
-    best-effort and latency-sensitive tasks, tasks per target and urgent headroom. */
+    best-effort and latency-sensitive tasks, tasks per target, cold targets and urgent headroom. */
 bool hasCapacityFor(const placement_pass &pass, const pending_step &step,
                     const service_view &service, const placement_candidate &candidate);
 
--- a/modules/filbert_dispatch/scheduling.cpp
+++ b/modules/filbert_dispatch/scheduling.cpp
@@ -132,7 +132,8 @@
     std::vector<std::pair<double, std::size_t>> ranked;
     const auto consider = [&](std::size_t index) {
         const auto &candidate = service.candidates[index];
-        if (candidate.reservedRank == noReservation && isEligible(step, candidate)) {
+        if (candidate.reservedRank == noReservation && isEligible(step, candidate)
+            && !isColdAmongWarm(service, candidate)) {
             ranked.emplace_back(-static_cast<double>(candidate.free.accelerators)
                                         * acceleratorWeight
                                     - static_cast<double>(candidate.free.milliCores),
--- a/modules/filbert_dispatch/target_tracking.cpp
+++ b/modules/filbert_dispatch/target_tracking.cpp
@@ -1,5 +1,6 @@
 #include "target_tracking.h"
 
+#include "cold_reports.h"
 #include "crash_suspects.h"
 #include "start_checks.h"
 #include "target_orders.h"
@@ -239,6 +240,7 @@
     target.incarnation = registered.registration.born();
     target.lastContactAt = now;
     target.registeredAt = now;
+    takeAnnouncedColdPeriod(state, target, now);
     target.otherLeasesExpireBy = state.leadingSince
         + withClockRateMargin(std::min(state.settings.targetLease, state.settings.maxTargetLease))
         + leaseMargin;
@@ -439,6 +441,7 @@
         }
         target.lastContactAt = now;
         updateClockFromReport(target, report.clock_ms(), now);
+        updateColdPeriod(target.cold, {report.cold_ms()}, now);
         if (!report.is_draining() && !target.isRemovalProposed) {
             target.leavingSince.reset(); // the sign-off came from a previous incarnation
         }
@@ -458,6 +461,7 @@
     }
     if (!isSameIncarnation) {
         proposeCrashes(state, report);
+        announceColdPeriod(state, report, now);
     }
     messages::work_command command;
     *command.mutable_target() = comparable;
--- a/modules/filbert_node/evacuation_requests.cpp
+++ b/modules/filbert_node/evacuation_requests.cpp
@@ -8,9 +8,8 @@
     known_domains known;
     known.configured = settings.failureDomains;
     for (const auto &member : log.state().membership.members()) {
-        const auto found = controllerDomains.find(member.name());
-        if (found != controllerDomains.end() && !found->second.empty()) {
-            known.ofControllers.insert(found->second);
+        if (const auto domain = domainOfController(member.name()); !domain.empty()) {
+            known.ofControllers.insert(domain);
         }
     }
     return known;
--- a/modules/filbert_node/work_controller.cpp
+++ b/modules/filbert_node/work_controller.cpp
@@ -476,6 +476,13 @@
     }
 }
 
+/** @return the failure domain of a controller, by its hellos; empty if none is known */
+std::string work_controller::domainOfController(const std::string &name) const
+{
+    const auto found = controllerDomains.find(name);
+    return found == controllerDomains.end() ? std::string {} : found->second;
+}
+
 int work_controller::countVoters() const
 {
     const auto &members = log.state().membership.members();
@@ -495,6 +502,13 @@
     for (const auto &member : view.membership->members()) {
         view.lastContactAt[member.identity()] = log.lastContactWith(member.identity());
     }
+    for (const auto &member : view.membership->members()) {
+        view.failureDomains[member.identity()] = domainOfController(member.name());
+    }
+    for (const auto &[identity, join] : pendingJoins) {
+        view.failureDomains[identity] = domainOfController(join.member.name());
+    }
+    log.setPromotionOrder(promotionOrder(view, settings.membership, now));
     const auto change = nextMembershipChange(view, settings.membership, now);
     if (!change) {
         return;
@@ -534,6 +548,7 @@
         areOrdersHeld = false;
     }
     if (view.role != replica_role::Leader) {
+        log.setPromotionOrder({}); // until this controller leads and knows which others work
         rejectPendingRequests();
         return;
     }
--- a/modules/filbert_node/work_controller.h
+++ b/modules/filbert_node/work_controller.h
@@ -121,6 +121,7 @@
     void handleEvacuation(const answer_address &from, const evacuation_order &order);
     void logEvacuation(const evacuation_order &order);
     known_domains knownDomains() const;
+    std::string domainOfController(const std::string &name) const;
     void handleHello(const std::string &peer, const messages::peer_hello &hello, time_point now);
     void sendWelcome(const std::string &peer, time_point now);
     void forgetSilentPeers(time_point now);
--- a/modules/filbert_node/work_metrics.cpp
+++ b/modules/filbert_node/work_metrics.cpp
@@ -72,7 +72,8 @@
     , state {prometheus::BuildGauge()
                  .Name("filbert_work_state")
                  .Help("Leading (0 or 1), last index applied, members, jobs that are known, "
-                       "evacuated failure domains and the runs that go on there")
+                       "evacuated failure domains and the runs that go on there, cold "
+                       "targets")
                  .Register(*registry)}
     , activitySeconds {prometheus::BuildGauge()
                            .Name("filbert_work_activity_seconds")
@@ -130,6 +131,11 @@
     state.Add({{"of", "runs_in_evacuated_domains"}}).Set(static_cast<double>(runs));
 }
 
+void work_metrics::setColdTargets(std::size_t count)
+{
+    state.Add({{"of", "cold_targets"}}).Set(static_cast<double>(count));
+}
+
 std::string work_metrics::text() const
 {
     const auto totals = activityTimes.totals();
--- a/modules/filbert_node/work_metrics.h
+++ b/modules/filbert_node/work_metrics.h
@@ -54,6 +54,9 @@
         @param runs     runs that go on there */
     void setEvacuation(std::size_t domains, std::size_t runs);
 
+    /** Sets the gauge of the targets that are still slow after a start; 0 on followers. */
+    void setColdTargets(std::size_t count);
+
     /** @return the times that the controller's loop spends on each activity; they are among the
         metrics */
     activity_times &activities() { return activityTimes; }
--- a/modules/filbert_replication/log_member.h
+++ b/modules/filbert_replication/log_member.h
@@ -83,6 +83,13 @@
     std::error_code proposeMembershipChange(bool add, const messages::member &member,
                                             time_point now);
 
+    /** Sets which learners may be promoted while this member leads, the preferred ones first.
+        Without this call, all are promoted when they have caught up. */
+    void setPromotionOrder(std::vector<std::string> identities)
+    {
+        log.promotionOrder = std::move(identities);
+    }
+
     /** Transfers leadership to another member, as before a planned stop. */
     void transferLeadership(time_point now);
 
--- a/modules/filbert_replication/membership_policy.cpp
+++ b/modules/filbert_replication/membership_policy.cpp
@@ -50,6 +50,111 @@
     return now - silentSince >= settings.silenceTimeout;
 }
 
+std::string domainOf(const membership_view &view, const std::string &identity)
+{
+    const auto found = view.failureDomains.find(identity);
+    return found == view.failureDomains.end() ? std::string {} : found->second;
+}
+
+/** Whether a member works as far as the leader knows. */
+bool isLive(const membership_view &view, const messages::member &member,
+            const membership_settings &settings, time_point now)
+{
+    return member.identity() == view.self
+        || (!isSilent(view, member.identity(), settings, now)
+            && !isReplaced(view, member, settings, now));
+}
+
+/** @return the domains of the voters that work */
+std::vector<std::string> liveVoterDomains(const membership_view &view,
+                                          const membership_settings &settings, time_point now)
+{
+    std::vector<std::string> domains;
+    for (const auto &member : view.membership->members()) {
+        if (!member.learner() && isLive(view, member, settings, now)) {
+            domains.push_back(domainOf(view, member.identity()));
+        }
+    }
+    return domains;
+}
+
+/** @return how many of these domains are the given one; 0 if it is unknown */
+std::ptrdiff_t countIn(const std::vector<std::string> &domains, const std::string &domain)
+{
+    return domain.empty() ? 0 : std::count(domains.begin(), domains.end(), domain);
+}
+
+/** @return the domains of all members that work, learners too */
+std::vector<std::string> liveMemberDomains(const membership_view &view,
+                                           const membership_settings &settings, time_point now)
+{
+    std::vector<std::string> domains;
+    for (const auto &member : view.membership->members()) {
+        if (isLive(view, member, settings, now)) {
+            domains.push_back(domainOf(view, member.identity()));
+        }
+    }
+    return domains;
+}
+
+/** @return the process to add, or nullptr if none requests to join */
+const messages::member *nextToJoin(const membership_view &view,
+                                   const membership_settings &settings, time_point now)
+{
+    const auto domains = liveMemberDomains(view, settings, now);
+    const messages::member *best = nullptr;
+    std::ptrdiff_t bestCount = 0;
+    for (const auto &pendingJoin : view.pendingJoins) {
+        const auto &member = pendingJoin.member;
+        if (findMember(*view.membership, member.identity()) != nullptr
+            || !isRequestCurrent(pendingJoin, settings, now)) {
+            continue;
+        }
+        const auto count = countIn(domains, domainOf(view, member.identity()));
+        if (best == nullptr || count < bestCount) {
+            best = &member;
+            bestCount = count;
+        }
+    }
+    return best;
+}
+
+/** @return the voter other than the leader, among those for which a condition holds, whose domain
+    has the most voters; nullptr if it holds for none */
+template <typename Condition>
+const messages::member *mostCrowdedVoter(const membership_view &view, Condition &&condition)
+{
+    std::vector<std::string> domains;
+    for (const auto &member : view.membership->members()) {
+        if (!member.learner()) {
+            domains.push_back(domainOf(view, member.identity()));
+        }
+    }
+    const messages::member *best = nullptr;
+    std::ptrdiff_t bestCount = 0;
+    for (const auto &member : view.membership->members()) {
+        if (member.identity() == view.self || member.learner() || !condition(member)) {
+            continue;
+        }
+        const auto count = countIn(domains, domainOf(view, member.identity()));
+        if (best == nullptr || count > bestCount) {
+            best = &member;
+            bestCount = count;
+        }
+    }
+    return best;
+}
+
+/** @return whether the voters survive the loss of a domain together with these learners */
+bool survivesWith(const membership_view &view, std::vector<std::string> voterDomains,
+                  const std::vector<std::string> &learners)
+{
+    for (const auto &identity : learners) {
+        voterDomains.push_back(domainOf(view, identity));
+    }
+    return survivesDomainLoss(voterDomains);
+}
+
 } // namespace
 
 int desiredVoterCount(const membership_settings &settings)
@@ -68,34 +173,62 @@
             return membership_change {false, member, "the learner is silent"};
         }
     }
-    for (const auto &pendingJoin : view.pendingJoins) {
-        const bool isKnown = findMember(*view.membership, pendingJoin.member.identity()) != nullptr;
-        if (!isKnown && isRequestCurrent(pendingJoin, settings, now)) {
-            return membership_change {true, pendingJoin.member, "the process requested to join"};
-        }
+    if (const auto *joining = nextToJoin(view, settings, now)) {
+        return membership_change {true, *joining, "the process requested to join"};
     }
     if (countVoters(*view.membership) <= desiredVoterCount(settings)) {
         return std::nullopt;
     }
-    for (const auto &member : members) {
-        if (member.identity() == view.self || member.learner()) {
-            continue;
-        }
-        if (isReplaced(view, member, settings, now)) {
-            return membership_change {false, member,
-                                      "another process uses the address of the member"};
-        }
+    const auto *replaced = mostCrowdedVoter(view, [&](const messages::member &member) {
+        return isReplaced(view, member, settings, now);
+    });
+    if (replaced != nullptr) {
+        return membership_change {false, *replaced,
+                                  "another process uses the address of the member"};
     }
-    for (const auto &member : members) {
-        if (member.identity() != view.self && !member.learner()
-            && isSilent(view, member.identity(), settings, now)) {
-            return membership_change {false, member,
-                                      "the member is silent and there are enough other voters"};
-        }
+    const auto *silent = mostCrowdedVoter(view, [&](const messages::member &member) {
+        return isSilent(view, member.identity(), settings, now);
+    });
+    if (silent != nullptr) {
+        return membership_change {false, *silent,
+                                  "the member is silent and there are enough other voters"};
     }
     return std::nullopt;
 }
 
+bool survivesDomainLoss(const std::vector<std::string> &domains)
+{
+    const auto voters = static_cast<std::ptrdiff_t>(domains.size());
+    const auto majority = voters / 2 + 1;
+    return voters > 1 && std::all_of(domains.begin(), domains.end(), [&](const auto &domain) {
+               return voters - std::max<std::ptrdiff_t>(countIn(domains, domain), 1) >= majority;
+           });
+}
+
+std::vector<std::string> promotionOrder(const membership_view &view,
+                                        const membership_settings &settings, time_point now)
+{
+    const auto voterDomains = liveVoterDomains(view, settings, now);
+    std::vector<std::string> learners;
+    for (const auto &member : view.membership->members()) {
+        if (member.learner()) {
+            learners.push_back(member.identity());
+        }
+    }
+    std::stable_sort(learners.begin(), learners.end(), [&](const auto &a, const auto &b) {
+        return countIn(voterDomains, domainOf(view, a)) < countIn(voterDomains, domainOf(view, b));
+    });
+    const bool hasEnoughVoters =
+        static_cast<int>(voterDomains.size()) >= desiredVoterCount(settings);
+    if (!hasEnoughVoters || !survivesDomainLoss(voterDomains)) {
+        return learners;
+    }
+    while (!learners.empty() && !survivesWith(view, voterDomains, learners)) {
+        learners.pop_back(); // from the domain with the most voters
+    }
+    return learners;
+}
+
 bool isBootstrapMember(const std::vector<std::string> &seeds, const std::string &own)
 {
     return !seeds.empty() && *std::min_element(seeds.begin(), seeds.end()) == own;
--- a/modules/filbert_replication/membership_policy.h
+++ b/modules/filbert_replication/membership_policy.h
@@ -34,6 +34,7 @@
     std::vector<pending_join> pendingJoins;
     std::map<std::string, time_point> lastContactAt; // by identity; missing = none in this term
     time_point leadingSince;
+    std::map<std::string, std::string> failureDomains; // by identity; missing or empty = unknown
 };
 
 /** A change that the leader should make to the membership now. */
@@ -55,12 +56,34 @@
     removed only once there are more voters than desired, so that a quorum never depends on fewer
     disks than before.
 
+    Where there is a choice, failure domains decide: of several processes that request to join, one
+    from the domain with the fewest members is added first, and of several voters that can be
+    removed, one from the domain with the most voters is removed first.
+
     @return the change, or nothing if none is needed
 */
 std::optional<membership_change> nextMembershipChange(const membership_view &view,
                                                       const membership_settings &settings,
                                                       time_point now);
 
+/** Decides which learners may become voters, the preferred ones first.
+
+    While voters are missing, all learners may, those from domains with few voters first. With
+    enough voters, spare learners are held back if the loss of one failure domain would stop the log
+    with them as voters, but not without them.
+
+    @return identities
+*/
+std::vector<std::string> promotionOrder(const membership_view &view,
+                                        const membership_settings &settings, time_point now);
+
+/** Whether a majority of voters remains after the loss of any one failure domain.
+
+    @param domains  the domain of each voter; an unknown one, which is empty, counts as one of its
+                    own
+*/
+bool survivesDomainLoss(const std::vector<std::string> &domains);
+
 /** Whether this process is the one that bootstraps the log. All processes with the same
     seeds choose the same one.
 
--- a/modules/filbert_replication/replicated_log.cpp
+++ b/modules/filbert_replication/replicated_log.cpp
@@ -16,26 +16,48 @@
 // is known to have lost entries: there is no earlier entry to go back to.
 constexpr int lostEntriesThreshold = 3;
 
+bool hasCaughtUp(const replicated_log_state &state, const messages::member &member)
+{
+    const auto progress = state.followerProgress.find(member.identity());
+    return progress != state.followerProgress.end() && progress->second.matchIndex != 0
+        && progress->second.matchIndex + learnerCatchUpEntries >= lastIndex(state);
+}
+
+/** @return the place of a learner among those that may be promoted, or nothing if it may not be */
+std::optional<std::size_t> promotionRank(const replicated_log_state &state,
+                                         const messages::member &member)
+{
+    if (!state.promotionOrder) {
+        return 0;
+    }
+    const auto &order = *state.promotionOrder;
+    const auto found = std::find(order.begin(), order.end(), member.identity());
+    return found == order.end()
+        ? std::nullopt
+        : std::optional {static_cast<std::size_t>(found - order.begin())};
+}
+
 void promoteCaughtUpLearner(replicated_log_state &state, time_point now,
                             replication_effects *effects)
 {
     if (state.membershipIndex > state.commitIndex || !isReadyLeader(state)) {
         return;
     }
+    std::optional<std::pair<std::size_t, int>> best; // rank, index of the member
     for (int i = 0; i < state.membership.members_size(); ++i) {
         const auto &member = state.membership.members(i);
-        const auto progress = state.followerProgress.find(member.identity());
-        if (!member.learner() || progress == state.followerProgress.end()
-            || progress->second.matchIndex + learnerCatchUpEntries < lastIndex(state)
-            || progress->second.matchIndex == 0) {
-            continue;
+        const auto rank = member.learner() ? promotionRank(state, member) : std::nullopt;
+        if (rank && hasCaughtUp(state, member) && (!best || *rank < best->first)) {
+            best = {*rank, i};
         }
-        auto newMembership = state.membership;
-        newMembership.mutable_members(i)->set_learner(false);
-        appendAsLeader(state, messages::MEMBERSHIP, newMembership.SerializeAsString(), effects);
-        replicate(state, now, effects);
+    }
+    if (!best) {
         return;
     }
+    auto newMembership = state.membership;
+    newMembership.mutable_members(best->second)->set_learner(false);
+    appendAsLeader(state, messages::MEMBERSHIP, newMembership.SerializeAsString(), effects);
+    replicate(state, now, effects);
 }
 
 /** @return the highest value that a majority of the voters has reached; 0 if there are no voters
--- a/modules/filbert_replication/replicated_log.h
+++ b/modules/filbert_replication/replicated_log.h
@@ -71,6 +71,9 @@
 
     messages::membership membership; // the newest in the log, in force as soon as it is appended
     std::uint64_t membershipIndex = 0; // index of the entry with this membership
+    // As a leader: the learners that may be promoted, the first one that has caught up. Without a
+    // value, all may be.
+    std::optional<std::vector<std::string>> promotionOrder;
 
     std::map<std::string, bool> votes; // received as a candidate
     std::map<std::string, follower_progress> followerProgress; // as a leader, by identity
