--- a/modules/filbert_replication/membership_policy.cpp
+++ b/modules/filbert_replication/membership_policy.cpp
@@ -145,6 +145,28 @@
     return best;
 }
 
+/** @return a voter without which the others survive the loss of any domain, which they do not with
+    it; nullptr if there is none, or if a learner may still become a voter and change that */
+const messages::member *crowdingVoter(const membership_view &view,
+                                      const membership_settings &settings, time_point now)
+{
+    auto domains = liveVoterDomains(view, settings, now);
+    if (survivesDomainLoss(domains) || !promotionOrder(view, settings, now).empty()) {
+        return nullptr;
+    }
+    const auto *voter = mostCrowdedVoter(view, [&](const messages::member &member) {
+        return isLive(view, member, settings, now);
+    });
+    const auto found = voter == nullptr
+        ? domains.end()
+        : std::find(domains.begin(), domains.end(), domainOf(view, voter->identity()));
+    if (found == domains.end()) {
+        return nullptr;
+    }
+    domains.erase(found);
+    return survivesDomainLoss(domains) ? voter : nullptr;
+}
+
 /** @return whether the voters survive the loss of a domain together with these learners */
 bool survivesWith(const membership_view &view, std::vector<std::string> voterDomains,
                   const std::vector<std::string> &learners)
@@ -193,6 +215,11 @@
         return membership_change {false, *silent,
                                   "the member is silent and there are enough other voters"};
     }
+    if (const auto *crowding = crowdingVoter(view, settings, now)) {
+        return membership_change {false, *crowding,
+                                  "its failure domain has so many voters that its loss would stop "
+                                  "the log"};
+    }
     return std::nullopt;
 }
 
--- a/modules/filbert_replication/membership_policy.h
+++ b/modules/filbert_replication/membership_policy.h
@@ -58,7 +58,9 @@
 
     Where there is a choice, failure domains decide: of several processes that request to join, one
     from the domain with the fewest members is added first, and of several voters that can be
-    removed, one from the domain with the most voters is removed first.
+    removed, one from the domain with the most voters is removed first. With more voters than
+    desired, one that works is removed if only without it the others survive the loss of any domain.
+    It joins again as a learner.
 
     @return the change, or nothing if none is needed
 */
