--- a/tests/odd_entries.sh
+++ b/tests/odd_entries.sh
@@ -17,7 +17,7 @@
 start_platform_controller() { # NUMBER FIRST-START
     start "c$1" "$bin/filbert-platform-controller" --name="c$1" --ip="$net.20$1" --control="$net.20$1:$control_port" \
         --data_folder="$work/data-$1" --first_start="$2" --seeds="$seeds" --message_port="$message_port" \
-        --closed_network=true --failure_domain=a --fault_tolerance=1
+        --closed_network=true --failure_domain=a --failure_domains=a,b --fault_tolerance=1
 }
 
 wrong() {
@@ -103,6 +103,14 @@
     return 1
 }
 
+evacuate() { # METHOD DOMAIN STATUS: whether some controller answers the call with this status
+    local control
+    for control in "${controls[@]}"; do
+        [ "$(status -X "$1" "http://$control/v1/evacuation/$2")" = "$3" ] && return
+    done
+    return 1
+}
+
 submit() { # ID: whether the entry host accepts a job
     [ "$(status -H 'Host: cell.example' -H 'Authorization: Bearer key-1' \
         --data '{"spec":"x","phases":[{"count":1,"cpu":100,"memMb":10,"estimateMs":100}]}' "http://$front/quotes/$1")" = 200 ]
@@ -164,6 +172,13 @@
     expect "no id" 400 -X PUT --data-binary @"$work/report" "$url/instances/"
     expect "a long id" 400 -X PUT --data-binary @"$work/report" "$url/instances/$(head -c 900 /dev/zero | tr '\0' 'i')"
     expect "a leaving target whose id is not UTF-8" 400 -X DELETE "$url/instances/i-%c3%28"
+    for method in POST DELETE; do
+        expect "$method of the evacuation of a domain that is not UTF-8" 400 -X $method "$url/evacuation/%ff%fe"
+        expect "$method of the evacuation of a domain with a control character" 400 -X $method "$url/evacuation/a%7f"
+        expect "$method of the evacuation of no domain" 400 -X $method "$url/evacuation/"
+        expect "$method of the evacuation of a long domain" 400 -X $method "$url/evacuation/$(head -c 900 /dev/zero | tr '\0' 'd')"
+    done
+    expect "another method for an evacuation" 405 -X PUT --data x "$url/evacuation/a"
     printf '{"service":"\xff\xfe"}' >"$work/odd"
     expect "a report that is not UTF-8" 400 -X PUT --data-binary @"$work/odd" "$url/instances/i-odd"
     expect "a configuration that is not UTF-8" 400 -X PUT --data-binary @"$work/odd" "$url/config"
@@ -191,6 +206,11 @@
     status "${host[@]}" "${key[@]}" --data-binary @"$work/odd" "http://$front/quotes/00000000000000ac" >/dev/null
 done
 target_number=210
+for method in POST DELETE; do
+    eventually 30 evacuate $method c 404 || wrong "$method of the evacuation of an unknown domain is not answered with 404"
+    eventually 30 evacuate $method b 200 || wrong "$method of an evacuation is not acknowledged"
+    eventually 30 evacuate $method b 200 || wrong "$method of a repeated evacuation is not acknowledged"
+done
 expect_service "after the odd entries" 3
 
 for n in 1 2 3; do kill_hard "c$n"; done
