--- a/modules/filbert_dispatch/cold_targets.cpp
+++ b/modules/filbert_dispatch/cold_targets.cpp
@@ -65,8 +65,7 @@
         return 0;
     }
     const double slowPart = task.estimate.count > 0
-        ? std::min(1.0,
-                   static_cast<double>(left.count) / static_cast<double>(task.estimate.count))
+        ? std::min(1.0, static_cast<double>(left.count) / static_cast<double>(task.estimate.count))
         : 1.0;
     return (task.isUrgent ? urgentSlowStartCost : slowStartCost) * slowPart;
 }
--- a/modules/filbert_dispatch/placement_pass.cpp
+++ b/modules/filbert_dispatch/placement_pass.cpp
@@ -85,8 +85,7 @@
     }
     cold_task task;
     task.estimate = {step.spec->estimate_ms()};
-    task.isUrgent =
-        step.queue->priority() == 0 || step.slackMs < candidate.coldTimeLeft.count;
+    task.isUrgent = step.queue->priority() == 0 || step.slackMs < candidate.coldTimeLeft.count;
     task.isSlowStartHarmless = step.spec->lasts() && step.spec->latency_target_ms() == 0;
     return coldCost(task, candidate.coldTimeLeft);
 }
--- a/modules/filbert_dispatch/tests/cold_targets_test.cpp
+++ b/modules/filbert_dispatch/tests/cold_targets_test.cpp
@@ -136,7 +136,7 @@
 {
     cold_cell cell;
     auto spec = cell.step(4, 1'000);
-    SECTION("urgent work") {}
+    SECTION("urgent work") { }
     SECTION("work of a less urgent queue")
     {
         cell.state.configuration.mutable_queues(0)->set_priority(1);
--- a/modules/filbert_replication/membership_policy.cpp
+++ b/modules/filbert_replication/membership_policy.cpp
@@ -98,8 +98,8 @@
 }
 
 /** @return the process to add, or nullptr if none requests to join */
-const messages::member *nextToJoin(const membership_view &view,
-                                   const membership_settings &settings, time_point now)
+const messages::member *nextToJoin(const membership_view &view, const membership_settings &settings,
+                                   time_point now)
 {
     const auto domains = liveMemberDomains(view, settings, now);
     const messages::member *best = nullptr;
@@ -154,9 +154,8 @@
     if (survivesDomainLoss(domains) || !promotionOrder(view, settings, now).empty()) {
         return nullptr;
     }
-    const auto *voter = mostCrowdedVoter(view, [&](const messages::member &member) {
-        return isLive(view, member, settings, now);
-    });
+    const auto *voter = mostCrowdedVoter(
+        view, [&](const messages::member &member) { return isLive(view, member, settings, now); });
     const auto found = voter == nullptr
         ? domains.end()
         : std::find(domains.begin(), domains.end(), domainOf(view, voter->identity()));
--- a/modules/filbert_replication/replicated_log.cpp
+++ b/modules/filbert_replication/replicated_log.cpp
@@ -32,9 +32,8 @@
     }
     const auto &order = *state.promotionOrder;
     const auto found = std::find(order.begin(), order.end(), member.identity());
-    return found == order.end()
-        ? std::nullopt
-        : std::optional {static_cast<std::size_t>(found - order.begin())};
+    return found == order.end() ? std::nullopt
+                                : std::optional {static_cast<std::size_t>(found - order.begin())};
 }
 
 void promoteCaughtUpLearner(replicated_log_state &state, time_point now,
--- a/modules/filbert_replication/tests/domain_loss_test.cpp
+++ b/modules/filbert_replication/tests/domain_loss_test.cpp
@@ -232,8 +232,7 @@
     CHECK(group.commits("again"));
     CHECK(group.voters().size() == 5);
     for (const auto &[identity, of] : fiveInThreeDomains) {
-        CHECK(group.applied.at(identity)
-              == std::vector<std::string> {"before", "after", "again"});
+        CHECK(group.applied.at(identity) == std::vector<std::string> {"before", "after", "again"});
     }
 }
 
@@ -279,9 +278,7 @@
     fixture.add("b", "d2");
     fixture.add("c", "d3");
     fixture.add("d", "d1", true);
-    const auto order = [&] {
-        return promotionOrder(fixture.view, fixture.settings, fixture.now);
-    };
+    const auto order = [&] { return promotionOrder(fixture.view, fixture.settings, fixture.now); };
     SECTION("alone")
     {
         CHECK(order().empty());
--- a/modules/filbert_work/evacuation_messages.h
+++ b/modules/filbert_work/evacuation_messages.h
@@ -75,10 +75,9 @@
 std::optional<evacuation_order> readEvacuation(const Message &message)
 {
     if constexpr (requires { message.has_evacuate(); }) {
-        return message.has_evacuate()
-            ? std::optional {evacuation_order {message.evacuate().failure_domain(),
-                                               message.evacuate().is_withdrawn()}}
-            : std::nullopt;
+        return message.has_evacuate() ? std::optional {evacuation_order {
+                   message.evacuate().failure_domain(), message.evacuate().is_withdrawn()}}
+                                      : std::nullopt;
     } else {
         const auto &fields = message.GetReflection()->GetUnknownFields(message);
         for (int i = 0; i < fields.field_count(); ++i) {
--- a/modules/filbert_work/tests/evacuation_test.cpp
+++ b/modules/filbert_work/tests/evacuation_test.cpp
@@ -101,13 +101,23 @@
 {
     messages::work_command command;
     writeEvacuation({"d1", true}, &command);
-    CHECK(command.SerializeAsString() == std::string("\x62\x06\x0a\x02" "d1" "\x10\x01", 8));
+    CHECK(command.SerializeAsString()
+          == std::string("\x62\x06\x0a\x02"
+                         "d1"
+                         "\x10\x01",
+                         8));
     messages::work_request request;
     writeEvacuation({"d1", false}, &request);
-    CHECK(request.SerializeAsString() == std::string("\x32\x04\x0a\x02" "d1", 6));
+    CHECK(request.SerializeAsString()
+          == std::string("\x32\x04\x0a\x02"
+                         "d1",
+                         6));
     messages::work_state_image image;
     writeEvacuatedDomains({"d1"}, &image);
-    CHECK(image.SerializeAsString() == std::string("\x22\x02" "d1", 4));
+    CHECK(image.SerializeAsString()
+          == std::string("\x22\x02"
+                         "d1",
+                         4));
 }
 
 TEST_CASE("an evacuation is read back from a batch of the log and from an envelope", "[evacuation]")
