--- a/modules/filbert_dispatch/start_checks.h
+++ b/modules/filbert_dispatch/start_checks.h
@@ -13,8 +13,8 @@
     Between the decision and the wire a start waits for its commit, for a connection of its target,
     for another attempt, for the leader's lease or for a relay. Meanwhile the target may drain, its
     failure domain be evacuated, or the job be cancelled. A start that may not be sent any more is
-   withdrawn: the task waits again at once if no attempt has left, and otherwise after a stop, since
-   the run may have begun.
+    withdrawn: the task waits again at once if no attempt has left, and otherwise after a stop,
+    since the run may have begun.
 */
 
 /** Checks whether a start that is not confirmed yet may be sent, for the first time or again.
