--- a/modules/filbert_replication/tests/domain_loss_test.cpp
+++ b/modules/filbert_replication/tests/domain_loss_test.cpp
@@ -1,6 +1,8 @@
 #include "filbert_replication/filbert_replication.h"
 
+#include <algorithm>
 #include <catch2/catch.hpp>
+#include <iterator>
 #include <utility>
 
 using namespace filbert;
@@ -251,9 +253,8 @@
     CHECK(voters.size() == 5);
     CHECK(voters.contains("g"));
     std::vector<std::string> domains;
-    for (const auto &identity : voters) {
-        domains.push_back(group.domains.at(identity));
-    }
+    std::transform(voters.begin(), voters.end(), std::back_inserter(domains),
+                   [&](const auto &identity) { return group.domains.at(identity); });
     CHECK(survivesDomainLoss(domains));
     group.loseDomain("d2");
     CHECK(group.commits("after both"));
