--- a/modules/filbert_dispatch/tests/cold_targets_test.cpp
+++ b/modules/filbert_dispatch/tests/cold_targets_test.cpp
@@ -192,3 +192,39 @@
     CHECK(cell.leader->announcedColdPeriods.empty());
     CHECK(cell.state.targets.at("t1").registration.cold_ms() == 0); // not replicated
 }
+
+// Guards against tickets for cold targets only, since a request names a part of the targets.
+TEST_CASE("a request for tickets names warm targets before cold ones", "[cold]")
+{
+    constexpr int targetsOfAKind = 15; // one request names 18 for a single task
+    dispatch_fixture cell;
+    auto *admission = cell.state.configuration.mutable_queues(0)->mutable_admission();
+    admission->set_decide_ms(10);
+    admission->set_ticket_ms(1'500);
+    cell.startLeading();
+    registerCaller(*cell.leader, "g1", 1, cell.now);
+    for (int i = 0; i < targetsOfAKind; ++i) {
+        for (const std::string kind : {"cold-", "warm-"}) {
+            const auto id = kind + std::to_string(i);
+            cell.registerTarget(id);
+            syncTarget(*cell.leader, id, cell.now);
+            auto report = work_fixture::targetRegistration(id, 1);
+            report.set_clock_ms(cell.now.ms);
+            report.set_sequence(1);
+            report.set_cold_ms(kind == "cold-" ? 8'000 : 0);
+            handleTargetReport(*cell.leader, report, cell.now);
+        }
+    }
+    cell.accept("j", {cell.step(1, 1'000)});
+    messages::work_command command;
+    command.mutable_accept()->set_id("j");
+    handleCommittedCommand(*cell.leader, command, false, cell.now);
+    cell.runFor({20});
+    REQUIRE(cell.admissions.size() == 1);
+    int warm = 0;
+    for (const auto &target : cell.admissions[0].request.targets()) {
+        warm += target.starts_with("warm-") ? 1 : 0;
+    }
+    CHECK(cell.admissions[0].request.targets_size() > targetsOfAKind);
+    CHECK(warm == targetsOfAKind);
+}
--- a/modules/filbert_dispatch/tests/preemption_test.cpp
+++ b/modules/filbert_dispatch/tests/preemption_test.cpp
@@ -103,6 +103,23 @@
     CHECK(findTask(cell.state, {"small", 0, 0, 0})->failures == 0);
 }
 
+// Guards against runs that are stopped for a gang which may not start in their place.
+TEST_CASE("nothing is stopped for a gang on targets of an evacuated failure domain", "[dispatch]")
+{
+    full_targets_fixture cell;
+    cell.fill(full_targets_fixture::checkpointed());
+    for (const auto &each : cell.targets) {
+        cell.state.targets.at(each).registration.set_failure_domain("d1");
+    }
+    cell.evacuate("d1");
+    cell.submitGang(2);
+    CHECK(cell.countStops() == 0);
+    CHECK(findStep(cell.state, {"gang", 0, 0, 0})->runningTasks == 0);
+    cell.evacuate("d1", true);
+    cell.runFor({50});
+    CHECK(cell.countStops() == 3);
+}
+
 TEST_CASE("nothing is stopped for a gang that can wait", "[dispatch]")
 {
     full_targets_fixture cell;
--- a/modules/filbert_dispatch/ticket_requests.cpp
+++ b/modules/filbert_dispatch/ticket_requests.cpp
@@ -102,8 +102,9 @@
 }
 
 /** Calls a function with the indices of candidates until it has found enough: first those with
-    enough free cores, then others. It begins at a place that differs by step. Otherwise steps that
-    ask at the same time would be admitted to the same few targets and take them from each other.
+    enough free cores, then others; of both, warm targets before cold ones. It begins at a place
+   that differs by step. Otherwise steps that ask at the same time would be admitted to the same few
+   targets and take them from each other.
     @param fitsOnly  whether to leave out those with too few free cores
     @param consider  returns whether it needs more */
 template <typename Consider>
@@ -116,15 +117,20 @@
                              [&](const auto &each) { return each.first >= step.need.milliCores; })
         - byFreeCores.begin());
     const auto offset = std::hash<std::string> {}(step.name.job);
-    const auto considerRange = [&](std::size_t begin, std::size_t end) {
+    const auto considerTemperature = [&](std::size_t begin, std::size_t end, bool isCold) {
         const auto count = end - begin;
         for (std::size_t i = 0; i < count; ++i) {
-            if (!consider(byFreeCores[begin + (offset + i) % count].second)) {
+            const auto index = byFreeCores[begin + (offset + i) % count].second;
+            if ((service.candidates[index].coldTimeLeft.count > 0) == isCold && !consider(index)) {
                 return false;
             }
         }
         return true;
     };
+    const auto considerRange = [&](std::size_t begin, std::size_t end) {
+        return considerTemperature(begin, end, false)
+            && (service.coldCores == 0 || considerTemperature(begin, end, true));
+    };
     if (considerRange(0, fitting) && !fitsOnly) {
         considerRange(fitting, byFreeCores.size());
     }
