--- a/modules/filbert_dispatch/filbert_dispatch.h
+++ b/modules/filbert_dispatch/filbert_dispatch.h
@@ -35,6 +35,8 @@
 */
 
 #include "admission_requests.h"
+#include "cold_reports.h"
+#include "cold_targets.h"
 #include "dispatch_state.h"
 #include "interference.h"
 #include "job_acceptance.h"
--- a/modules/filbert_node/work_metrics.cpp
+++ b/modules/filbert_node/work_metrics.cpp
@@ -77,7 +77,8 @@
     , state {prometheus::BuildGauge()
                  .Name("filbert_work_state")
                  .Help("Leading (0 or 1), last index applied, members, jobs that are known, "
-                       "evacuated failure domains and the runs that go on there")
+                       "evacuated failure domains and the runs that go on there, cold "
+                       "targets")
                  .Register(*registry)}
     , relayShares {prometheus::BuildGauge()
                        .Name("filbert_work_relay_share")
@@ -162,6 +163,11 @@
     }
 }
 
+void work_metrics::setColdTargets(std::size_t count)
+{
+    state.Add({{"of", "cold_targets"}}).Set(static_cast<double>(count));
+}
+
 std::string work_metrics::text() const
 {
     const auto totals = activityTimes.totals();
--- a/modules/filbert_node/work_metrics.h
+++ b/modules/filbert_node/work_metrics.h
@@ -63,6 +63,9 @@
     /** Sets the gauges of the relays' shares. @param shares  by name, of all present relays */
     void setRelayShares(const std::map<std::string, double> &shares);
 
+    /** Sets the gauge of the targets that are still slow after a start; 0 on followers. */
+    void setColdTargets(std::size_t count);
+
     /** @return the times that the controller's loop spends on each activity; they are among the
         metrics */
     activity_times &activities() { return activityTimes; }
