--- a/modules/filbert_dispatch/target_speeds.cpp
+++ b/modules/filbert_dispatch/target_speeds.cpp
@@ -22,13 +22,13 @@
 constexpr milliseconds groupRetention {30'000}; // without a run
 constexpr milliseconds reviewPeriod {1'000};
 constexpr std::size_t minKnownTargets = 8; // fewer show a spread by chance
-// The variance between equal targets is that of the noise, which is known within a factor of two:
-// runs of one step are alike, and so are their entries.
+// The variance between equal targets is that of the noise, which is known within a factor of two.
 constexpr double useVarianceRatio = 3.0;
 constexpr double endUseVarianceRatio = 2.0;
-// Between k equal targets it differs by a fraction of sqrt(2 / (k - 1)). Five such deviations do
-// not occur by chance in a day of reviews.
-constexpr double varianceDeviations = 5.0;
+// How far the older and the newer runs of targets agree, in standard deviations of what equal
+// targets show: more than these do not show by chance in a day of reviews.
+constexpr double useAgreement = 4.5;
+constexpr double endUseAgreement = 2.5;
 constexpr double minSpread = 0.1; // a difference of a tenth moves no job into its objective
 constexpr double maxLogSlowness = 1.0; // slower targets, by a factor of e, are all alike
 // A target at twice the speed of the typical one rather ends its runs without doing the work.
@@ -53,17 +53,29 @@
     std::size_t index = 0; // of the target
     double median = 0;
     double variance = 0; // of the median
+    double olderMedian = 0; // of the older half of the entries
+    double newerMedian = 0;
 };
 
 entry_summary summaryOf(const target_speed &target, std::size_t index)
 {
     std::vector<double> values {target.entries.begin(), target.entries.end()};
-    const double median = medianOf(values);
+    std::rotate(values.begin(), values.begin() + static_cast<std::ptrdiff_t>(target.nextEntry),
+                values.end()); // the oldest first
+    const auto middle = values.begin() + static_cast<std::ptrdiff_t>(values.size() / 2);
+    std::vector<double> older {values.begin(), middle};
+    std::vector<double> newer {middle, values.end()};
+    entry_summary summary;
+    summary.index = index;
+    summary.olderMedian = medianOf(older);
+    summary.newerMedian = medianOf(newer);
+    summary.median = medianOf(values);
     std::transform(values.begin(), values.end(), values.begin(),
-                   [&](double value) { return std::abs(value - median); });
+                   [&](double value) { return std::abs(value - summary.median); });
     const double deviation = medianOf(values) * deviationsPerMad;
-    return {index, median,
-            medianVarianceFactor * deviation * deviation / static_cast<double>(values.size())};
+    summary.variance =
+        medianVarianceFactor * deviation * deviation / static_cast<double>(values.size());
+    return summary;
 }
 
 /** Adds a run to the mean of a group. @return its difference from the runs before, or nothing if
@@ -108,14 +120,41 @@
     return sum / static_cast<double>(summaries.size());
 }
 
+/** @return how far the older and the newer runs of the targets agree on which are slow: the
+    correlation in Fisher's z, in standard deviations. Equal targets show about 0, whatever the
+    distribution of the runs is, and also if runs of one step are alike. */
+double agreementOf(const std::vector<entry_summary> &summaries)
+{
+    const auto count = static_cast<double>(summaries.size());
+    double olderMean = 0;
+    double newerMean = 0;
+    for (const auto &each : summaries) {
+        olderMean += each.olderMedian / count;
+        newerMean += each.newerMedian / count;
+    }
+    double covariance = 0;
+    double olderVariance = 0;
+    double newerVariance = 0;
+    for (const auto &each : summaries) {
+        const double older = each.olderMedian - olderMean;
+        const double newer = each.newerMedian - newerMean;
+        covariance += older * newer;
+        olderVariance += older * older;
+        newerVariance += newer * newer;
+    }
+    const double scale = std::sqrt(olderVariance * newerVariance);
+    constexpr double almostOne = 0.999'999; // Fisher's z of 1 is infinite
+    const double correlation = scale > 0 ? std::min(covariance / scale, almostOne) : 0.0;
+    return std::atanh(std::max(correlation, 0.0)) * std::sqrt(count - 3);
+}
+
 /** Whether targets differ by more than the noise. @param wereInUse  less is enough to stay in use
  */
-bool doTargetsDiffer(double variance, double noise, std::size_t targets, bool wereInUse)
+bool doTargetsDiffer(double variance, double noise, double agreement, bool wereInUse)
 {
-    const double deviation = std::sqrt(2.0 / static_cast<double>(targets - 1));
-    const double ratio = wereInUse ? endUseVarianceRatio
-                                   : std::max(useVarianceRatio, 1 + varianceDeviations * deviation);
-    return variance > ratio * noise && variance > minSpread * minSpread;
+    const double ratio = wereInUse ? endUseVarianceRatio : useVarianceRatio;
+    return variance > ratio * noise && variance > minSpread * minSpread
+        && agreement > (wereInUse ? endUseAgreement : useAgreement);
 }
 
 double learnedSlowness(const entry_summary &summary, double centre, std::size_t entries)
@@ -191,7 +230,7 @@
     noise /= static_cast<double>(summaries.size());
     const double centre = medianOf(medians);
     const double variance = varianceOf(summaries, centre);
-    speeds.areInUse = doTargetsDiffer(variance, noise, summaries.size(), speeds.areInUse);
+    speeds.areInUse = doTargetsDiffer(variance, noise, agreementOf(summaries), speeds.areInUse);
     review.spread = std::sqrt(variance);
     review.noise = std::sqrt(noise);
     const auto isFaster = [](const auto &a, const auto &b) { return a.median < b.median; };
--- a/modules/filbert_dispatch/tests/target_speeds_test.cpp
+++ b/modules/filbert_dispatch/tests/target_speeds_test.cpp
@@ -118,9 +118,9 @@
 TEST_CASE("a cell of targets of different speed learns them within some ends a target", "[speed]")
 {
     speed_model cell {mixedSpeeds(40), GENERATE(range(1U, 6U))};
-    cell.run(16);
+    cell.run(24);
     CHECK(cell.known.areInUse);
-    CHECK(cell.lastReview.knownTargets >= 38);
+    CHECK(cell.lastReview.knownTargets == 40);
     CHECK(cell.correlation() > 0.9);
     CHECK(cell.speeds[cell.lastReview.slowest] < 0.75);
     CHECK(cell.speeds[cell.lastReview.fastest] > 1.1);
