--- a/modules/filbert_dispatch/target_speeds.cpp
+++ b/modules/filbert_dispatch/target_speeds.cpp
@@ -223,6 +223,7 @@
     }
     speed_review review;
     review.knownTargets = summaries.size();
+    speeds.lastReview = review;
     if (summaries.size() < minKnownTargets) {
         speeds.areInUse = false;
         return review;
@@ -238,6 +239,7 @@
         std::minmax_element(summaries.begin(), summaries.end(), isFaster);
     review.fastest = fastest->index;
     review.slowest = slowest->index;
+    speeds.lastReview = review;
     if (speeds.areInUse) {
         for (const auto &summary : summaries) {
             auto &target = *targets[summary.index];
--- a/modules/filbert_dispatch/target_speeds.h
+++ b/modules/filbert_dispatch/target_speeds.h
@@ -30,6 +30,16 @@
     time_point lastRunAt;
 };
 
+/** What a review has found. */
+struct speed_review
+{
+    std::size_t knownTargets = 0; // those with enough runs
+    std::size_t slowest = 0; // index of a target; only if any is known
+    std::size_t fastest = 0;
+    double spread = 0; // standard deviation of ln of the times that work takes on them
+    double noise = 0; // standard error of these
+};
+
 /** What is known of the speeds of all targets together. */
 struct target_speeds
 {
@@ -38,6 +48,7 @@
     bool isReviewDue = false; // something was recorded since the last review
     time_point nextReviewAt;
     std::uint64_t countedRuns = 0;
+    speed_review lastReview;
 };
 
 /** A run that ended well and undisturbed. */
@@ -60,16 +71,6 @@
 /** Records that runs on a target are disturbed. @param until  runs begun by then do not count */
 void noteDisturbance(target_speed &target, time_point until);
 
-/** What a review has found. */
-struct speed_review
-{
-    std::size_t knownTargets = 0; // those with enough runs
-    std::size_t slowest = 0; // index of a target; only if any is known
-    std::size_t fastest = 0;
-    double spread = 0; // standard deviation of ln of the times that work takes on them
-    double noise = 0; // standard error of these
-};
-
 /** Whether a review is due: one a second while runs are recorded. */
 bool isSpeedReviewDue(const target_speeds &speeds, time_point now);
 
--- a/modules/filbert_node/filbert_node.h
+++ b/modules/filbert_node/filbert_node.h
@@ -17,6 +17,7 @@
     Depends on: filbert_replication, filbert_dispatch.
 */
 
+#include "domain_traffic.h"
 #include "leader_client.h"
 #include "order_router.h"
 #include "work_controller.h"
--- a/modules/filbert_node/order_router.cpp
+++ b/modules/filbert_node/order_router.cpp
@@ -47,7 +47,7 @@
         shares.paces.erase(name);
     }
     if (isNew || isReplaced) {
-        relayByTarget.clear();
+        forgetChoices();
     }
     relays[name] = {info, now};
 }
@@ -56,7 +56,7 @@
 {
     shares.paces.erase(name);
     if (relays.erase(name) > 0) {
-        relayByTarget.clear();
+        forgetChoices();
     }
 }
 
@@ -70,15 +70,25 @@
     return relayByTarget[target] = chooseRelay(usableRelays(now), target, failureDomain);
 }
 
-std::vector<weighted_relay> order_router::usableRelays(time_point now) const
+const std::vector<weighted_relay> &order_router::usableRelays(time_point now)
 {
+    if (!usable.empty() && usableAt == now) {
+        return usable;
+    }
     std::vector<active_relay> active;
     for (const auto &[name, relay] : relays) {
         if (now - relay.lastContactAt < settings.relayTimeout) {
             active.push_back({name, relay.info, shareOf(shares, name)});
         }
     }
-    return weighRelays(active);
+    usableAt = now;
+    return usable = weighRelays(active);
+}
+
+void order_router::forgetChoices()
+{
+    relayByTarget.clear();
+    usable.clear();
 }
 
 void order_router::send(const target_order &order, std::size_t targetCount,
@@ -204,7 +214,7 @@
         logShare(change, "compared with the other relays of its failure domain");
     }
     if (!changes.empty()) {
-        relayByTarget.clear();
+        forgetChoices();
     }
 }
 
@@ -236,7 +246,7 @@
         .with("heard_ms_ago",
               found == relays.end() ? -1 : (now - found->second.lastContactAt).count);
     relays.erase(name); // it registers itself again with its next hello
-    relayByTarget.clear();
+    forgetChoices();
     order_answer lostAnswer;
     lostAnswer.result = order_result::RelayLost;
     for (const auto &order : orders) {
@@ -250,7 +260,7 @@
     outgoing.clear();
     waitingOrders.clear();
     shares = {};
-    relayByTarget.clear();
+    forgetChoices();
     relayWaitDeadline = now + settings.relayDiscoveryTimeout;
 }
 
--- a/modules/filbert_node/order_router.h
+++ b/modules/filbert_node/order_router.h
@@ -126,7 +126,8 @@
 
     const std::string &relayFor(const std::string &target, const std::string &failureDomain,
                                 time_point now);
-    std::vector<weighted_relay> usableRelays(time_point now) const;
+    const std::vector<weighted_relay> &usableRelays(time_point now);
+    void forgetChoices();
     void reviewRelayShares(time_point readUntil, time_point now);
     std::vector<relay_backlog> backlogsAt(time_point readUntil) const;
     void enqueue(const target_order &order, const std::string &relay, time_point now);
@@ -139,6 +140,9 @@
     relay_shares shares; // of this term
     // Relay by target; cleared when the set of relays or a share changes.
     std::unordered_map<std::string, std::string> relayByTarget;
+    // Relays with their weights at usableAt; empty when the set of relays or a share changes.
+    std::vector<weighted_relay> usable;
+    time_point usableAt;
     std::map<std::uint64_t, pending_order> pendingOrders;
     std::map<std::string, messages::work_envelope> outgoing; // for the next flush, by relay
     std::vector<waiting_order> waitingOrders; // until a relay is known, or the wait for one is over
--- a/modules/filbert_node/work_metrics.cpp
+++ b/modules/filbert_node/work_metrics.cpp
@@ -70,6 +70,14 @@
                  .Name("filbert_work_state")
                  .Help("Leading (0 or 1), last index applied, members, jobs that are known")
                  .Register(*registry)}
+    , domainBytes {counterFamily(*registry, "filbert_work_domain_bytes_total",
+                                 "Bytes exchanged with processes of other failure domains, by "
+                                 "cause, direction and domain")}
+    , targetSpeeds {prometheus::BuildGauge()
+                        .Name("filbert_work_target_speeds")
+                        .Help("Whether speeds of targets are in use (0 or 1), known targets, and "
+                              "the spread and noise of ln of their times")
+                        .Register(*registry)}
     , relayShares {prometheus::BuildGauge()
                        .Name("filbert_work_relay_share")
                        .Help("Fraction of its usual orders that a relay gets, by relay")
@@ -122,6 +130,26 @@
     state.Add({{"of", "jobs"}}).Set(static_cast<double>(jobs));
 }
 
+void work_metrics::countDomainBytes(const std::string &cause, const std::string &direction,
+                                    const std::string &domain, std::size_t bytes)
+{
+    auto &counter = domainByteCounters[{cause, direction, domain}];
+    if (counter == nullptr) {
+        counter =
+            &domainBytes.Add({{"cause", cause}, {"direction", direction}, {"domain", domain}});
+    }
+    counter->Increment(static_cast<double>(bytes));
+}
+
+void work_metrics::setSpeeds(const target_speeds &speeds)
+{
+    const auto &review = speeds.lastReview;
+    targetSpeeds.Add({{"of", "in_use"}}).Set(speeds.areInUse ? 1 : 0);
+    targetSpeeds.Add({{"of", "known"}}).Set(static_cast<double>(review.knownTargets));
+    targetSpeeds.Add({{"of", "spread"}}).Set(review.spread);
+    targetSpeeds.Add({{"of", "noise"}}).Set(review.noise);
+}
+
 void work_metrics::setRelayShares(const std::map<std::string, double> &shares)
 {
     std::erase_if(relayShareGauges, [&](const auto &each) {
--- a/modules/filbert_node/work_metrics.h
+++ b/modules/filbert_node/work_metrics.h
@@ -49,6 +49,14 @@
     /** Sets the gauges. @param applied last log index that was applied */
     void setState(bool isLeading, std::uint64_t applied, int members, std::size_t jobs);
 
+    /** Counts bytes exchanged with processes of another failure domain.
+        @param direction  "sent" or "received" */
+    void countDomainBytes(const std::string &cause, const std::string &direction,
+                          const std::string &domain, std::size_t bytes);
+
+    /** Sets the gauges of what is known of the speeds of targets. */
+    void setSpeeds(const target_speeds &speeds);
+
     /** Sets the gauges of the relays' shares. @param shares  by name, of all present relays */
     void setRelayShares(const std::map<std::string, double> &shares);
 
@@ -72,6 +80,8 @@
     prometheus::Counter &termsLed;
     prometheus::Histogram &commitSeconds;
     prometheus::Family<prometheus::Gauge> &state;
+    prometheus::Family<prometheus::Counter> &domainBytes;
+    prometheus::Family<prometheus::Gauge> &targetSpeeds;
     prometheus::Family<prometheus::Gauge> &relayShares;
     prometheus::Family<prometheus::Gauge> &activitySeconds;
     prometheus::Family<prometheus::Gauge> &activityCounts;
@@ -79,6 +89,7 @@
     std::map<int, prometheus::Counter *> commandCounters; // by number of the field of the command
     std::map<std::pair<order_kind, order_result>, prometheus::Counter *> orderCounters;
     std::map<order_kind, prometheus::Histogram *> orderHistograms;
+    std::map<std::array<std::string, 3>, prometheus::Counter *> domainByteCounters;
     std::map<std::string, prometheus::Gauge *> relayShareGauges; // of present relays, by name
 };
 
