--- a/modules/filbert_dispatch/tests/target_speeds_test.cpp
+++ b/modules/filbert_dispatch/tests/target_speeds_test.cpp
@@ -107,6 +107,7 @@
 std::vector<double> mixedSpeeds(int count)
 {
     std::vector<double> speeds;
+    speeds.reserve(static_cast<std::size_t>(count));
     for (int i = 0; i < count; ++i) {
         speeds.push_back(0.55 + (1.3 - 0.55) * (i * 7 % count) / (count - 1));
     }
--- a/modules/filbert_node/tests/leader_client_test.cpp
+++ b/modules/filbert_node/tests/leader_client_test.cpp
@@ -31,6 +31,8 @@
     {
         leader_client_settings settings;
         settings.name = "gateway-1";
+        settings.linkMbps = 5;
+        settings.milliCores = 120;
         return settings;
     }
 
@@ -264,3 +266,14 @@
     CHECK(fixture.sent.empty());
     CHECK(fixture.client.pendingCalls() == 0);
 }
+
+// Guards against relays that are taken for equal since their hosts are not stated.
+TEST_CASE("hellos state the link and the processor share of their host", "[link]")
+{
+    client_fixture fixture;
+    fixture.advance({20});
+    REQUIRE_FALSE(fixture.sent.empty());
+    const auto &hello = fixture.sent[0].second.hello();
+    CHECK(hello.link_mbps() == 5);
+    CHECK(hello.milli_cores() == 120);
+}
--- a/modules/filbert_node/tests/relay_choice_test.cpp
+++ b/modules/filbert_node/tests/relay_choice_test.cpp
@@ -48,8 +48,10 @@
 TEST_CASE("equal relays get the same targets as without weights", "[relay]")
 {
     const auto milliCores = GENERATE(0U, 120U);
+    constexpr int relayCount = 30;
     std::vector<active_relay> relays;
-    for (int i = 0; i < 30; ++i) {
+    relays.reserve(relayCount);
+    for (int i = 0; i < relayCount; ++i) {
         relays.push_back({std::to_string(i).insert(0, "gateway-"),
                           {std::string(1, static_cast<char>('a' + i % 3)), 1, 2, milliCores}});
     }
