--- a/modules/filbert_dispatch/placement_pass.cpp
+++ b/modules/filbert_dispatch/placement_pass.cpp
@@ -216,13 +216,18 @@
                      : std::numeric_limits<std::int64_t>::max();
 }
 
-bool isEligible(const pending_step &step, const placement_candidate &candidate)
+bool isSuitable(const pending_step &step, const placement_candidate &candidate)
 {
-    return candidate.isAvailable && isOpenTo(step, candidate) && fits(step.need, candidate.capacity)
+    return candidate.isAvailable && fits(step.need, candidate.capacity)
         && hasLabel(candidate, step.spec->required_label())
         && remainingTasksAllowed(step, candidate) > 0;
 }
 
+bool isEligible(const pending_step &step, const placement_candidate &candidate)
+{
+    return isOpenTo(step, candidate) && isSuitable(step, candidate);
+}
+
 bool hasCapacityFor(const placement_pass &pass, const pending_step &step,
                     const service_view &service, const placement_candidate &candidate)
 {
--- a/modules/filbert_dispatch/placement_pass.h
+++ b/modules/filbert_dispatch/placement_pass.h
@@ -110,8 +110,11 @@
     that the target has without the log count too. */
 std::int64_t remainingTasksAllowed(const pending_step &step, const placement_candidate &candidate);
 
-/** Whether a target could take a task of the step if it had no other work: by capacity, label,
-    reservations and tasks per target, not by policy. */
+/** Whether a target could take a task of the step if it had no other work and no reservations: by
+    capacity, label and tasks per target, not by policy. */
+bool isSuitable(const pending_step &step, const placement_candidate &candidate);
+
+/** Whether a target is suitable and its reservations let a task of the step start. */
 bool isEligible(const pending_step &step, const placement_candidate &candidate);
 
 /** Whether a target has free capacity for a task of the step now, also under the rules for
--- a/modules/filbert_dispatch/scheduling.cpp
+++ b/modules/filbert_dispatch/scheduling.cpp
@@ -24,6 +24,8 @@
 constexpr std::size_t passesPerRetry = 8; // at most 0.3 s if passes are 40 ms apart
 // Steps with tickets for targets without capacity, while others have some: 2 ms of processor time.
 constexpr std::size_t maxMismatchedSteps = 200;
+// A stop, the renewal of tickets and a start: nothing is stopped for a gang that starts before.
+constexpr milliseconds preemptionTime {2'000};
 constexpr double acceleratorWeight = 1e6; // accelerators count first, then thousandths of a core
 
 /** @return the indices of the candidates with free resources on which the step is admitted now */
@@ -278,7 +280,10 @@
     if (plan.empty()) {
         countUnplaced(pass, step, service);
         const bool isLate = step.rank >= lateRankOffset;
-        if (isLate || !preemptFor(pass, step, service, record.tasks.size())) {
+        const auto *reservation = reservationOf(pass.state, step.name);
+        const bool startsSoon =
+            reservation != nullptr && reservation->expectedStartAt - pass.now <= preemptionTime;
+        if (isLate || startsSoon || !preemptFor(pass, step, service, record.tasks.size())) {
             reserveForGang(pass, step, service, record.tasks.size());
         } else {
             endReservation(pass.state, step.name, "its capacity is preempted", pass.now);
--- a/modules/filbert_dispatch/ticket_requests.cpp
+++ b/modules/filbert_dispatch/ticket_requests.cpp
@@ -183,7 +183,10 @@
     const auto consider = [&](std::size_t index) {
         const auto &candidate = service.candidates[index];
         ++pass.state.totals.rankedTargets;
-        const bool isWanted = isEligible(step, candidate)
+        // A gang may get its capacity after the gangs that targets are reserved for now.
+        const bool isPossible =
+            step.spec->is_gang() ? isSuitable(step, candidate) : isEligible(step, candidate);
+        const bool isWanted = isPossible
             && (purpose == call_purpose::Renewal
                 || !view.requestedTargets.contains(candidate.target->id));
         if (isWanted) {
