--- a/modules/filbert_dispatch/admission_requests.cpp
+++ b/modules/filbert_dispatch/admission_requests.cpp
@@ -55,6 +55,13 @@
     });
 }
 
+std::size_t callsUnderWay(const dispatch_state &state)
+{
+    return static_cast<std::size_t>(
+        std::count_if(state.pendingAdmissions.begin(), state.pendingAdmissions.end(),
+                      [](const auto &each) { return !each.second.caller.empty(); }));
+}
+
 milliseconds expectedAdmissionDuration(const messages::admission_policy &policy,
                                        std::size_t targets)
 {
--- a/modules/filbert_dispatch/admission_requests.h
+++ b/modules/filbert_dispatch/admission_requests.h
@@ -52,6 +52,9 @@
 /** Sends waiting requests to free callers, and overdue ones to other callers. */
 void tickAdmissions(dispatch_state &state, time_point now);
 
+/** @return how many requests callers have got and not answered yet */
+std::size_t callsUnderWay(const dispatch_state &state);
+
 /** @return the expected duration of a call that names a number of targets */
 milliseconds expectedAdmissionDuration(const messages::admission_policy &policy,
                                        std::size_t targets);
--- a/modules/filbert_node/work_metrics.cpp
+++ b/modules/filbert_node/work_metrics.cpp
@@ -70,6 +70,21 @@
                  .Name("filbert_work_state")
                  .Help("Leading (0 or 1), last index applied, members, jobs that are known")
                  .Register(*registry)}
+    , policyCalls {prometheus::BuildGauge()
+                       .Name("filbert_work_policy_calls")
+                       .Help("In the term so far: calls of the policy service by purpose, requests "
+                             "withdrawn before a call, tickets issued, tickets renewed unused")
+                       .Register(*registry)}
+    , policyCallers {prometheus::BuildGauge()
+                         .Name("filbert_work_policy_callers")
+                         .Help("Processes that can call the policy service, those without a call, "
+                               "requests that wait for one")
+                         .Register(*registry)}
+    , gangs {prometheus::BuildGauge()
+                 .Name("filbert_work_gang_reservations")
+                 .Help("Gangs with reserved targets now, reservations in the term so far, "
+                       "core-seconds that ended ones have left idle")
+                 .Register(*registry)}
     , activitySeconds {prometheus::BuildGauge()
                            .Name("filbert_work_activity_seconds")
                            .Help("Time that the loop has spent, by activity")
@@ -118,6 +133,28 @@
     state.Add({{"of", "jobs"}}).Set(static_cast<double>(jobs));
 }
 
+void work_metrics::setDispatch(const dispatch_state *leader)
+{
+    const auto totals = leader != nullptr ? leader->totals : dispatch_totals {};
+    const auto set = [](auto &family, const char *what, auto value) {
+        family.Add({{"of", what}}).Set(static_cast<double>(value));
+    };
+    set(policyCalls, "first", totals.firstRequests);
+    set(policyCalls, "further", totals.furtherRequests);
+    set(policyCalls, "renewal", totals.renewals);
+    set(policyCalls, "withdrawn", totals.withdrawnRequests);
+    set(policyCalls, "issued_tickets", totals.issuedTickets);
+    set(policyCalls, "unused_tickets", totals.unusedTickets);
+    set(policyCallers, "known", leader != nullptr ? leader->callers.size() : 0);
+    set(policyCallers, "idle", leader != nullptr ? leader->idleCallers : 0);
+    set(policyCallers, "waiting_requests",
+        leader != nullptr ? leader->pendingAdmissions.size() - callsUnderWay(*leader) : 0);
+    set(gangs, "now", leader != nullptr ? leader->gangReservations.size() : 0);
+    set(gangs, "made", totals.gangReservations);
+    set(gangs, "idle_core_seconds",
+        static_cast<double>(totals.gangIdleCoreMs) * secondsPerMillisecond);
+}
+
 std::string work_metrics::text() const
 {
     const auto totals = activityTimes.totals();
--- a/modules/filbert_node/work_metrics.h
+++ b/modules/filbert_node/work_metrics.h
@@ -49,6 +49,10 @@
     /** Sets the gauges. @param applied last log index that was applied */
     void setState(bool isLeading, std::uint64_t applied, int members, std::size_t jobs);
 
+    /** Sets the gauges of policy calls and of gangs.
+        @param leader  its dispatch; nullptr = another process leads, and all gauges are 0 */
+    void setDispatch(const dispatch_state *leader);
+
     /** @return the times that the controller's loop spends on each activity; they are among the
         metrics */
     activity_times &activities() { return activityTimes; }
@@ -69,6 +73,9 @@
     prometheus::Counter &termsLed;
     prometheus::Histogram &commitSeconds;
     prometheus::Family<prometheus::Gauge> &state;
+    prometheus::Family<prometheus::Gauge> &policyCalls;
+    prometheus::Family<prometheus::Gauge> &policyCallers;
+    prometheus::Family<prometheus::Gauge> &gangs;
     prometheus::Family<prometheus::Gauge> &activitySeconds;
     prometheus::Family<prometheus::Gauge> &activityCounts;
     // The metrics that are updated most often, since it takes long to find one by its labels.
