--- a/modules/filbert_node/work_metrics.h
+++ b/modules/filbert_node/work_metrics.h
@@ -74,6 +74,10 @@
     /** Sets the gauge of the targets that are still slow after a start; 0 on followers. */
     void setColdTargets(std::size_t count);
 
+    /** Sets the gauges of policy calls and of gangs.
+        @param leader  its dispatch; nullptr = another process leads, and all gauges are 0 */
+    void setDispatch(const dispatch_state *leader);
+
     /** @return the times that the controller's loop spends on each activity; they are among the
         metrics */
     activity_times &activities() { return activityTimes; }
@@ -99,6 +103,10 @@
     prometheus::Family<prometheus::Counter> &domainBytes;
     prometheus::Family<prometheus::Gauge> &targetSpeeds;
     prometheus::Family<prometheus::Gauge> &relayShares;
+
+    prometheus::Family<prometheus::Gauge> &policyCalls;
+    prometheus::Family<prometheus::Gauge> &policyCallers;
+    prometheus::Family<prometheus::Gauge> &gangs;
     prometheus::Family<prometheus::Gauge> &activitySeconds;
     prometheus::Family<prometheus::Gauge> &activityCounts;
     // The metrics that are updated most often, since it takes long to find one by its labels.
