--- a/modules/filbert_dispatch/job_admission.cpp
+++ b/modules/filbert_dispatch/job_admission.cpp
@@ -15,6 +15,11 @@
 // The rate is that of the shortest time, in periods, in which so many tasks were served: it then
 // is known to about a fifth (the square root of the number), and follows a change within seconds.
 constexpr std::int64_t minServedTasks = 20;
+// A queue that was contended for this long and was served less is starved. Its rate then is less
+// than if the next three jobs ended now: that many may be missing by chance in a time in which none
+// was seen (95 % confidence).
+constexpr milliseconds minStarvedTime {10'000};
+constexpr std::int64_t unseenJobs = 3;
 // Shorter ones show the pace of passes and of answers of the policy service rather than capacity.
 constexpr milliseconds minServedTime {1'000};
 // A wait below this is the way of a start to its target: a pass, a policy call, a commit.
@@ -25,6 +30,7 @@
 // Callers try a job four times; what is known about the wait is outdated long before.
 constexpr milliseconds maxRetryDelay {20'000};
 constexpr std::int64_t retrySpreadDivisor = 2; // returns are spread over half of the delay
+constexpr double maxWaitMs = 86'400'000; // a day; also where hardly anything is served
 constexpr time_point endOfTime {std::numeric_limits<std::int64_t>::max()};
 constexpr std::size_t maxTrackedSubmissions = 20'000; // 4 MB
 constexpr std::size_t maxComparisons = 1'000; // between two calls of their reader
@@ -85,10 +91,19 @@
     return period;
 }
 
-/** @return milli-cores per millisecond; nothing if too few tasks were served to know it */
-std::optional<double> servedRate(const queue_flow &flow, time_point since, time_point now)
+/** What was served in some time. */
+struct served_sum
+{
+    std::int64_t cores = 0;
+    std::int64_t tasks = 0;
+    milliseconds elapsed;
+};
+
+/** @return the sum over the shortest time until now with enough tasks, or over all of it */
+served_sum recentlyServed(const queue_flow &flow, time_point since, time_point now)
 {
     served_work sum;
+    served_sum result;
     const auto current = now.ms / servedPeriod.count;
     const auto oldest = std::max(current - static_cast<std::int64_t>(flow.served.size()) + 1,
                                  since.ms / servedPeriod.count);
@@ -100,21 +115,37 @@
             sum.startedTasks += period.startedTasks;
             sum.endedTasks += period.endedTasks;
         }
-        const time_point begin {std::max(number * servedPeriod.count, since.ms)};
-        const auto elapsed = now - begin;
-        if (elapsed >= minServedTime
-            && std::max(sum.startedTasks, sum.endedTasks) >= minServedTasks) {
-            // More starts than ends while a burst fills idle targets; later it is the same.
-            return static_cast<double>(std::max(sum.startedCores, sum.endedCores))
-                / static_cast<double>(elapsed.count);
+        // More starts than ends while a burst fills idle targets; later it is the same.
+        result.cores = std::max(sum.startedCores, sum.endedCores);
+        result.tasks = std::max(sum.startedTasks, sum.endedTasks);
+        result.elapsed = now - time_point {std::max(number * servedPeriod.count, since.ms)};
+        if (result.elapsed >= minServedTime && result.tasks >= minServedTasks) {
+            break;
         }
     }
-    return std::nullopt;
+    return result;
+}
+
+/** @return milli-cores per millisecond; nothing if too little is known
+    @param jobCores  that the tasks of a job reserve which are ready first */
+std::optional<double> servedRate(const queue_flow &flow, time_point since, std::int64_t jobCores,
+                                 time_point now)
+{
+    const auto served = recentlyServed(flow, since, now);
+    const auto elapsed = static_cast<double>(served.elapsed.count);
+    if (served.elapsed >= minServedTime && served.tasks >= minServedTasks) {
+        return static_cast<double>(served.cores) / elapsed;
+    }
+    if (served.elapsed < minStarvedTime || jobCores == 0) {
+        return std::nullopt;
+    }
+    return static_cast<double>(served.cores + unseenJobs * jobCores) / elapsed;
 }
 
 milliseconds waitFor(std::int64_t milliCores, double rate)
 {
-    return milliseconds {static_cast<std::int64_t>(static_cast<double>(milliCores) / rate)};
+    const auto wait = static_cast<double>(milliCores) / rate;
+    return milliseconds {static_cast<std::int64_t>(std::min(wait, maxWaitMs))};
 }
 
 bool isContended(const queue_flow &flow, time_point now)
@@ -123,7 +154,7 @@
     if (waiting == 0) {
         return false;
     }
-    const auto rate = servedRate(flow, {}, now);
+    const auto rate = servedRate(flow, {}, 0, now);
     return !rate || waitFor(waiting, *rate) > minContendedWait;
 }
 
@@ -189,7 +220,8 @@
 }
 
 std::optional<wait_forecast> forecastWait(const job_admission &admission, const std::string &queue,
-                                          work_class rank, time_point latestStart, time_point now)
+                                          work_class rank, time_point latestStart,
+                                          std::int64_t jobCores, time_point now)
 {
     const auto found = admission.flows.find(queue);
     if (found == admission.flows.end()) {
@@ -199,7 +231,7 @@
     if (flow.contendedSince.ms == 0) {
         return std::nullopt;
     }
-    const auto rate = servedRate(flow, flow.contendedSince, now);
+    const auto rate = servedRate(flow, flow.contendedSince, jobCores, now);
     if (!rate) {
         return std::nullopt;
     }
@@ -228,8 +260,8 @@
     const auto initialSlack = std::max(objective - path, milliseconds {});
     const auto startAndEnd = std::min(submitted.startAndEnd, milliseconds {initialSlack.count / 2});
     const auto mayWait = objective - path - startAndEnd - decision.waited;
-    const auto forecast =
-        forecastWait(admission, submitted.queue->name(), rank, now + mayWait, now);
+    const auto forecast = forecastWait(admission, submitted.queue->name(), rank, now + mayWait,
+                                       workOf(job).ready, now);
     decision.expectedWait = forecast ? forecast->untilStart : milliseconds {};
     const bool isLate = forecast && forecast->total > mayWait;
     if (isLate) {
--- a/modules/filbert_dispatch/job_admission.h
+++ b/modules/filbert_dispatch/job_admission.h
@@ -107,9 +107,11 @@
 };
 
 /** @param latestStart  of the job
+    @param jobCores     that its first tasks reserve
     @return nothing if the queue has not been contended for long enough */
 std::optional<wait_forecast> forecastWait(const job_admission &admission, const std::string &queue,
-                                          work_class rank, time_point latestStart, time_point now);
+                                          work_class rank, time_point latestStart,
+                                          std::int64_t jobCores, time_point now);
 
 /** A job that is submitted and that is not known yet. */
 struct submission
--- a/modules/filbert_dispatch/step_order.cpp
+++ b/modules/filbert_dispatch/step_order.cpp
@@ -103,6 +103,22 @@
     waiting.ready += isStepReady(job, occurrence, step) ? cores : 0;
 }
 
+/** Puts the steps of jobs that have begun before others that can be in time, in each rank in which
+    there is work that cannot. */
+void preferBegunJobs(const dispatch_state &state, std::vector<step_key> &steps)
+{
+    std::set<int> shortRanks;
+    for (const auto &step : steps) {
+        if (step.isBehind) {
+            shortRanks.insert(step.rank);
+        }
+    }
+    for (auto &step : steps) {
+        step.isPreferred = !step.isBehind && shortRanks.contains(step.rank)
+            && state.work->jobs.at(*step.job).hasStarted;
+    }
+}
+
 /** Has the targets that run tasks of a job ticked, since these are to be stopped. */
 void markTargetsOfRuns(dispatch_state &state, const work_job &job)
 {
@@ -162,14 +178,15 @@
             const auto urgency = urgencyOf(state, queue, job, record, view,
                                            view.occurrenceBegunAt.at(occurrence), step, now);
             steps.push_back({urgency.rank, urgency.isBeyondShare, queue.priority(),
-                             urgency.isBehind,
+                             urgency.isBehind, false,
                              urgency.isBehind ? -urgency.slackMs : urgency.slackMs, &id, &view,
                              occurrence, step});
         }
     }
+    preferBegunJobs(state, steps);
     std::sort(steps.begin(), steps.end(), [](const step_key &a, const step_key &b) {
-        return std::tie(a.rank, a.isBeyondShare, a.priority, a.isBehind, a.order)
-            < std::tie(b.rank, b.isBeyondShare, b.priority, b.isBehind, b.order);
+        return std::tie(a.rank, a.isBeyondShare, a.priority, a.isBehind, b.isPreferred, a.order)
+            < std::tie(b.rank, b.isBeyondShare, b.priority, b.isBehind, a.isPreferred, b.order);
     });
     return steps;
 }
--- a/modules/filbert_dispatch/step_order.h
+++ b/modules/filbert_dispatch/step_order.h
@@ -20,6 +20,7 @@
     bool isBeyondShare = false; // see heldBackTo()
     int priority = 0; // of its queue; it decides among those beyond a share
     bool isBehind = false; // it would end after its objective if it started now
+    bool isPreferred = false; // it can be in time, others of its rank cannot, and its job has begun
     std::int64_t order = 0; // the lowest first among those of a rank that are equally behind or not
     const std::string *job = nullptr;
     const job_view *view = nullptr;
@@ -31,7 +32,9 @@
 
     In each rank, the step with the least slack goes first among those that can be in time. After
     these, the one that is the least behind goes first. If more waits than can be served, each would
-    be served a little too late otherwise.
+    be served a little too late otherwise. While there are such steps, jobs that have begun go first
+    among those that can be in time: else all of them would wait until they have no slack left, and
+    some would be late at a later step, for which the work before it was in vain.
 
     A step that is beyond the share of its team goes after the others of its rank. The rank itself
     is raised to that of less urgent work of others which is pressed, so that the rules for
