--- a/modules/filbert_dispatch/job_admission.cpp
+++ b/modules/filbert_dispatch/job_admission.cpp
@@ -15,9 +15,9 @@
 // The rate is that of the shortest time, in periods, in which so many tasks were served: it then
 // is known to about a fifth (the square root of the number), and follows a change within seconds.
 constexpr std::int64_t minServedTasks = 20;
-// A queue that was contended for this long and was served less is starved. Its rate then is less
-// than if the next three jobs ended now: that many may be missing by chance in a time in which none
-// was seen (95 % confidence).
+// A queue that was contended for this long and was served less than before is starved. Its rate
+// then is less than if the next three jobs ended now: that many may be missing by chance in a time
+// in which none was seen (95 % confidence).
 constexpr milliseconds minStarvedTime {10'000};
 constexpr std::int64_t unseenJobs = 3;
 // Shorter ones show the pace of passes and of answers of the policy service rather than capacity.
@@ -26,10 +26,15 @@
 constexpr milliseconds minContendedWait {250};
 // A result that comes later than this many times its objective is of no use to its caller.
 constexpr std::int64_t maxUsefulObjectives = 3;
+// A job is refused if it would be late even if its queue were served at twice the rate. A wrong
+// refusal costs the caller the whole value; a job that is late after all costs others little, since
+// it goes after those that can be in time.
+constexpr std::int64_t lateMargin = 2;
 constexpr milliseconds minRetryDelay {1'000}; // callers are told whole seconds
 // Callers try a job four times; what is known about the wait is outdated long before.
 constexpr milliseconds maxRetryDelay {20'000};
 constexpr std::int64_t retrySpreadDivisor = 2; // returns are spread over half of the delay
+constexpr std::int64_t minRetrySpread = 2; // seconds at which jobs refused together can return
 constexpr double maxWaitMs = 86'400'000; // a day; also where hardly anything is served
 constexpr time_point endOfTime {std::numeric_limits<std::int64_t>::max()};
 constexpr std::size_t maxTrackedSubmissions = 20'000; // 4 MB
@@ -136,7 +141,7 @@
     if (served.elapsed >= minServedTime && served.tasks >= minServedTasks) {
         return static_cast<double>(served.cores) / elapsed;
     }
-    if (served.elapsed < minStarvedTime || jobCores == 0) {
+    if (served.elapsed < minStarvedTime || jobCores == 0 || flow.endedTasks < minServedTasks) {
         return std::nullopt;
     }
     return static_cast<double>(served.cores + unseenJobs * jobCores) / elapsed;
@@ -169,14 +174,18 @@
     return work;
 }
 
-/** @return when a refused job should come again; the same for each decision about one job, and
-    different for jobs that are refused together */
-milliseconds retryDelay(const std::string &id, milliseconds delay)
+/** @return when a refused job should come again: after a delay, but early enough that all of the
+    spread comes before the latest time. It differs between jobs that are refused together. */
+milliseconds retryDelay(const std::string &id, milliseconds delay, milliseconds latest)
 {
-    const auto capped = std::clamp(delay, minRetryDelay, maxRetryDelay);
-    const auto spread = std::max(capped.count / retrySpreadDivisor, minRetryDelay.count);
+    const milliseconds maxDelay {std::min(latest, maxRetryDelay).count * retrySpreadDivisor
+                                 / (retrySpreadDivisor + 1)};
+    const auto capped = std::max(std::min(delay, maxDelay), minRetryDelay);
+    // In whole seconds, since callers are told no others.
+    const auto seconds = capped.count / minRetryDelay.count;
+    const auto spread = std::max(seconds / retrySpreadDivisor + 1, minRetrySpread);
     const auto hash = static_cast<std::int64_t>(std::hash<std::string> {}(id) >> 1U);
-    return capped + milliseconds {hash % spread};
+    return minRetryDelay * (seconds + hash % spread);
 }
 
 void remember(job_admission &admission, const submission &submitted, work_class rank,
@@ -263,18 +272,20 @@
     const auto forecast = forecastWait(admission, submitted.queue->name(), rank, now + mayWait,
                                        workOf(job).ready, now);
     decision.expectedWait = forecast ? forecast->untilStart : milliseconds {};
-    const bool isLate = forecast && forecast->total > mayWait;
+    const bool isLate = forecast && forecast->total > mayWait * lateMargin;
     if (isLate) {
         const auto usefulWait =
             mayWait + milliseconds {objective.count * (maxUsefulObjectives - 1)};
         if (!refusedAt || forecast->totalIfLate > usefulWait) {
             const auto missing =
                 (refusedAt ? forecast->totalIfLate - usefulWait : forecast->total - mayWait);
-            // Later than this it could not be in time any more, whatever has ended until then.
-            const auto latest = mayWait >= minRetryDelay ? mayWait : maxRetryDelay;
+            // It returns while half of its time is left, if that can be told in whole seconds: the
+            // rate may rise until then, as it does when a burst of more urgent work ends.
+            const milliseconds half {mayWait.count / 2};
+            const auto latest = half >= minRetryDelay ? half : maxRetryDelay;
             decision.reason =
                 submitted.isBeyondShare ? refusal_reason::BeyondShare : refusal_reason::WouldBeLate;
-            decision.retryAfter = retryDelay(id, std::min(missing, latest));
+            decision.retryAfter = retryDelay(id, missing, latest);
             rememberRefusal(shedding, id, now);
             return decision;
         }
@@ -361,7 +372,9 @@
 void recordEnded(job_admission &admission, const std::string &queue, std::int64_t milliCores,
                  time_point now)
 {
-    auto &period = servedNow(admission.flows[queue], now);
+    auto &flow = admission.flows[queue];
+    ++flow.endedTasks;
+    auto &period = servedNow(flow, now);
     period.endedCores += milliCores;
     ++period.endedTasks;
 }
--- a/modules/filbert_dispatch/job_admission.h
+++ b/modules/filbert_dispatch/job_admission.h
@@ -64,6 +64,7 @@
     std::array<waiting_work, workClassCount> committed; // accepted since then
     std::array<waiting_work, workClassCount> underWay; // to the log
     std::array<served_work, 48> served; // a ring of periods
+    std::int64_t endedTasks = 0; // in this term
     // Since when it waits for more than the usual way of a start takes; 0 = it does not. What was
     // served before says little about the rate at which the waiting work is served.
     time_point contendedSince;
