--- a/modules/filbert_dispatch/admission_calls.cpp
+++ b/modules/filbert_dispatch/admission_calls.cpp
@@ -176,7 +176,7 @@
 /** @return the requests without a caller: first those that have waited too long, then in the order
     of the last pass. Of equal ones, quick calls go before slow ones, which they delay little. */
 waiting_requests waitingRequests(dispatch_state &state,
-                                 const std::set<const pending_admission *> &overdue)
+                                 const std::set<const pending_admission *> &overdue, time_point now)
 {
     waiting_requests waiting;
     for (auto &[id, pending] : state.pendingAdmissions) {
@@ -186,8 +186,10 @@
     }
     const auto keyOf = [&](const pending_admission *each) {
         const auto &order = each->order;
-        return std::tuple {!overdue.contains(each), order.rank, order.isBeyondShare,
-                           !isQuick(*each), order.place};
+        const bool goesFirst =
+            overdue.contains(each) && (isQuick(*each) || now >= state.nextOverdueCallAt);
+        return std::tuple {!goesFirst, order.rank, order.isBeyondShare, !isQuick(*each),
+                           order.place};
     };
     std::stable_sort(waiting.begin(), waiting.end(),
                      [&](const auto *a, const auto *b) { return keyOf(a) < keyOf(b); });
@@ -308,15 +310,19 @@
     reviewPending(state, now);
     eraseSilentCallers(state, now);
     const auto overdue = overdueRequests(state, now);
-    const auto waiting = waitingRequests(state, overdue);
+    const auto waiting = waitingRequests(state, overdue, now);
     caller_assignment callers {state, now};
     for (auto *pending : waiting) {
         if (!callers.hasCaller()) {
             break;
         }
-        if (!isQuick(*pending) && !overdue.contains(pending) && callers.delaysQuickCalls()) {
+        const bool delaysQuickCalls = !isQuick(*pending) && callers.delaysQuickCalls();
+        if (delaysQuickCalls && (!overdue.contains(pending) || now < state.nextOverdueCallAt)) {
             continue;
         }
+        if (delaysQuickCalls) { // half of the time is left to quick calls
+            state.nextOverdueCallAt = now + pending->expectedDuration + pending->expectedDuration;
+        }
         callers.send(*pending);
     }
     state.idleCallers = countFreeCallers(availableCallers(state, now, {}), state);
--- a/modules/filbert_dispatch/dispatch_state.h
+++ b/modules/filbert_dispatch/dispatch_state.h
@@ -475,6 +475,8 @@
     time_point lastAdmissionReviewAt;
     time_point nextAdmissionWaitLogAt;
     std::uint64_t admissionReviews = 0;
+    // A slow request that has waited too long takes the last caller from quick ones no earlier.
+    time_point nextOverdueCallAt;
     std::size_t idleCallers = 0; // as of the last review
     bool areRequestsWaiting = false; // for a caller, as of the last review
     time_point lastQuickCallAt; // when a quick request was last made; 0 = never
--- a/modules/filbert_dispatch/ticket_requests.cpp
+++ b/modules/filbert_dispatch/ticket_requests.cpp
@@ -369,8 +369,10 @@
     }
     estimateRelease(pass, step, service);
     if (step.spec->is_gang()) {
-        claims.releasing[step.need.accelerators > 0] -= scaledBy(step.need, waiting);
         const auto *reservation = reservationOf(pass.state, step.name);
+        if (reservation != nullptr) { // the others cannot use what is released singly
+            claims.releasing[step.need.accelerators > 0] -= scaledBy(step.need, waiting);
+        }
         if (canRequest && reservation != nullptr) {
             requestGangTickets(pass, step, *reservation, view);
         } else if (canRequest) {
