--- a/modules/filbert_dispatch/job_acceptance.cpp
+++ b/modules/filbert_dispatch/job_acceptance.cpp
@@ -69,6 +69,24 @@
     return isHeldBack ? work_class::BeyondShare : work_class::WithinShare;
 }
 
+/** Whether a task of a step fits into none of the targets that are known, nor into those that were
+    there before. Without any there is nothing to compare it with. */
+bool isTooWide(const work_state &work, const messages::step_spec &spec, const std::string &service)
+{
+    const auto need = targetReservation(spec);
+    bool hasTarget = false;
+    for (const auto &[id, target] : work.targets) {
+        if (target.registration.service() != service) {
+            continue;
+        }
+        if (fits(need, amountsOf(target.registration.capacity()))) {
+            return false;
+        }
+        hasTarget = true;
+    }
+    return hasTarget;
+}
+
 } // namespace
 
 void handleAcceptedJob(dispatch_state &state, const std::string &id, time_point now)
@@ -168,6 +186,10 @@
     const auto claims = state.shareClaims.find(queue.service());
     submitted.isBeyondShare = isBeyond && claims != state.shareClaims.end()
         && claimOfOthers(claims->second, team).has_value();
+    submitted.isTooWide =
+        std::any_of(job.steps().begin(), job.steps().end(), [&](const auto &spec) {
+            return isTooWide(*state.work, spec, queue.service());
+        });
     submitted.startAndEnd = startAndEndTime(state);
     return decideSubmission(state.jobAdmission, shedding, submitted, now);
 }
--- a/modules/filbert_dispatch/job_admission.cpp
+++ b/modules/filbert_dispatch/job_admission.cpp
@@ -212,7 +212,7 @@
 std::string_view reasonName(refusal_reason reason)
 {
     constexpr std::array<std::string_view, refusalReasonCount> names {
-        "none", "invalid", "long_turns", "would_be_late", "beyond_share"};
+        "none", "invalid", "long_turns", "would_be_late", "beyond_share", "too_wide"};
     return names[static_cast<std::size_t>(reason)];
 }
 
@@ -260,6 +260,11 @@
     if (hasNoObjective(job)) {
         return decision;
     }
+    if (submitted.isTooWide) {
+        decision.reason = refusal_reason::TooWide;
+        decision.retryAfter = retryDelay(id, maxRetryDelay, maxRetryDelay); // targets may be added
+        return decision;
+    }
     const auto refusedAt = firstRefusal(shedding, id);
     decision.waited = refusedAt ? now - *refusedAt : milliseconds {};
     const auto paths = criticalPathsOf(job);
--- a/modules/filbert_dispatch/job_admission.h
+++ b/modules/filbert_dispatch/job_admission.h
@@ -22,8 +22,9 @@
     LongTurns, // the leader has too little processor time; see load_shedding
     WouldBeLate, // too much work of its queue waits before it
     BeyondShare, // the same, and its team sends more than it is owed
+    TooWide, // no known target could hold one of its tasks
 };
-constexpr std::size_t refusalReasonCount = 5;
+constexpr std::size_t refusalReasonCount = 6;
 
 /** @return the name of a reason in logs and metrics */
 std::string_view reasonName(refusal_reason reason);
@@ -121,6 +122,7 @@
     const messages::staged_job *job = nullptr;
     const messages::work_queue *queue = nullptr;
     bool isBeyondShare = false;
+    bool isTooWide = false; // no known target of its service could hold one of its tasks
     milliseconds startAndEnd; // what a job takes apart from its work and from waiting
 };
 
--- a/modules/filbert_dispatch/tests/shortage_test.cpp
+++ b/modules/filbert_dispatch/tests/shortage_test.cpp
@@ -226,6 +226,27 @@
     CHECK(beyond == 16);
 }
 
+// Guards against a job that waits for good without an answer.
+TEST_CASE("a job with a task that no known target could hold is refused", "[dispatch]")
+{
+    order_fixture cell;
+    cell.startLeading();
+    load_shedding shedding;
+    messages::staged_job job;
+    *job.add_steps() = cell.step(1, 16'000);
+    const auto decide = [&] {
+        return decideSubmission(*cell.leader, shedding, "wide", job,
+                                cell.state.configuration.queues(0), "desk", cell.now)
+            .reason;
+    };
+    CHECK(decide() == refusal_reason::None); // there are no targets yet
+    cell.leader->jobAdmission = {};
+    cell.registerTarget("t1", 1, 8'000);
+    CHECK(decide() == refusal_reason::TooWide);
+    cell.registerTarget("t2", 1, 16'000);
+    CHECK(decide() == refusal_reason::None);
+}
+
 // Measures what the order of a pass costs with 2,000 waiting steps; not run by default, since it
 // depends on the machine.
 TEST_CASE("cost of the order of a pass", "[.cost]")
--- a/modules/filbert_node/work_requests.cpp
+++ b/modules/filbert_node/work_requests.cpp
@@ -24,6 +24,8 @@
         return "the cell is overloaded";
     case refusal_reason::BeyondShare:
         return "the job would be late, and its team sends more than its share";
+    case refusal_reason::TooWide:
+        return "a task of the job needs more than any target of its service has";
     default:
         return "the job would be late: too much work waits before it";
     }
