--- a/modules/filbert_dispatch/capacity_claims.h
+++ b/modules/filbert_dispatch/capacity_claims.h
@@ -18,6 +18,8 @@
     std::int64_t targets = 0; // with free capacity for at least one
     bool isPossible = false; // whether one would fit if a target had no other work
     std::int64_t claimed = 0;
+    // Whether nothing is left for steps of quick and of slow policies: claims only grow in a pass.
+    bool isExhausted[2] = {};
 };
 
 /** Cores, memory, accelerators and the required label of a task. */
--- a/modules/filbert_dispatch/scheduling.cpp
+++ b/modules/filbert_dispatch/scheduling.cpp
@@ -335,11 +335,13 @@
 }
 
 /** Whether a step can neither start nor request tickets in this pass: it has no tickets, and no
-    request could still be sent. */
-bool isIdleInPass(const placement_pass &pass, const task_name &step, int rank,
-                  const messages::work_queue &queue)
+    request could still be sent, or the steps before it claim all that it could use. */
+bool isIdleInPass(const placement_pass &pass, const service_view &service, const task_name &step,
+                  const messages::step_spec &spec, const messages::work_queue &queue, int rank)
 {
-    if (!queue.has_admission() || mayRequest(pass.calls, rank, queue.admission())) {
+    if (!queue.has_admission()
+        || (mayRequest(pass.calls, rank, queue.admission())
+            && !isCapacityClaimed(service, spec, queue.admission()))) {
         return false;
     }
     const auto view = pass.state.admissions.find(step);
@@ -388,7 +390,7 @@
         const auto &spec = stepSpecOf(job, key.step);
         const bool isSkipped = isServiceBusy(service)
             ? !isTriedInThisPass(state, name, spec, service, keys.size())
-            : isIdleInPass(pass, name, key.rank, queue);
+            : isIdleInPass(pass, service, name, spec, queue, key.rank);
         if (!isSkipped || (spec.is_gang() && isGangDue(state, name, now))) {
             placeStep(pass, key, place, service);
         }
--- a/modules/filbert_dispatch/ticket_requests.cpp
+++ b/modules/filbert_dispatch/ticket_requests.cpp
@@ -84,14 +84,18 @@
                      times(need.accelerators, free.accelerators)});
 }
 
+task_size sizeOf(const resource_amounts &need, const messages::step_spec &spec)
+{
+    return {need.milliCores, need.memoryMb, need.accelerators, spec.required_label()};
+}
+
 /** @return the places for tasks of the step's size, counted once in a pass */
 fitting_tasks &fittingTasksOf(const pending_step &step, service_view &service)
 {
     constexpr std::int64_t maxPerTarget = 1'000;
     const auto &need = step.need;
-    const auto [entry, isNew] = service.claims.bySize.emplace(
-        task_size {need.milliCores, need.memoryMb, need.accelerators, step.spec->required_label()},
-        fitting_tasks {});
+    const auto [entry, isNew] =
+        service.claims.bySize.emplace(sizeOf(need, *step.spec), fitting_tasks {});
     auto &fitting = entry->second;
     if (!isNew) {
         return fitting;
@@ -328,12 +332,29 @@
     }
 }
 
+/** Does the same for a gang as claimOrRequestTickets().
+    @param canRequest  whether it may make a request now */
+void claimOrRequestForGang(placement_pass &pass, const pending_step &step, service_view &service,
+                           std::size_t waiting, bool canRequest)
+{
+    auto &view = pass.state.admissions[step.name];
+    const auto *reservation = reservationOf(pass.state, step.name);
+    if (reservation != nullptr) { // the others cannot use what is released singly
+        service.claims.releasing[step.need.accelerators > 0] -= scaledBy(step.need, waiting);
+    }
+    if (canRequest && reservation != nullptr) {
+        requestGangTickets(pass, step, *reservation, view);
+    } else if (canRequest) {
+        requestTickets(pass, step, service, view, waiting);
+    }
+}
+
 /** Whether a step may ask for tickets whatever the steps before it claim. Best-effort steps use
     capacity that no other step can have. Long-running steps are few, and would wait until the cell
     is no longer full. */
-bool isExemptFromClaims(const pending_step &step)
+bool isExemptFromClaims(const messages::step_spec &spec)
 {
-    return step.spec->fills_gaps() || step.spec->lasts();
+    return spec.fills_gaps() || spec.lasts();
 }
 
 } // namespace
@@ -344,6 +365,16 @@
                           expectedAdmissionDuration(policy, 1) <= maxQuickAdmissionTime);
 }
 
+bool isCapacityClaimed(const service_view &service, const messages::step_spec &spec,
+                       const messages::admission_policy &policy)
+{
+    if (isExemptFromClaims(spec)) {
+        return false;
+    }
+    const auto found = service.claims.bySize.find(sizeOf(targetReservation(spec), spec));
+    return found != service.claims.bySize.end() && found->second.isExhausted[isSlowPolicy(policy)];
+}
+
 bool hasUsableTickets(const placement_pass &pass, const admission_view &view,
                       const messages::admission_policy &policy)
 {
@@ -359,7 +390,9 @@
         claims.releasing[step.need.accelerators > 0] -= scaledBy(step.need, waiting);
         return;
     }
-    auto &view = pass.state.admissions[step.name];
+    static const admission_view unknown; // most steps that wait have made no request
+    const auto *known = admissionOf(pass, step);
+    const auto &view = known != nullptr ? *known : unknown;
     const bool hasTickets = hasUsableTickets(pass, view, step.queue->admission());
     const bool isWaitingForAnswer = view.pendingRequests > 0;
     const bool canRequest = !isWaitingForAnswer && pass.now >= view.nextRequestAt
@@ -369,15 +402,7 @@
     }
     estimateRelease(pass, step, service);
     if (step.spec->is_gang()) {
-        const auto *reservation = reservationOf(pass.state, step.name);
-        if (reservation != nullptr) { // the others cannot use what is released singly
-            claims.releasing[step.need.accelerators > 0] -= scaledBy(step.need, waiting);
-        }
-        if (canRequest && reservation != nullptr) {
-            requestGangTickets(pass, step, *reservation, view);
-        } else if (canRequest) {
-            requestTickets(pass, step, service, view, waiting);
-        }
+        claimOrRequestForGang(pass, step, service, waiting, canRequest);
         return;
     }
     auto &fitting = fittingTasksOf(step, service);
@@ -385,10 +410,11 @@
     const bool isSlow = isSlowPolicy(step.queue->admission());
     auto claimable = claimableTasks(claims, step.need, static_cast<std::int64_t>(waiting), free,
                                     fitting, isSlow ? slowCallsPerFreePlace : 1);
-    const bool isInTurn = isExemptFromClaims(step) || claimable.free > 0
+    fitting.isExhausted[isSlow] = claimable.free == 0 && claimable.releasing == 0;
+    const bool isInTurn = isExemptFromClaims(*step.spec) || claimable.free > 0
         || (claimable.releasing > 0 && (isSlow || view.requestedTargets.empty()));
-    const bool isRequested =
-        canRequest && isInTurn && requestTickets(pass, step, service, view, waiting);
+    const bool isRequested = canRequest && isInTurn
+        && requestTickets(pass, step, service, pass.state.admissions[step.name], waiting);
     if (!isRequested && !isWaitingForAnswer) {
         if (!hasTickets) {
             return;
--- a/modules/filbert_dispatch/ticket_requests.h
+++ b/modules/filbert_dispatch/ticket_requests.h
@@ -15,6 +15,11 @@
     @param rank  of the step */
 bool mayRequest(const call_budget &calls, int rank, const messages::admission_policy &policy);
 
+/** Whether it is known in this pass that the steps before claim all capacity that a step could
+    request tickets for. */
+bool isCapacityClaimed(const service_view &service, const messages::step_spec &spec,
+                       const messages::admission_policy &policy);
+
 /** Whether a step has tickets that can be used for a start now. */
 bool hasUsableTickets(const placement_pass &pass, const admission_view &view,
                       const messages::admission_policy &policy);
