--- a/modules/filbert_dispatch/gang_reservations.cpp
+++ b/modules/filbert_dispatch/gang_reservations.cpp
@@ -20,7 +20,7 @@
 // longer: by then the estimates have proved wrong.
 constexpr milliseconds minLateness {1'000};
 constexpr milliseconds planPeriod {250}; // between attempts to plan for one gang
-constexpr std::size_t plansPerPass = 3; // of some 0.5 ms of processor time each
+constexpr std::size_t plansPerPass = 1; // each goes through the runs of all admitted targets
 
 time_point expectedEnd(const placement_pass &pass, const run_view &run,
                        const messages::step_spec &spec)
@@ -194,11 +194,14 @@
         || (isLate && hasLateReservation(state, step.queue->service()))) {
         return;
     }
+    const auto maxReserved = service.availableCandidates / targetsPerReservation + 1;
+    if (service.reservedCandidates >= maxReserved) {
+        return;
+    }
     ++service.gangPlans;
     attempt.nextAt = pass.now + planPeriod;
     const auto hosts = possibleHosts(pass, step, service);
     const auto plan = planGang(hosts, step.need, members, pass.now);
-    const auto maxReserved = service.availableCandidates / targetsPerReservation + 1;
     if (!plan || service.reservedCandidates + plan->hosts.size() > maxReserved) {
         return;
     }
