--- a/modules/filbert_dispatch/scheduling.cpp
+++ b/modules/filbert_dispatch/scheduling.cpp
@@ -339,11 +339,13 @@
 }
 
 /** Whether a step can neither start nor request tickets in this pass: it has no tickets, and no
-    request could still be sent. */
-bool isIdleInPass(const placement_pass &pass, const task_name &step, int rank,
-                  const messages::work_queue &queue)
+    request could still be sent, or the steps before it claim all that it could use. */
+bool isIdleInPass(const placement_pass &pass, const service_view &service, const task_name &step,
+                  const messages::step_spec &spec, const messages::work_queue &queue, int rank)
 {
-    if (!queue.has_admission() || mayRequest(pass.calls, rank, queue.admission())) {
+    if (!queue.has_admission()
+        || (mayRequest(pass.calls, rank, queue.admission())
+            && !isCapacityClaimed(service, spec, queue.admission()))) {
         return false;
     }
     const auto view = pass.state.admissions.find(step);
@@ -393,7 +395,7 @@
     const task_name name {*key.job, key.occurrence, key.step, 0};
     const auto &spec = stepSpecOf(*key.record, key.step);
     const bool isSkipped = isBusy ? !isTriedInThisPass(state, name, spec, service, pendingSteps)
-                                  : isIdleInPass(pass, name, key.rank, *key.queue);
+                                  : isIdleInPass(pass, service, name, spec, *key.queue, key.rank);
     return isSkipped && !(spec.is_gang() && isGangDue(state, name, pass.now));
 }
 
