--- a/modules/filbert_transport/filbert_transport.h
+++ b/modules/filbert_transport/filbert_transport.h
@@ -23,3 +23,4 @@
 #include "http_types.h"
 #include "member_sockets.h"
 #include "message_socket.h"
+#include "process_limits.h"
--- a/programs/filbert_controller.cpp
+++ b/programs/filbert_controller.cpp
@@ -120,6 +120,7 @@
                   "--election_timeout_ms: expected at least 4 times --heartbeat_ms (10 or more)");
     check.require(FLAGS_snapshot_entries > 0, "--snapshot_entries: expected a number above 0");
     check.require(FLAGS_target_lease_ms >= 1'000, "--target_lease_ms: expected at least 1000");
+    requireProcessLimits(check);
     return check.isValid();
 }
 
@@ -241,7 +242,7 @@
         return exitInvalidSettings;
     }
     logSettings({"name", "data_folder", "listen", "http", "election_timeout_ms", "heartbeat_ms",
-                 "snapshot_entries", "target_lease_ms", "stop_ms"});
+                 "snapshot_entries", "target_lease_ms", "stop_ms", "memory_mb", "max_descriptors"});
     std::error_code error;
     const auto files = openDataFolder(FLAGS_data_folder, &error);
     if (!files) {
--- a/programs/filbert_gateway.cpp
+++ b/programs/filbert_gateway.cpp
@@ -146,6 +146,7 @@
     }
     check.require(FLAGS_target_connections > 0, "--target_connections: expected a number above 0");
     check.require(FLAGS_max_body_bytes > 0, "--max_body_bytes: expected a number above 0");
+    requireProcessLimits(check);
     return check.isValid();
 }
 
@@ -245,6 +246,7 @@
         return exitInvalidSettings;
     }
     logSettings({"name", "http", "controllers", "tls_certificate", "target_trusted",
-                 "target_connections", "drain_ms", "stop_ms", "max_body_bytes"});
+                 "target_connections", "drain_ms", "stop_ms", "max_body_bytes", "memory_mb",
+                 "max_descriptors"});
     return run();
 }
