--- a/modules/filbert_gateway/gateway_metrics.cpp
+++ b/modules/filbert_gateway/gateway_metrics.cpp
@@ -57,7 +57,8 @@
 
 std::string gateway_metrics::text() const
 {
-    return prometheus::TextSerializer {}.Serialize(registry->Collect());
+    return prometheus::TextSerializer {}.Serialize(registry->Collect())
+        + (furtherText ? furtherText() : std::string {});
 }
 
 } // namespace filbert
--- a/modules/filbert_gateway/gateway_metrics.h
+++ b/modules/filbert_gateway/gateway_metrics.h
@@ -2,6 +2,7 @@
 
 #include "filbert_core/filbert_core.h"
 
+#include <functional>
 #include <memory>
 #include <prometheus/counter.h>
 #include <prometheus/family.h>
@@ -9,6 +10,7 @@
 #include <prometheus/histogram.h>
 #include <prometheus/registry.h>
 #include <string>
+#include <utility>
 
 namespace filbert {
 
@@ -41,6 +43,9 @@
         configurationVersion.Set(static_cast<double>(version));
     }
 
+    /** Sets a function that returns further metrics, which text() appends. */
+    void setFurtherText(std::function<std::string()> further) { furtherText = std::move(further); }
+
     /** @return all metrics in the Prometheus text format */
     std::string text() const;
 
@@ -52,6 +57,7 @@
     prometheus::Counter &unresponsiveConnections;
     prometheus::Counter &unreadableMessages;
     prometheus::Gauge &configurationVersion;
+    std::function<std::string()> furtherText;
 };
 
 } // namespace filbert
--- a/modules/filbert_node/leader_client.cpp
+++ b/modules/filbert_node/leader_client.cpp
@@ -5,6 +5,13 @@
 
 namespace filbert {
 
+namespace {
+
+// Stated to a caller whose request is refused here: requests at the leader end within seconds.
+constexpr milliseconds refusalDelay {2'000};
+
+} // namespace
+
 leader_client::leader_client(const leader_client_settings &settings, leader_client_hooks hooks)
     : settings {settings}
     , hooks {std::move(hooks)}
@@ -47,6 +54,14 @@
         onCompletion({true, false, false, refusal});
         return;
     }
+    if (settings.maxPendingCalls > 0 && calls.size() >= settings.maxPendingCalls) {
+        messages::work_answer refusal;
+        refusal.set_kind(messages::ANSWER_NOT_NOW);
+        refusal.set_detail("this host has too many requests at the leader");
+        refusal.set_number(refusalDelay.count);
+        onCompletion({true, false, false, refusal});
+        return;
+    }
     const auto id = ++lastExchange;
     auto &call = calls[id];
     call.envelope.set_exchange(id);
--- a/modules/filbert_node/leader_client.h
+++ b/modules/filbert_node/leader_client.h
@@ -36,6 +36,8 @@
     milliseconds retryDelay {60}; // after an answer that the controller does not lead
     // A request that could not be sent fails after this time, which covers an election.
     milliseconds unsentTimeout {1'500};
+    // A further request is refused at once, as one that has not run. 0 = unlimited.
+    std::size_t maxPendingCalls = 0;
     // After this time without a message, a connection is re-established and a leader is considered
     // lost. Three hellos have then got no answer.
     milliseconds silenceTimeout {1'000};
@@ -82,7 +84,8 @@
     */
     void setSeeds(const std::vector<std::string> &addresses);
 
-    /** Sends a request to the leader. One that no controller could parse is answered as malformed.
+    /** Sends a request to the leader. One that no controller could parse is answered as malformed,
+        one beyond the limit of pending requests as one that has not run.
         @param deadline      when the call completes without an answer
         @param onCompletion  called exactly once, possibly before this returns
     */
--- a/modules/filbert_node/tests/leader_client_test.cpp
+++ b/modules/filbert_node/tests/leader_client_test.cpp
@@ -264,3 +264,34 @@
     CHECK(fixture.sent.empty());
     CHECK(fixture.client.pendingCalls() == 0);
 }
+
+// Guards against a gateway that fills the memory of the leader, or its own, with requests.
+TEST_CASE("requests beyond the limit of pending ones are refused as not run", "[node]")
+{
+    auto settings = client_fixture::settings();
+    settings.maxPendingCalls = 2;
+    int sent = 0;
+    leader_client client {settings,
+                          {[&](const std::string &, const messages::work_envelope &envelope) {
+                               sent += envelope.has_request() ? 1 : 0;
+                               return true;
+                           },
+                           [](const std::string &) {},
+                           [](const messages::admission_request &, const std::string &) {},
+                           [](const messages::carried_orders &, const std::string &) {}}};
+    std::vector<call_result> results;
+    messages::work_request request;
+    request.set_target_leaves("t1");
+    for (int i = 0; i < 3; ++i) {
+        client.call(request, {0}, {5'000},
+                    [&](call_result &&result) { results.push_back(std::move(result)); });
+    }
+    REQUIRE(results.size() == 1);
+    CHECK(results[0].isAnswered);
+    CHECK(!results[0].wasResent);
+    CHECK(results[0].answer.kind() == messages::ANSWER_NOT_NOW);
+    CHECK(results[0].answer.number() > 0);
+    CHECK(client.pendingCalls() == 2);
+    client.tick({6'000}); // both end without a leader
+    CHECK(client.pendingCalls() == 0);
+}
--- a/modules/filbert_transport/filbert_transport.h
+++ b/modules/filbert_transport/filbert_transport.h
@@ -11,7 +11,10 @@
 
     This module holds no scheduling logic.
 
-    Depends on: filbert_core, filbert_messages, libwebsockets, ZeroMQ.
+    A request_limiter, one per program, keeps what clients make the process hold within the memory
+    and descriptors of its host; its decisions are in request_budget.
+
+    Depends on: filbert_core, filbert_messages, libwebsockets, ZeroMQ, prometheus-cpp.
 */
 
 #include "certificates.h"
@@ -21,6 +24,9 @@
 #include "http_client.h"
 #include "http_server.h"
 #include "http_types.h"
+#include "limiter_metrics.h"
 #include "member_sockets.h"
 #include "message_socket.h"
 #include "process_limits.h"
+#include "request_budget.h"
+#include "request_limiter.h"
--- a/modules/filbert_transport/http_server.cpp
+++ b/modules/filbert_transport/http_server.cpp
@@ -1,10 +1,10 @@
 #include "http_server.h"
 
 #include "filbert_messages/filbert_messages.h"
+#include "http_head.h"
 
 #include <algorithm>
 #include <arpa/inet.h>
-#include <charconv>
 #include <cstring>
 #include <netinet/in.h>
 #include <openssl/ssl.h>
@@ -19,61 +19,8 @@
 constexpr std::size_t writeChunkBytes = 64 * 1024;
 constexpr std::size_t headerBytes = 4 * 1024;
 constexpr std::int64_t millisecondsPerSecond = 1'000;
-
-struct method_token
-{
-    lws_token_indexes token;
-    const char *name;
-};
-
-constexpr method_token methodTokens[] = {
-    {WSI_TOKEN_GET_URI, "GET"},     {WSI_TOKEN_POST_URI, "POST"},
-    {WSI_TOKEN_PUT_URI, "PUT"},     {WSI_TOKEN_DELETE_URI, "DELETE"},
-    {WSI_TOKEN_PATCH_URI, "PATCH"}, {WSI_TOKEN_OPTIONS_URI, "OPTIONS"},
-    {WSI_TOKEN_HEAD_URI, "HEAD"},
-};
-
-std::string requestMethod(lws *wsi)
-{
-    for (const auto &entry : methodTokens) {
-        if (lws_hdr_total_length(wsi, entry.token) > 0) {
-            return entry.name;
-        }
-    }
-    return {};
-}
-
-std::string headerField(lws *wsi, lws_token_indexes token)
-{
-    const int length = lws_hdr_total_length(wsi, token);
-    if (length <= 0) {
-        return {};
-    }
-    std::string value(static_cast<std::size_t>(length) + 1, '\0');
-    const int copied = lws_hdr_copy(wsi, value.data(), length + 1, token);
-    value.resize(copied > 0 ? static_cast<std::size_t>(copied) : 0);
-    return value;
-}
-
-std::string customHeaderField(lws *wsi, std::string_view name)
-{
-    const int length = lws_hdr_custom_length(wsi, name.data(), static_cast<int>(name.size()));
-    if (length <= 0) {
-        return {};
-    }
-    std::string value(static_cast<std::size_t>(length) + 1, '\0');
-    const int copied = lws_hdr_custom_copy(wsi, value.data(), length + 1, name.data(),
-                                           static_cast<int>(name.size()));
-    value.resize(copied > 0 ? static_cast<std::size_t>(copied) : 0);
-    return value;
-}
-
-std::int64_t parseNumber(const std::string &text)
-{
-    std::int64_t number = -1;
-    std::from_chars(text.data(), text.data() + text.size(), number);
-    return number;
-}
+// Refused callers are told to return after 1 to 3 s, so that they do not return at the same moment.
+constexpr std::uint64_t retrySpread = 3;
 
 /** Whether a port is free. The library does not report that it could not open its socket. */
 bool canListen(const std::string &address, int port)
@@ -115,7 +62,7 @@
     bool isAnswered = false;
     bool areHeadersWritten = false;
     bool endsConnection = false;
-    bool isFramed = false; // HTTP/2, in which headers and body are separate frames
+    bool isFramed = false; // as in http_head
 };
 
 /** The per-connection data that the library stores for the server. */
@@ -165,6 +112,9 @@
             static_cast<connection *>(lws_wsi_user(current->wsi))->id = 0;
         }
         exchanges.clear();
+        if (limits.limiter != nullptr) {
+            limits.limiter->removeServer(*this);
+        }
         lws_vhost_destroy(vhost);
     }
 }
@@ -210,54 +160,66 @@
             self->removeExchange(state);
         }
         return 0;
+    case LWS_CALLBACK_FILTER_NETWORK_CONNECTION:
+    case LWS_CALLBACK_SERVER_NEW_CLIENT_INSTANTIATED:
+    case LWS_CALLBACK_WSI_DESTROY:
+        return onConnectionEvent(wsi, reason, in);
     default:
         return 0;
     }
 }
 
+int http_server::onConnectionEvent(lws *wsi, lws_callback_reasons reason, void *in)
+{
+    // The server may have been destroyed before its connections, which then have no id any more.
+    if (reason == LWS_CALLBACK_WSI_DESTROY && lws_get_opaque_user_data(wsi) == nullptr) {
+        return 0;
+    }
+    auto *self = static_cast<http_server *>(lws_get_protocol(wsi)->user);
+    if (self == nullptr || self->limits.limiter == nullptr) {
+        return 0;
+    }
+    auto &limiter = *self->limits.limiter;
+    if (reason == LWS_CALLBACK_FILTER_NETWORK_CONNECTION) {
+        const auto descriptor = static_cast<int>(reinterpret_cast<std::intptr_t>(in));
+        return limiter.admitConnection(lws_get_socket_fd(wsi), descriptor) ? 0 : -1;
+    }
+    if (reason == LWS_CALLBACK_SERVER_NEW_CLIENT_INSTANTIATED) {
+        limiter.addConnection(*self, wsi);
+    } else {
+        limiter.removeConnection(wsi);
+    }
+    return 0;
+}
+
 int http_server::onHeaders(lws *wsi, connection *user, const char *uri, std::size_t length)
 {
     static std::uint64_t lastId = 0;
     removeExchange(user);
     user->id = ++lastId;
     auto &current = *exchanges.emplace(user->id, std::make_unique<exchange>()).first->second;
+    auto head = readHead(wsi, {uri, length}, headerNames);
     current.wsi = wsi;
-    auto &request = current.request;
-    request.id = user->id;
-    request.method = requestMethod(wsi);
-    current.isFramed = lws_hdr_total_length(wsi, WSI_TOKEN_HTTP_COLON_METHOD) > 0;
-    request.path.assign(uri, length);
-    request.host = headerField(wsi, WSI_TOKEN_HOST);
-    request.query = headerField(wsi, WSI_TOKEN_HTTP_URI_ARGS);
-    request.authorization = headerField(wsi, WSI_TOKEN_HTTP_AUTHORIZATION);
-    request.contentType = headerField(wsi, WSI_TOKEN_HTTP_CONTENT_TYPE);
-    request.idempotencyKey = customHeaderField(wsi, "idempotency-key:");
-    const auto deadline = customHeaderField(wsi, "filbert-deadline-ms:");
-    request.deadline = {deadline.empty() ? 0 : parseNumber(deadline)};
-
-    for (const auto &name : headerNames) {
-        request.headers.push_back({name, customHeaderField(wsi, name + ":")});
+    current.isFramed = head.isFramed;
+    current.request = std::move(head.request);
+    current.request.id = user->id;
+    if (limits.limiter != nullptr) {
+        limits.limiter->addRequest(*this, user->id, wsi);
     }
     if (exchanges.size() > limits.maxPendingRequests) {
-        reject(wsi, current, error_kind::Overloaded);
-        return 0;
-    }
-    const auto contentLength = headerField(wsi, WSI_TOKEN_HTTP_CONTENT_LENGTH);
-    if (!headerField(wsi, WSI_TOKEN_HTTP_TRANSFER_ENCODING).empty()) {
-        reject(wsi, current, error_kind::Malformed);
-        return 0;
-    }
-    const auto bodyBytes = contentLength.empty() ? 0 : parseNumber(contentLength);
-    if (bodyBytes < 0) {
-        reject(wsi, current, error_kind::Malformed);
-        return 0;
-    }
-    if (static_cast<std::size_t>(bodyBytes) > limits.maxBodyBytes) {
-        reject(wsi, current, error_kind::TooLarge);
-        return 0;
+        reject(user->id, current, error_kind::Overloaded);
+    } else if (head.isChunked) {
+        reject(user->id, current, error_kind::Malformed,
+               "a body needs Content-Length: chunked bodies are not accepted");
+    } else if (head.bodyBytes < 0) {
+        reject(user->id, current, error_kind::Malformed);
+    } else if (static_cast<std::size_t>(head.bodyBytes) > limits.maxBodyBytes) {
+        reject(user->id, current, error_kind::TooLarge);
+    } else {
+        current.expectedBytes = static_cast<std::size_t>(head.bodyBytes);
+        return head.bodyBytes == 0 ? onRequestComplete(wsi, user) : 0;
     }
-    current.expectedBytes = static_cast<std::size_t>(bodyBytes);
-    return bodyBytes == 0 ? onRequestComplete(wsi, user) : 0;
+    return 0;
 }
 
 int http_server::onBody(connection *user, const char *data, std::size_t length)
@@ -271,6 +233,9 @@
         return -1;
     }
     request.body.append(data, length);
+    if (limits.limiter != nullptr) {
+        limits.limiter->setBodyBytes(user->id, request.body.capacity());
+    }
     return 0;
 }
 
@@ -284,20 +249,51 @@
     if (current.request.body.size() < current.expectedBytes) {
         return 0; // the library reports completion even for bodies that it has not read
     }
+    if (limits.limiter != nullptr && !limits.limiter->startWaiting(user->id)) {
+        reject(user->id, current, error_kind::Overloaded);
+        return 0;
+    }
     current.isComplete = true;
     // The request handler enforces its own deadline for the response.
     lws_set_timeout(wsi, NO_PENDING_TIMEOUT, 0);
-    onRequest(std::move(current.request));
+    auto request = std::move(current.request); // freed before the answer arrives
+    onRequest(std::move(request));
     return 0;
 }
 
-void http_server::reject(lws *wsi, exchange &current, error_kind kind)
+void http_server::reject(std::uint64_t id, exchange &current, error_kind kind,
+                         const std::string &detail)
 {
     current.isComplete = true;
     current.isAnswered = true;
     current.endsConnection = true; // the unread body would follow on the connection
-    current.response = problemResponse(kind, std::string {errorInfo(kind).description});
-    lws_callback_on_writable(wsi);
+    current.request = {};
+    const auto retryAfter = kind == error_kind::Overloaded
+        ? milliseconds {millisecondsPerSecond * static_cast<std::int64_t>(1 + id % retrySpread)}
+        : milliseconds {};
+    current.response = problemResponse(
+        kind, detail.empty() ? std::string {errorInfo(kind).description} : detail, retryAfter);
+    if (limits.limiter != nullptr) {
+        limits.limiter->startAnswer(id, current.response.body.size());
+    }
+    lws_callback_on_writable(current.wsi);
+}
+
+void http_server::refuseRequest(std::uint64_t id, limit_reason reason)
+{
+    const auto found = exchanges.find(id);
+    if (found == exchanges.end()) {
+        return;
+    }
+    auto &current = *found->second;
+    if (!current.isComplete) {
+        reject(id, current, error_kind::Overloaded,
+               reason == limit_reason::Deadline ? "the body arrived too slowly"
+                                                : "this host has no memory left for the request");
+        return;
+    }
+    lws_set_timeout(current.wsi, PENDING_TIMEOUT_USER_REASON_BASE, LWS_TO_KILL_ASYNC);
+    eraseExchange(id); // frees the answer at once
 }
 
 void http_server::respond(std::uint64_t id, http_response &&response)
@@ -310,6 +306,10 @@
     current.response = std::move(response);
     current.isAnswered = true;
     lws_callback_on_writable(current.wsi);
+    if (limits.limiter != nullptr) {
+        limits.limiter->startAnswer(id, current.response.body.size());
+        limits.limiter->enforceMemory(); // may end this exchange
+    }
 }
 
 int http_server::onWritable(lws *wsi, connection *user)
@@ -398,7 +398,7 @@
 int http_server::completeExchange(lws *wsi, connection *user, const exchange &current)
 {
     const bool ends = current.endsConnection;
-    exchanges.erase(user->id);
+    eraseExchange(user->id);
     user->id = 0;
     return lws_http_transaction_completed(wsi) != 0 || ends ? -1 : 0;
 }
@@ -406,11 +406,19 @@
 void http_server::removeExchange(connection *user)
 {
     if (user->id != 0) {
-        exchanges.erase(user->id);
+        eraseExchange(user->id);
         user->id = 0;
     }
 }
 
+void http_server::eraseExchange(std::uint64_t id)
+{
+    exchanges.erase(id);
+    if (limits.limiter != nullptr) {
+        limits.limiter->removeRequest(id);
+    }
+}
+
 http_response problemResponse(error_kind kind, const std::string &detail, milliseconds retryAfter)
 {
     const auto &row = errorInfo(kind);
--- a/modules/filbert_transport/http_server.h
+++ b/modules/filbert_transport/http_server.h
@@ -2,6 +2,7 @@
 
 #include "event_loop.h"
 #include "http_types.h"
+#include "request_limiter.h"
 
 #include <functional>
 #include <memory>
@@ -14,7 +15,7 @@
 
     @code http_server server {loop, "127.0.0.1", 8080, {}, {}, onRequest}; @endcode
 */
-class http_server
+class http_server : public limited_server
 {
 public:
     using request_handler = std::function<void(http_request &&)>;
@@ -32,7 +33,7 @@
     http_server(event_loop &loop, const std::string &address, int port, http_limits limits,
                 const tls_files &tls, request_handler onRequest,
                 const std::vector<std::string> &headerNames = {});
-    ~http_server();
+    ~http_server() override;
     http_server(const http_server &) = delete;
     http_server &operator=(const http_server &) = delete;
 
@@ -43,6 +44,9 @@
     */
     void respond(std::uint64_t id, http_response &&response);
 
+    /** Refuses a request for a limit of the process. Called by the limiter. */
+    void refuseRequest(std::uint64_t id, limit_reason reason) override;
+
     /** Closes each connection after its next response, so that callers move to other servers. */
     void closeAfterResponses() { isClosing = true; }
 
@@ -71,7 +75,10 @@
     int writeHeaders(lws *wsi, connection *user, exchange &current);
     int writeBody(lws *wsi, connection *user, exchange &current);
     int completeExchange(lws *wsi, connection *user, const exchange &current);
-    void reject(lws *wsi, exchange &current, error_kind kind);
+    static int onConnectionEvent(lws *wsi, lws_callback_reasons reason, void *in);
+    void reject(std::uint64_t id, exchange &current, error_kind kind,
+                const std::string &detail = {});
+    void eraseExchange(std::uint64_t id);
     void removeExchange(connection *user);
 
     lws_protocols protocols[2];
--- a/modules/filbert_transport/http_types.h
+++ b/modules/filbert_transport/http_types.h
@@ -63,12 +63,15 @@
     std::string body;
 };
 
+class request_limiter;
+
 /** Limits that a server enforces before it parses a body. */
 struct http_limits
 {
     std::size_t maxBodyBytes = 1 << 20;
     std::size_t maxPendingRequests = 20'000;
     int idleTimeoutSeconds = 20;
+    request_limiter *limiter = nullptr; // of the process; nullptr = its memory is unlimited
 };
 
 /** Paths of the PEM files that a server uses for TLS. Empty paths select plain HTTP. */
--- a/programs/filbert_controller.cpp
+++ b/programs/filbert_controller.cpp
@@ -125,13 +125,15 @@
 }
 
 void handleHealthRequest(http_server &server, const http_request &request,
-                         const controller &controllerInstance, const std::string &identity)
+                         const controller &controllerInstance, const std::string &identity,
+                         const request_limiter &limiter)
 {
     http_response response;
     response.contentType = "text/plain";
     const auto &log = controllerInstance.view().log;
     if (request.path == "/metrics") {
-        response.body = controllerMetricsText(controllerInstance.view());
+        response.body =
+            controllerMetricsText(controllerInstance.view()) + limiterMetricsText(limiter);
     } else if (request.path == "/healthz" || request.path == "/readyz") {
         const bool hasLeader = !log.leader.empty();
         response.status = request.path == "/healthz" || hasLeader ? 200 : 503;
@@ -148,6 +150,7 @@
 int run(log_store &store, const stored_state &stored, const curve_site &site)
 {
     event_loop loop;
+    request_limiter limiter {loop, processLimits()};
     zmq::context_t context {1};
     controller_settings settings;
     settings.snapshotEntries = static_cast<std::uint64_t>(FLAGS_snapshot_entries);
@@ -182,10 +185,12 @@
     controllerInstance = std::make_unique<controller>(settings, replication, stored, seed, store,
                                                       outbox, monotonicNow());
     const auto [address, port] = splitEndpoint(FLAGS_http);
+    http_limits limits;
+    limits.limiter = &limiter;
     std::unique_ptr<http_server> server;
     server = std::make_unique<http_server>(
-        loop, address, port, http_limits {}, tls_files {}, [&](http_request &&request) {
-            handleHealthRequest(*server, request, *controllerInstance, stored.identity);
+        loop, address, port, limits, tls_files {}, [&](http_request &&request) {
+            handleHealthRequest(*server, request, *controllerInstance, stored.identity, limiter);
         });
     if (!server->isListening()) {
         log_line {"listen_failed", log_line::severity::Error}.with("address", FLAGS_http);
--- a/programs/filbert_gateway.cpp
+++ b/programs/filbert_gateway.cpp
@@ -153,12 +153,14 @@
 int run()
 {
     event_loop loop;
+    request_limiter limiter {loop, processLimits()};
     zmq::context_t context {1};
     curve_site site;
     readCurveSite(FLAGS_curve_site, &site);
     std::unique_ptr<gateway> gatewayInstance;
     std::unique_ptr<controller_links> links;
     gateway_metrics metrics;
+    metrics.setFurtherText([&] { return limiterMetricsText(limiter); });
     socket_transport transport {
         loop,
         context,
@@ -184,6 +186,7 @@
     gatewayInstance = std::make_unique<gateway>(settings, *links, callers, targets, metrics);
     http_limits limits;
     limits.maxBodyBytes = static_cast<std::size_t>(FLAGS_max_body_bytes);
+    limits.limiter = &limiter;
     const auto [address, port] = splitEndpoint(FLAGS_http);
     auto server = std::make_unique<http_server>(
         loop, address, port, limits, tls_files {FLAGS_tls_certificate, FLAGS_tls_private_key},
--- a/tests/uncontrolled_clients.sh
+++ b/tests/uncontrolled_clients.sh
@@ -37,9 +37,12 @@
 }
 
 status() { # CURL-ARGUMENTS...: prints the status of the answer, 000 if there is none
-    curl -s -m 8 -o "$work/answer" -w '%{http_code}' "$@" || true
+    : >"$work/answer"
+    curl -s -m 8 -o "$work/answer" -w '%{http_code}' "$@" | tee "$work/status" || true
 }
 
+last_answer() { echo "last answer: $(cat "$work/status") $(head -c 200 "$work/answer")"; }
+
 is_running() { # NAME: whether the process that was started under this name has not ended
     local id=${process_of[$1]}
     [ -d "/proc/$id" ] && ! grep -q '^State:.Z' "/proc/$id/status"
@@ -96,13 +99,13 @@
         [ -z "$only_kind" ] || [ "$only_kind" = "$kind" ] || continue
         local before=$failures what="$port port, $kind"
         start_fresh "$name" || { wrong "$what: the process does not start"; continue; }
-        eventually 20 "$ordinary" || wrong "$what: no ordinary request is answered before the crowd"
+        eventually 20 "$ordinary" || wrong "$what: no ordinary request is answered before the crowd, $(last_answer)"
         run_crowd "$name" "$endpoint" "$port" "$kind" "$method" "$path"
         is_running "$name" || wrong "$what: the process has ended"
         # The connections of the crowd are still open: they must not keep others from being served.
-        eventually 20 "$ordinary" || wrong "$what: no ordinary request is answered during the crowd"
+        eventually 20 "$ordinary" || wrong "$what: no ordinary request is answered during the crowd, $(last_answer)"
         end_crowd
-        eventually 20 "$ordinary" || wrong "$what: no ordinary request is answered after the crowd"
+        eventually 20 "$ordinary" || wrong "$what: no ordinary request is answered after the crowd, $(last_answer)"
         peak=$(peak_kb "$name")
         [ "${peak:-0}" -gt 0 ] && [ $((peak * 1024)) -le $((mb * 1000000)) ] || wrong "$what: peak memory ${peak:-none} kB, bound $mb MB"
         [ "$most_descriptors" -le "$max_descriptors" ] || wrong "$what: $most_descriptors descriptors, bound $max_descriptors"
