--- a/modules/filbert_transport/http_server.cpp
+++ b/modules/filbert_transport/http_server.cpp
@@ -296,6 +296,11 @@
     eraseExchange(id); // frees the answer at once
 }
 
+bool http_server::holdUntilAnswered(std::uint64_t id, std::size_t bytes)
+{
+    return limits.limiter == nullptr || limits.limiter->setWaitingBytes(id, bytes);
+}
+
 void http_server::respond(std::uint64_t id, http_response &&response)
 {
     const auto found = exchanges.find(id);
--- a/modules/filbert_transport/http_server.h
+++ b/modules/filbert_transport/http_server.h
@@ -44,6 +44,10 @@
     */
     void respond(std::uint64_t id, http_response &&response);
 
+    /** Sets what the program holds for a request that it has not answered yet.
+        @return whether the process has room for that; otherwise the program is to refuse it */
+    bool holdUntilAnswered(std::uint64_t id, std::size_t bytes);
+
     /** Refuses a request for a limit of the process. Called by the limiter. */
     void refuseRequest(std::uint64_t id, limit_reason reason) override;
 
--- a/modules/filbert_transport/request_budget.cpp
+++ b/modules/filbert_transport/request_budget.cpp
@@ -12,7 +12,7 @@
 // Parts of a process's memory. The rest is for its state, its code, what it makes of a request
 // while it handles one, and what the allocator cannot reuse.
 constexpr std::size_t bytesDivisor = 8;
-constexpr std::size_t waitingDivisor = 16;
+constexpr std::size_t waitingDivisor = 10;
 constexpr std::size_t connectionsDivisor = 4;
 
 // What the HTTP library holds for a connection: 8 KiB for the head, its parser, and the connection.
@@ -20,8 +20,9 @@
 // A third of the descriptors is for calls to targets, connections between processes, and files.
 constexpr std::size_t reservedDescriptorsDivisor = 3;
 
-// A job of a hundred steps takes about 20 kB, a report of a target less than 1 kB.
-constexpr std::size_t maxSmallRequestBytes = 32 * 1024;
+// A job of a hundred steps takes about 20 kB, and twice as much once it is decoded; a report of a
+// target less than 1 kB.
+constexpr std::size_t maxSmallRequestBytes = 64 * 1024;
 
 // Connections that are ended at once when there is no room, so that the search is not repeated for
 // each new one.
@@ -193,39 +194,57 @@
     budget.requests.erase(found);
 }
 
-bool mayWait(const request_budget &budget, std::uint64_t id)
+bool mayWait(const request_budget &budget, std::uint64_t id, std::size_t bytes)
 {
     const auto found = budget.requests.find(id);
-    if (found == budget.requests.end() || budget.waitingRequests == 0) {
+    if (found == budget.requests.end()) {
+        return true;
+    }
+    const auto &self = found->second;
+    const bool isCounted = self.stage == request_stage::Waiting;
+    const auto others = budget.waitingRequests - (isCounted ? 1 : 0);
+    if (others == 0) {
         return true;
     }
-    const auto bytes = found->second.bytes;
+    const auto otherBytes = budget.waitingBytes - (isCounted ? self.bytes : 0);
+    const auto otherLargeBytes =
+        budget.largeWaitingBytes - (isCounted && isLarge(self.bytes) ? self.bytes : 0);
     const auto &settings = budget.settings;
+    if (others >= settings.maxWaitingRequests) {
+        return false;
+    }
     if (isLarge(bytes)) {
-        const auto all = budget.largeWaitingBytes + bytes;
-        return budget.waitingRequests < settings.maxWaitingRequests
-            && (budget.largeWaitingBytes == 0 || all <= settings.maxLargeWaitingBytes);
+        return otherLargeBytes == 0 || otherLargeBytes + bytes <= settings.maxLargeWaitingBytes;
     }
-    return budget.waitingRequests < settings.maxWaitingRequests
-        && budget.waitingBytes + bytes <= settings.maxWaitingBytes;
+    // A large request that waits alone may exceed the part of the large ones, not that of the
+    // small.
+    const auto usedByLarge = std::min(otherLargeBytes, settings.maxLargeWaitingBytes);
+    return otherBytes - otherLargeBytes + usedByLarge + bytes <= settings.maxWaitingBytes;
 }
 
 std::vector<std::uint64_t> requestsBeyondMemory(const request_budget &budget, time_point now)
 {
     const auto &settings = budget.settings;
-    auto held = budget.heldBytes;
     auto large = budget.largeBytes;
+    auto small = budget.heldBytes - budget.largeBytes;
+    const auto isLargeExcess = [&] {
+        return large > settings.maxLargeBytes || large + small > settings.maxBytes;
+    };
+    const auto isSmallExcess = [&] {
+        return small + std::min(large, settings.maxLargeBytes) > settings.maxBytes;
+    };
     std::vector<std::uint64_t> chosen;
-    if (held <= settings.maxBytes && large <= settings.maxLargeBytes) {
+    if (!isLargeExcess()) { // then there is no excess of small ones either
         return chosen;
     }
     for (const auto &entry : candidatesByCost(budget, now)) {
-        if (held <= settings.maxBytes && large <= settings.maxLargeBytes) {
-            break;
+        if (isLarge(entry.bytes) && isLargeExcess()) {
+            chosen.push_back(entry.id);
+            large -= entry.bytes;
+        } else if (!isLarge(entry.bytes) && isSmallExcess()) {
+            chosen.push_back(entry.id);
+            small -= entry.bytes;
         }
-        chosen.push_back(entry.id);
-        held -= entry.bytes;
-        large -= isLarge(entry.bytes) ? entry.bytes : 0;
     }
     return chosen;
 }
--- a/modules/filbert_transport/request_budget.h
+++ b/modules/filbert_transport/request_budget.h
@@ -96,9 +96,10 @@
 /** Removes a request. Does nothing if the id is unknown. */
 void removeRequest(request_budget &budget, std::uint64_t id, time_point now);
 
-/** @return whether a complete request may wait for its answer. One alone always may, so that a
+/** @param bytes  that the process would hold for the request while it waits
+    @return whether a complete request may wait for its answer. One alone always may, so that a
     request of the largest legal size is served in calm. */
-bool mayWait(const request_budget &budget, std::uint64_t id);
+bool mayWait(const request_budget &budget, std::uint64_t id, std::size_t bytes);
 
 /** Chooses what is to be ended so that the rest fits into the budget: of the requests that are not
     complete or whose answers are not read, those that have held the most for the longest time.
--- a/modules/filbert_transport/request_limiter.cpp
+++ b/modules/filbert_transport/request_limiter.cpp
@@ -111,8 +111,12 @@
 bool request_limiter::startWaiting(std::uint64_t id)
 {
     const auto found = budget.requests.find(id);
-    const auto bytes = found != budget.requests.end() ? found->second.bytes : 0;
-    if (!mayWait(budget, id)) {
+    return setWaitingBytes(id, found != budget.requests.end() ? found->second.bytes : 0);
+}
+
+bool request_limiter::setWaitingBytes(std::uint64_t id, std::size_t bytes)
+{
+    if (!mayWait(budget, id, bytes)) {
         record(limit_reason::Waiting, bytes);
         return false;
     }
--- a/modules/filbert_transport/request_limiter.h
+++ b/modules/filbert_transport/request_limiter.h
@@ -57,6 +57,10 @@
         @return whether it may; it is then counted with its size */
     bool startWaiting(std::uint64_t id);
 
+    /** Sets what the process holds for a request that waits, if there is room for that.
+        @return whether there is; otherwise the request is to be refused */
+    bool setWaitingBytes(std::uint64_t id, std::size_t bytes);
+
     /** Begins the time in which an answer is written. @see enforceMemory */
     void startAnswer(std::uint64_t id, std::size_t bytes);
 
--- a/modules/filbert_transport/tests/request_budget_test.cpp
+++ b/modules/filbert_transport/tests/request_budget_test.cpp
@@ -47,7 +47,7 @@
     auto budget = budgetOf({});
     for (std::uint64_t id = 1; id <= 5'000; ++id) {
         addBody(budget, id, 4'096 * kib, {0});
-        CHECK(mayWait(budget, id));
+        CHECK(mayWait(budget, id, 4'096 * kib));
     }
     CHECK(requestsBeyondMemory(budget, {1'000}).empty());
     CHECK(hasRoomForConnection(budget));
@@ -62,7 +62,7 @@
     for (std::uint64_t id = 1; id <= 800; ++id) {
         CHECK(hasRoomForConnection(budget));
         addBody(budget, id, 8 * kib, {0});
-        CHECK(mayWait(budget, id));
+        CHECK(mayWait(budget, id, 8 * kib));
         setStage(budget, id, request_stage::Waiting, 8 * kib, {0});
         CHECK(requestsBeyondMemory(budget, {0}).empty());
     }
@@ -75,7 +75,7 @@
         auto budget = budgetOf(limits);
         addBody(budget, 1, 4'096 * kib, {0});
         CHECK(requestsBeyondMemory(budget, {0}).empty());
-        CHECK(mayWait(budget, 1));
+        CHECK(mayWait(budget, 1, 4'096 * kib));
     }
 }
 
@@ -102,7 +102,7 @@
     std::uint64_t id = 3;
     std::vector<std::uint64_t> ended;
     while (ended.empty()) {
-        addBody(budget, ++id, 64 * kib, {6'000});
+        addBody(budget, ++id, 128 * kib, {6'000});
         ended = enforce(budget, {6'000});
     }
     CHECK(ended == std::vector<std::uint64_t> {3});
@@ -121,7 +121,7 @@
     for (std::uint64_t id = 1'001; id <= 1'100; ++id) {
         addBody(budget, id, 20 * kib, {1});
         CHECK(enforce(budget, {1}).empty());
-        CHECK(mayWait(budget, id));
+        CHECK(mayWait(budget, id, 20 * kib));
     }
     CHECK(budget.requests.size() == large + 100);
 }
@@ -133,14 +133,14 @@
     auto budget = budgetOf(entryHost);
     std::uint64_t id = 0;
     addBody(budget, ++id, 256 * kib, {0});
-    while (mayWait(budget, id)) {
+    while (mayWait(budget, id, 256 * kib)) {
         setStage(budget, id, request_stage::Waiting, 256 * kib, {0});
         addBody(budget, ++id, 256 * kib, {0});
     }
     CHECK(budget.waitingBytes <= budget.settings.maxLargeWaitingBytes);
     addBody(budget, ++id, 4 * kib, {0});
-    CHECK(mayWait(budget, id));
-    while (mayWait(budget, id)) {
+    CHECK(mayWait(budget, id, 4 * kib));
+    while (mayWait(budget, id, 1 * kib)) {
         setStage(budget, id, request_stage::Waiting, 1 * kib, {0});
         addBody(budget, ++id, 1 * kib, {0});
     }
@@ -148,6 +148,26 @@
     CHECK(budget.waitingBytes <= budget.settings.maxWaitingBytes);
 }
 
+// Guards against bodies that take far more memory once they are decoded.
+TEST_CASE("the size of a waiting request may grow only within the budget", "[transport]")
+{
+    auto budget = budgetOf(entryHost);
+    for (std::uint64_t id = 1; id <= 2; ++id) {
+        addBody(budget, id, 30 * kib, {0});
+        setStage(budget, id, request_stage::Waiting, 30 * kib, {0});
+    }
+    CHECK(mayWait(budget, 1, 14 * mb)); // alone among the large ones
+    setHeldBytes(budget, 1, 14 * mb);
+    CHECK(mayWait(budget, 1, 14 * mb));
+    CHECK(!mayWait(budget, 2, 14 * mb));
+    CHECK(mayWait(budget, 2, 30 * kib));
+    CHECK(requestsBeyondMemory(budget, {0}).empty());
+    addBody(budget, 3, 20 * kib, {0});
+    addBody(budget, 4, 256 * kib, {0});
+    addBody(budget, 5, 1'024 * kib, {0});
+    CHECK(requestsBeyondMemory(budget, {1}) == std::vector<std::uint64_t> {5, 4});
+}
+
 // Guards against a request that waits for the leader being dropped: it may have been accepted.
 TEST_CASE("requests that wait for their answer are never ended", "[transport]")
 {
@@ -185,7 +205,7 @@
 {
     auto budget = budgetOf({0, 384});
     for (std::uint64_t id = 1; hasRoomForConnection(budget); ++id) {
-        addBody(budget, id, id == 7 ? 64 * kib : 1, {0});
+        addBody(budget, id, id == 7 ? 128 * kib : 1, {0});
     }
     CHECK(connectionsBeyondLimit(budget, {1'000}).connections.front() == 7);
 }
--- a/modules/filbert_work/queue_lookup.cpp
+++ b/modules/filbert_work/queue_lookup.cpp
@@ -12,7 +12,6 @@
 namespace {
 
 constexpr int maxTasksInStep = 10'000; // a step of this size takes 1 MB of replicated state
-constexpr int maxSteps = 1'000;
 constexpr std::int64_t maxTasksInJob = 100'000; // in all of its occurrences
 constexpr int maxPriority = 1'000'000;
 constexpr double maxSlackFactor = 10'000;
--- a/modules/filbert_work/value_limits.h
+++ b/modules/filbert_work/value_limits.h
@@ -8,6 +8,7 @@
 
 constexpr std::int64_t maxDurationMs = std::int64_t {366} * 24 * 60 * 60 * 1'000;
 constexpr std::int64_t maxWallMs = 253'402'300'799'999; // the end of the year 9999
+constexpr int maxSteps = 1'000; // of a job
 constexpr std::int64_t maxClockMs = (std::int64_t {1} << 53) - 1;
 
 /** @return whether a duration, in ms, is not negative and not absurdly long */
