--- a/extras/client_crowd.cpp
+++ b/extras/client_crowd.cpp
@@ -107,7 +107,9 @@
                    sizeof smallReceiveBuffer);
     }
     if (descriptor >= 0) {
-        connect(descriptor, reinterpret_cast<const sockaddr *>(&plan.address), sizeof plan.address);
+        // Ends later, as the socket does not block; a failure shows when it is polled.
+        (void)connect(descriptor, reinterpret_cast<const sockaddr *>(&plan.address),
+                      sizeof plan.address);
     }
     return descriptor;
 }
--- a/modules/filbert_transport/http_server.cpp
+++ b/modules/filbert_transport/http_server.cpp
@@ -171,7 +171,7 @@
 
 int http_server::onConnectionEvent(lws *wsi, lws_callback_reasons reason, void *in)
 {
-    // The server may have been destroyed before its connections, which then have no id any more.
+    // The server may have been destroyed before its connections, which it has then forgotten.
     if (reason == LWS_CALLBACK_WSI_DESTROY && lws_get_opaque_user_data(wsi) == nullptr) {
         return 0;
     }
--- a/modules/filbert_transport/request_limiter.cpp
+++ b/modules/filbert_transport/request_limiter.cpp
@@ -17,9 +17,11 @@
 // threshold with the largest block freed so far, and keeps them.
 constexpr int mappedBlockBytes = 64 * 1024;
 
+/** Returns the id of the connection that a request arrives on; connections are known by their
+    addresses in the library. */
 std::uint64_t connectionId(lws *wsi)
 {
-    return reinterpret_cast<std::uintptr_t>(lws_get_opaque_user_data(lws_get_network_wsi(wsi)));
+    return reinterpret_cast<std::uintptr_t>(lws_get_network_wsi(wsi));
 }
 
 void setBufferSizes(int descriptor)
@@ -64,15 +66,15 @@
 
 void request_limiter::addConnection(limited_server &server, lws *wsi)
 {
-    const auto id = ++lastConnection;
-    lws_set_opaque_user_data(wsi, reinterpret_cast<void *>(static_cast<std::uintptr_t>(id)));
+    const auto id = connectionId(wsi);
+    lws_set_opaque_user_data(wsi, this);
     connections[id] = {&server, wsi};
     filbert::addConnection(budget, id, monotonicNow());
 }
 
 void request_limiter::removeConnection(lws *wsi)
 {
-    const auto id = reinterpret_cast<std::uintptr_t>(lws_get_opaque_user_data(wsi));
+    const auto id = reinterpret_cast<std::uintptr_t>(wsi);
     connections.erase(id);
     filbert::removeConnection(budget, id);
 }
--- a/modules/filbert_transport/request_limiter.h
+++ b/modules/filbert_transport/request_limiter.h
@@ -88,7 +88,6 @@
     request_budget budget;
     limit_counts totals {};
     event_limit logLimit;
-    std::uint64_t lastConnection = 0;
     std::unordered_map<std::uint64_t, owned_connection> connections;
     std::unordered_map<std::uint64_t, limited_server *> requests;
 };
