--- a/programs/filbert_controller.cpp
+++ b/programs/filbert_controller.cpp
@@ -120,17 +120,20 @@
                   "--election_timeout_ms: expected at least 4 times --heartbeat_ms (10 or more)");
     check.require(FLAGS_snapshot_entries > 0, "--snapshot_entries: expected a number above 0");
     check.require(FLAGS_target_lease_ms >= 1'000, "--target_lease_ms: expected at least 1000");
+    requireProcessLimits(check);
     return check.isValid();
 }
 
 void handleHealthRequest(http_server &server, const http_request &request,
-                         const controller &controllerInstance, const std::string &identity)
+                         const controller &controllerInstance, const std::string &identity,
+                         const request_limiter &limiter)
 {
     http_response response;
     response.contentType = "text/plain";
     const auto &log = controllerInstance.view().log;
     if (request.path == "/metrics") {
-        response.body = controllerMetricsText(controllerInstance.view());
+        response.body =
+            controllerMetricsText(controllerInstance.view()) + limiterMetricsText(limiter);
     } else if (request.path == "/healthz" || request.path == "/readyz") {
         const bool hasLeader = !log.leader.empty();
         response.status = request.path == "/healthz" || hasLeader ? 200 : 503;
@@ -147,6 +150,7 @@
 int run(log_store &store, const stored_state &stored, const curve_site &site)
 {
     event_loop loop;
+    request_limiter limiter {loop, processLimits()};
     zmq::context_t context {1};
     controller_settings settings;
     settings.snapshotEntries = static_cast<std::uint64_t>(FLAGS_snapshot_entries);
@@ -181,10 +185,12 @@
     controllerInstance = std::make_unique<controller>(settings, replication, stored, seed, store,
                                                       outbox, monotonicNow());
     const auto [address, port] = splitEndpoint(FLAGS_http);
+    http_limits limits;
+    limits.limiter = &limiter;
     std::unique_ptr<http_server> server;
     server = std::make_unique<http_server>(
-        loop, address, port, http_limits {}, tls_files {}, [&](http_request &&request) {
-            handleHealthRequest(*server, request, *controllerInstance, stored.identity);
+        loop, address, port, limits, tls_files {}, [&](http_request &&request) {
+            handleHealthRequest(*server, request, *controllerInstance, stored.identity, limiter);
         });
     if (!server->isListening()) {
         log_line {"listen_failed", log_line::severity::Error}.with("address", FLAGS_http);
@@ -241,7 +247,7 @@
         return exitInvalidSettings;
     }
     logSettings({"name", "data_folder", "listen", "http", "election_timeout_ms", "heartbeat_ms",
-                 "snapshot_entries", "target_lease_ms", "stop_ms"});
+                 "snapshot_entries", "target_lease_ms", "stop_ms", "memory_mb", "max_descriptors"});
     std::error_code error;
     const auto files = openDataFolder(FLAGS_data_folder, &error);
     if (!files) {
--- a/programs/filbert_gateway.cpp
+++ b/programs/filbert_gateway.cpp
@@ -146,18 +146,21 @@
     }
     check.require(FLAGS_target_connections > 0, "--target_connections: expected a number above 0");
     check.require(FLAGS_max_body_bytes > 0, "--max_body_bytes: expected a number above 0");
+    requireProcessLimits(check);
     return check.isValid();
 }
 
 int run()
 {
     event_loop loop;
+    request_limiter limiter {loop, processLimits()};
     zmq::context_t context {1};
     curve_site site;
     readCurveSite(FLAGS_curve_site, &site);
     std::unique_ptr<gateway> gatewayInstance;
     std::unique_ptr<controller_links> links;
     gateway_metrics metrics;
+    metrics.setFurtherText([&] { return limiterMetricsText(limiter); });
     socket_transport transport {
         loop,
         context,
@@ -183,6 +186,7 @@
     gatewayInstance = std::make_unique<gateway>(settings, *links, callers, targets, metrics);
     http_limits limits;
     limits.maxBodyBytes = static_cast<std::size_t>(FLAGS_max_body_bytes);
+    limits.limiter = &limiter;
     const auto [address, port] = splitEndpoint(FLAGS_http);
     auto server = std::make_unique<http_server>(
         loop, address, port, limits, tls_files {FLAGS_tls_certificate, FLAGS_tls_private_key},
@@ -245,6 +249,7 @@
         return exitInvalidSettings;
     }
     logSettings({"name", "http", "controllers", "tls_certificate", "target_trusted",
-                 "target_connections", "drain_ms", "stop_ms", "max_body_bytes"});
+                 "target_connections", "drain_ms", "stop_ms", "max_body_bytes", "memory_mb",
+                 "max_descriptors"});
     return run();
 }
