Evacuation by the generated messages; gangs look for capacity beside their reservation; sizes of tasks in classes

Reservations reach at most 8 s ahead now, and a gang that has one requests tickets where there is capacity now. Places for tasks are counted by sizes rounded to an eighth: counting them for each size took most of a pass.

--- a/modules/filbert_dispatch/dispatch_state.cpp
+++ b/modules/filbert_dispatch/dispatch_state.cpp
@@ -317,13 +317,6 @@
 {
     using body = messages::work_command::BodyCase;
     state.isPassDue = true;
-    if (const auto evacuation = readEvacuation(command)) {
-        // The next tick withdraws the starts that wait for these targets.
-        for (const auto &id : targetsInDomain(*state.work, evacuation->failureDomain)) {
-            state.changedTargets.insert(id);
-        }
-        return;
-    }
     switch (command.body_case()) {
     case body::kAccept:
         refreshJob(state, command.accept().id(), now);
@@ -358,6 +351,12 @@
     case body::kConfigure:
         chargeReservationsAnew(state); // teams may have other names
         break;
+    case body::kEvacuate:
+        // The next tick withdraws the starts that wait for these targets.
+        for (const auto &id : targetsInDomain(*state.work, command.evacuate().failure_domain())) {
+            state.changedTargets.insert(id);
+        }
+        break;
     case body::kForget:
     case body::BODY_NOT_SET:
         break;
--- a/modules/filbert_dispatch/gang_reservations.cpp
+++ b/modules/filbert_dispatch/gang_reservations.cpp
@@ -19,6 +19,9 @@
 // A reservation ends this long after the expected start, or half of the expected wait if that is
 // longer: by then the estimates have proved wrong.
 constexpr milliseconds minLateness {1'000};
+// A reservation that would wait longer is not made. Ends of runs further ahead are not known well:
+// estimates are off by up to 0.9 of themselves, and other targets may be free long before.
+constexpr milliseconds maxExpectedWait {8'000};
 constexpr milliseconds planPeriod {250}; // between attempts to plan for one gang
 constexpr std::size_t plansPerPass = 1; // each goes through the runs of all admitted targets
 
@@ -202,7 +205,8 @@
     attempt.nextAt = pass.now + planPeriod;
     const auto hosts = possibleHosts(pass, step, service);
     const auto plan = planGang(hosts, step.need, members, pass.now);
-    if (!plan || service.reservedCandidates + plan->hosts.size() > maxReserved) {
+    if (!plan || plan->startAt - pass.now > maxExpectedWait
+        || service.reservedCandidates + plan->hosts.size() > maxReserved) {
         return;
     }
     const auto maxIdle = workOf(*plan, hosts, step, members) - attempt.idleCoreMs;
--- a/modules/filbert_dispatch/scheduling.cpp
+++ b/modules/filbert_dispatch/scheduling.cpp
@@ -424,6 +424,9 @@
         }
     }
     for (const auto &[id, view] : state.jobs) {
+        if (view.upcomingSteps.empty() || !isPrefetched(queueOf(pass.queues, *view.record))) {
+            continue;
+        }
         for (const auto &[occurrence, step] : view.upcomingSteps) {
             auto upcoming = pendingStepOf(state, pass.queues, {id, occurrence, step, 0}, view, now);
             upcoming.place = keys.size();
--- a/modules/filbert_dispatch/ticket_requests.cpp
+++ b/modules/filbert_dispatch/ticket_requests.cpp
@@ -4,6 +4,7 @@
 #include "gang_reservations.h"
 
 #include <algorithm>
+#include <bit>
 #include <functional>
 
 namespace filbert {
@@ -84,9 +85,21 @@
                      times(need.accelerators, free.accelerators)});
 }
 
+/** @return an amount rounded down by less than an eighth of itself */
+std::int64_t roundedDown(std::int64_t amount)
+{
+    constexpr int precisionBits = 3;
+    const auto bits = std::bit_width(static_cast<std::uint64_t>(std::max<std::int64_t>(amount, 0)));
+    const auto shift = std::max(static_cast<int>(bits) - 1 - precisionBits, 0);
+    return (amount >> shift) << shift;
+}
+
+/** @return the size that a task is counted as. Sizes of jobs differ in all digits, and counting the
+    places for each of them would go through all targets for each step. */
 task_size sizeOf(const resource_amounts &need, const messages::step_spec &spec)
 {
-    return {need.milliCores, need.memoryMb, need.accelerators, spec.required_label()};
+    return {roundedDown(need.milliCores), roundedDown(need.memoryMb), need.accelerators,
+            spec.required_label()};
 }
 
 /** @return the places for tasks of the step's size, counted once in a pass */
@@ -348,9 +361,18 @@
     if (reservation != nullptr) { // the others cannot use what is released singly
         service.claims.releasing[step.need.accelerators > 0] -= scaledBy(step.need, waiting);
     }
-    if (canRequest && reservation != nullptr) {
-        requestGangTickets(pass, step, *reservation, view);
-    } else if (canRequest) {
+    if (!canRequest) {
+        return;
+    }
+    if (reservation == nullptr) {
+        requestTickets(pass, step, service, view, waiting);
+        return;
+    }
+    requestGangTickets(pass, step, *reservation, view);
+    const auto &fitting = fittingTasksOf(step, service);
+    // A gang does not wait for its reserved targets while there is capacity elsewhere.
+    if (view.pendingRequests == 0 && reservation->expectedStartAt > pass.now
+        && fitting.tasks >= static_cast<std::int64_t>(waiting)) {
         requestTickets(pass, step, service, view, waiting);
     }
 }
@@ -430,12 +452,15 @@
     claimCapacity(claims, step.need, claimable, fitting);
 }
 
+bool isPrefetched(const messages::work_queue &queue)
+{
+    return queue.has_admission()
+        && expectedAdmissionDuration(queue.admission(), targetsPerRequest) <= maxQuickAdmissionTime;
+}
+
 void prefetchTickets(placement_pass &pass, const pending_step &step)
 {
-    const bool isQuick = step.queue->has_admission()
-        && expectedAdmissionDuration(step.queue->admission(), targetsPerRequest)
-            <= maxQuickAdmissionTime;
-    if (!isQuick || !mayRequest(pass.calls, step.rank, step.queue->admission())) {
+    if (!isPrefetched(*step.queue) || !mayRequest(pass.calls, step.rank, step.queue->admission())) {
         return;
     }
     auto &admission = pass.state.admissions[step.name];
--- a/modules/filbert_dispatch/ticket_requests.h
+++ b/modules/filbert_dispatch/ticket_requests.h
@@ -24,6 +24,10 @@
 bool hasUsableTickets(const placement_pass &pass, const admission_view &view,
                       const messages::admission_policy &policy);
 
+/** @return whether tickets for the steps of a queue are requested ahead: calls of its policy are
+    quick */
+bool isPrefetched(const messages::work_queue &queue);
+
 /** Requests tickets for a step that will soon be pending, if its policy decides quickly. */
 void prefetchTickets(placement_pass &pass, const pending_step &step);
 
--- a/modules/filbert_node/evacuation_requests.cpp
+++ b/modules/filbert_node/evacuation_requests.cpp
@@ -26,7 +26,8 @@
             .with("failure_domain", order.failureDomain)
             .with("withdrawn", order.isWithdrawn)
             .with("why", "the failure domain is not known");
-        answerKind(from, answerNoDomain, "no such failure domain: " + order.failureDomain);
+        answerKind(from, messages::ANSWER_NO_DOMAIN,
+                   "no such failure domain: " + order.failureDomain);
         return;
     }
     // A repeated order is committed too: an acknowledgement without a commit could overtake a
--- a/modules/filbert_node/tests/evacuation_requests_test.cpp
+++ b/modules/filbert_node/tests/evacuation_requests_test.cpp
@@ -129,7 +129,7 @@
 {
     evacuation_controller cell {{"d1", "d2"}};
     const auto refused = cell.refusedRequest("d9");
-    CHECK(refused.kind() == answerNoDomain);
+    CHECK(refused.kind() == messages::ANSWER_NO_DOMAIN);
     CHECK(refused.detail() == "no such failure domain: d9");
     CHECK(cell.refusedRequest("").kind() == messages::ANSWER_MALFORMED);
     CHECK(cell.refusedRequest("d\r1").kind() == messages::ANSWER_MALFORMED);
@@ -138,7 +138,7 @@
     cell.greet("controller-a", "d9"); // a controller is in this domain
     CHECK(cell.request("d9") == messages::ANSWER_OK);
     cell.greet("someone", "d8"); // no controller of this cell
-    CHECK(cell.refusedRequest("d8").kind() == answerNoDomain);
+    CHECK(cell.refusedRequest("d8").kind() == messages::ANSWER_NO_DOMAIN);
     cell.controller->setFailureDomains({"d1", "d8"});
     CHECK(cell.request("d8") == messages::ANSWER_OK);
 }
--- a/modules/filbert_node/work_metrics.cpp
+++ b/modules/filbert_node/work_metrics.cpp
@@ -38,9 +38,6 @@
 
 std::string commandName(const messages::work_command &command)
 {
-    if (readEvacuation(command)) {
-        return "evacuate";
-    }
     const auto *field = messages::work_command::descriptor()->FindFieldByNumber(
         static_cast<int>(command.body_case()));
     return field != nullptr ? field->name() : "none";
@@ -125,9 +122,7 @@
 
 void work_metrics::countCommand(const messages::work_command &command)
 {
-    const auto number = readEvacuation(command) ? evacuation_fields::ofCommand
-                                                : static_cast<int>(command.body_case());
-    auto &counter = commandCounters[number];
+    auto &counter = commandCounters[static_cast<int>(command.body_case())];
     if (counter == nullptr) {
         counter = &commands.Add({{"kind", commandName(command)}});
     }
--- a/modules/filbert_node/work_requests.cpp
+++ b/modules/filbert_node/work_requests.cpp
@@ -41,10 +41,6 @@
         answerKind(from, messages::ANSWER_NO_LEADER);
         return;
     }
-    if (const auto evacuation = readEvacuation(request)) {
-        handleEvacuation(from, *evacuation);
-        return;
-    }
     using body = messages::work_request::BodyCase;
     switch (request.body_case()) {
     case body::kJob:
@@ -94,6 +90,9 @@
         answer(from, std::move(content));
         break;
     }
+    case body::kEvacuate:
+        handleEvacuation(from, *readEvacuation(request));
+        break;
     case body::BODY_NOT_SET:
         answerKind(from, messages::ANSWER_MALFORMED,
                    "controllers do not handle requests of this kind");
--- a/modules/filbert_work/work_commands.cpp
+++ b/modules/filbert_work/work_commands.cpp
@@ -369,9 +369,6 @@
 command_outcome applyCommand(work_state &state, const messages::work_command &command,
                              std::int64_t wallMs)
 {
-    if (const auto evacuation = readEvacuation(command)) {
-        return applyEvacuation(state, *evacuation);
-    }
     using body = messages::work_command::BodyCase;
     switch (command.body_case()) {
     case body::kConfigure:
@@ -396,6 +393,8 @@
         return removeJobs(state, command.forget());
     case body::kCrashed:
         return recordCrash(state, command.crashed(), wallMs);
+    case body::kEvacuate:
+        return applyEvacuation(state, *readEvacuation(command));
     case body::BODY_NOT_SET:
         break;
     }
