--- a/review/stand_ins_3/cell.cpp
+++ b/review/stand_ins_3/cell.cpp
@@ -274,13 +274,13 @@
 
 int cell::call(int gateway, const std::string &method, const std::string &path,
                const std::string &body, std::chrono::milliseconds timeout,
-               std::string *responseBody)
+               std::string *responseBody, const std::string &key)
 {
     http_message request;
     request.method = method;
     request.path = path;
     request.body = body;
-    request.headers["Authorization"] = "Bearer tenant-key";
+    request.headers["Authorization"] = "Bearer " + key;
     request.headers["Filbertramp-Deadline-Ms"] = std::to_string(timeout.count());
     const auto response = callOnce(frontOf(gateway), request, clientHost, timeout);
     const int status = response ? response->status : 0;
--- a/review/stand_ins_3/cell.h
+++ b/review/stand_ins_3/cell.h
@@ -56,7 +56,7 @@
     /** Calls a gateway as a client. @return the status, 0 if there was no response in time */
     int call(int gateway, const std::string &method, const std::string &path,
              const std::string &body, std::chrono::milliseconds timeout,
-             std::string *responseBody = nullptr);
+             std::string *responseBody = nullptr, const std::string &key = "tenant-key");
 
     std::string frontOf(int gateway) const;
     std::string controlOf(int controller) const;
