--- a/review/stand_ins_3/case_11.cpp
+++ b/review/stand_ins_3/case_11.cpp
@@ -1,40 +1,76 @@
 /** @file
-    Case 11: four times, a worker crashes in the middle of a job's only task.
+    Case 11: a client sends a second request with a body before the first is answered.
 
-    Usage: case_11 RECORD TROUBLE(0|1); exits with 1 if the job is shown as failed although none of
-    its runs has, 0 if it is completed, 2 if the case could not run.
+    Usage: case_11 RECORD TROUBLE(0|1); exits with 1 if the gateway that got these two requests
+    doesn't answer any other client for 30 s, 0 if it does, 2 if the case could not run.
 */
 
 #include "cell.h"
 
-#include <csignal>
+#include <fstream>
 #include <iostream>
+#include <sstream>
 #include <thread>
+#include <unistd.h>
 
 namespace {
 
 using namespace review;
 using steady = std::chrono::steady_clock;
 
-constexpr const char *jobId = "00000000000000a1";
-constexpr auto workersAreOldAfter = 8s;
-constexpr int crashes = 4;
-constexpr auto crashDelay = 2s; // from the start of the task, which works for 9 s
-constexpr auto downTime = 3s;
+constexpr int gateway = 0; // that gets the two requests
+constexpr auto watchedFor = 30s;
+constexpr const char *body = R"({"spec":"work=500","phases":[{"count":1,"cpu":1000,"memMb":256,)"
+                             R"("estimateMs":500}]})";
 
-/** Waits for one more start of the first task. @return the name of its worker; empty = none came */
-std::string waitForStart(const cell &subject, std::size_t known, std::chrono::seconds timeout)
+std::string postText(const std::string &jobId)
 {
-    const auto deadline = steady::now() + timeout;
-    while (steady::now() < deadline) {
-        const auto lines = subject.recorded({"start " + std::string {jobId} + ".0.0.0 "});
-        if (lines.size() > known) {
-            const auto begin = lines.back().find("i-worker-");
-            return lines.back().substr(begin + 2, lines.back().find(' ', begin) - begin - 2);
-        }
-        std::this_thread::sleep_for(10ms);
+    http_message request;
+    request.method = "POST";
+    request.path = queuePath + jobId;
+    request.headers["Authorization"] = "Bearer tenant-key";
+    request.body = body;
+    return requestText(request, clientHost);
+}
+
+/** @return the processor time that a process has used */
+std::int64_t processorMs(pid_t pid)
+{
+    std::ifstream file {"/proc/" + std::to_string(pid) + "/stat"};
+    std::string text;
+    std::getline(file, text);
+    std::istringstream fields {text.substr(text.rfind(')') + 1)};
+    std::string field;
+    std::int64_t ticks = 0;
+    for (int i = 3; i <= 15 && fields >> field; ++i) {
+        ticks += i >= 14 ? std::stoll(field) : 0; // utime and stime
+    }
+    return ticks * 1'000 / sysconf(_SC_CLK_TCK);
+}
+
+/** Sends two requests on one connection, and the second one at once if it shall not wait. */
+void sendTwo(const cell &subject, bool shallWait)
+{
+    connection client {-1};
+    if (!client.open(subject.frontOf(gateway), 1s)) {
+        subject.record("client: no connection");
+        return;
+    }
+    client.sendText(postText("00000000000000f1"));
+    std::optional<http_message> first;
+    if (shallWait) {
+        first = client.receive(steady::now() + 2s);
     }
-    return {};
+    client.sendText(postText("00000000000000f2"));
+    if (!shallWait) {
+        first = client.receive(steady::now() + 2s);
+    }
+    const auto second = client.receive(steady::now() + 2s);
+    const auto textOf = [](const auto &response) {
+        return response ? std::to_string(response->status) : std::string {"no response"};
+    };
+    subject.record("client sent two POSTs to gateway-0 and leaves: " + textOf(first) + ", "
+                   + textOf(second));
 }
 
 int play(const std::string &recordPath, bool hasTrouble)
@@ -43,37 +79,25 @@
     if (!subject.start()) {
         return 2;
     }
-    std::this_thread::sleep_for(workersAreOldAfter);
-    const auto path = std::string {queuePath} + jobId;
-    const auto body = R"({"spec":"work=9000","phases":[{"count":1,"cpu":2000,"memMb":256,)"
-                      R"("estimateMs":9000}]})";
-    if (subject.call(0, "POST", path, body, 3s) != 200) {
-        return 2;
-    }
-    for (std::size_t crash = 0; hasTrouble && crash < crashes; ++crash) {
-        const auto worker = waitForStart(subject, crash, 10s);
-        if (worker.empty()) {
-            break; // the job has ended
+    for (int i = 0; i < 2; ++i) {
+        if (subject.call(i, "GET", queuePath, "", 3s) != 200) {
+            return 2;
         }
-        std::this_thread::sleep_for(crashDelay);
-        subject.kill(worker);
-        std::this_thread::sleep_for(downTime);
-        subject.startWorker(std::stoi(worker.substr(worker.find('-') + 1)));
     }
-    std::string state;
-    const auto isOver = [&] {
-        return state.find("failed") != std::string::npos
-            || state.find("completed") != std::string::npos;
-    };
-    for (int i = 0; i < 20 && !isOver(); ++i) { // calm: the task can run to its end
-        std::this_thread::sleep_for(2s);
-        subject.call(i % 2, "GET", path, "", 3s, &state);
+    sendTwo(subject, !hasTrouble);
+    const auto name = "gateway-" + std::to_string(gateway);
+    const auto usedBefore = processorMs(subject.pidOf(name));
+    const auto watchUntil = steady::now() + watchedFor;
+    int answered = 0;
+    while (steady::now() < watchUntil) {
+        answered += subject.call(gateway, "GET", queuePath, "", 3s) != 0 ? 1 : 0;
+        std::this_thread::sleep_for(1s);
     }
-    const bool hasFailedEnd = !subject.recorded({"end", " failed"}).empty();
-    const bool isBroken = state.find("failed") != std::string::npos && !hasFailedEnd;
-    subject.record(isBroken ? "BROKEN: the job is shown as failed, and no run ended as failed"
-                            : "held");
-    return isBroken ? 1 : state.find("completed") != std::string::npos ? 0 : 2;
+    const auto used = processorMs(subject.pidOf(name)) - usedBefore;
+    subject.record(name + " has used " + std::to_string(used) + " ms of processor time meanwhile");
+    subject.call(1 - gateway, "GET", queuePath, "", 3s);
+    subject.record(answered == 0 ? "BROKEN: the gateway answers nobody any more" : "held");
+    return answered == 0 ? 1 : 0;
 }
 
 } // namespace
--- a/review/stand_ins_3/case_14.cpp
+++ b/review/stand_ins_3/case_14.cpp
@@ -1,13 +1,12 @@
 /** @file
-    Case 14: the only worker of a kind is unhealthy for some seconds while jobs for it come.
+    Case 14: the operator merges a tenant, whose jobs run, with another one.
 
-    Usage: case_14 RECORD TROUBLE(0|1); exits with 1 if the number of pending jobs is under half of
-    the jobs that have not begun, 0 if it never is, 2 if the case could not run.
+    Usage: case_14 RECORD TROUBLE(0|1); exits with 1 if a job that was accepted and that nobody has
+    cancelled is unknown to the client that handed it in, 0 if not, 2 if the case could not run.
 */
 
 #include "cell.h"
 
-#include <csignal>
 #include <iostream>
 #include <nlohmann/json.hpp>
 #include <thread>
@@ -15,65 +14,61 @@
 namespace {
 
 using namespace review;
+using nlohmann::json;
 
-constexpr std::size_t jobs = 8;
-constexpr std::int64_t countedAfterMs = 3'000 + 2'000; // visible_ms and 2 s
+constexpr const char *jobId = "00000000000000e5";
+constexpr const char *keyOfSecond = "second-tenant-key";
+constexpr auto takenOverAfter = 3'000ms; // visible_ms, and more than configApplyMs
 
-std::string jobId(std::size_t number)
+/** @return a configuration with two tenants, or with one that has the keys of both */
+std::string tenantsText(int version, bool isMerged)
 {
-    return "00000000000000c" + std::to_string(number);
-}
-
-/** @return how many of the jobs have not begun */
-std::size_t countUnbegun(const cell &subject)
-{
-    std::size_t unbegun = 0;
-    for (std::size_t i = 0; i < jobs; ++i) {
-        unbegun += subject.recorded({"start " + jobId(i)}).empty() ? 1 : 0;
+    auto document = json::parse(configurationText(version, 3));
+    auto &tenants = document["tenants"];
+    if (isMerged) {
+        tenants[0]["apiKeys"].push_back(keyOfSecond);
+    } else {
+        auto second = tenants[0];
+        second["name"] = "tenant-2";
+        second["apiKeys"] = json::array({keyOfSecond});
+        tenants.push_back(second);
     }
-    return unbegun;
+    return document.dump();
 }
 
 int play(const std::string &recordPath, bool hasTrouble)
 {
     cell subject {cell_settings {}, recordPath};
-    if (!subject.start()) {
+    if (!subject.start() || !subject.configure(tenantsText(2, false), 5s)) {
         return 2;
     }
-    std::this_thread::sleep_for(4s);
-    if (hasTrouble) {
-        subject.signalProcess("worker-0", SIGUSR1);
-        std::this_thread::sleep_for(100ms);
-    }
-    const auto body = R"({"spec":"work=1000","phases":[{"count":1,"cpu":3000,"memMb":256,)"
-                      R"("estimateMs":1000,"requiredLabel":"b"}]})";
-    for (std::size_t i = 0; i < jobs; ++i) {
-        if (subject.call(0, "POST", queuePath + jobId(i), body, 3s) != 200) {
-            return 2;
-        }
+    std::this_thread::sleep_for(takenOverAfter);
+    const auto path = std::string {queuePath} + jobId;
+    const auto body = R"({"spec":"lasts","phases":[{"count":2,"cpu":2000,"memMb":256,)"
+                      R"("estimateMs":1000,"longRunning":true}]})";
+    if (subject.call(0, "POST", path, body, 3s, nullptr, keyOfSecond) != 200) {
+        return 2;
     }
-    const auto acceptedAt = wallMs();
-    bool isBroken = false;
-    for (int i = 0; i < 24; ++i) {
-        std::this_thread::sleep_for(500ms);
-        const auto askedAt = wallMs();
-        std::string text;
-        const auto status = subject.call(i % 2, "GET", queuePath, "", 3s, &text);
-        const auto unbegun = countUnbegun(subject); // none of these had begun when it was asked
-        if (status != 200 || askedAt < acceptedAt + countedAfterMs) {
-            continue;
-        }
-        const auto pending = nlohmann::json::parse(text).value("pending", std::size_t {0});
-        if (pending * 2 < unbegun) {
-            subject.record("BROKEN: pending is " + std::to_string(pending) + ", but "
-                           + std::to_string(unbegun) + " jobs have not begun");
-            isBroken = true;
-        }
+    std::this_thread::sleep_for(takenOverAfter);
+    const bool isKnownBefore = subject.call(0, "GET", path, "", 3s, nullptr, keyOfSecond) == 200;
+    if (!isKnownBefore || !subject.configure(tenantsText(3, hasTrouble), 5s)) {
+        return 2;
     }
-    for (std::size_t i = 0; i < jobs; ++i) {
-        subject.call(1, "GET", queuePath + jobId(i), "", 3s);
+    subject.record(hasTrouble ? "the tenants are one now" : "the tenants are as before");
+    std::this_thread::sleep_for(takenOverAfter);
+    int unknown = 0;
+    for (int i = 0; i < 4; ++i) {
+        unknown += subject.call(i % 2, "GET", path, "", 3s, nullptr, keyOfSecond) == 410 ? 1 : 0;
+        std::this_thread::sleep_for(1s);
     }
-    subject.record(isBroken ? "BROKEN" : "held");
+    subject.call(0, "GET", queuePath, "", 3s, nullptr, keyOfSecond);
+    subject.call(0, "DELETE", path, "", 3s, nullptr, keyOfSecond);
+    std::this_thread::sleep_for(8s); // longer than cancel_ms and stopMs
+    const auto ends = subject.recorded({"end " + std::string {jobId}}).size();
+    subject.record("tasks that ended after the cancelling: " + std::to_string(ends) + " of 2");
+    const bool isBroken = unknown > 0;
+    subject.record(isBroken ? "BROKEN: an accepted job that nobody cancelled is answered with 410"
+                            : "held");
     return isBroken ? 1 : 0;
 }
 
