Review: an interrupted script ends all its processes

Cause: a script that got TERM or KILL left 15 processes until the end of its case, since the shell waited for the case and nothing told the case.

--- a/review/stand_ins_3/cell.cpp
+++ b/review/stand_ins_3/cell.cpp
@@ -7,6 +7,7 @@
 #include <fstream>
 #include <nlohmann/json.hpp>
 #include <sstream>
+#include <stdexcept>
 #include <sys/prctl.h>
 #include <sys/wait.h>
 #include <thread>
@@ -22,6 +23,7 @@
 constexpr int gatewayNumber = 20; // the last byte of the address of the first gateway
 constexpr int workerNumber = 50;
 constexpr int controllerNumber = 10;
+constexpr unsigned caseSeconds = 115;
 
 std::string readFile(const std::string &path)
 {
@@ -78,10 +80,15 @@
     : settings {settings}
     , recordPath {std::move(recordPath)}
 {
+    prctl(PR_SET_PDEATHSIG, SIGKILL); // also if the script is killed
+    alarm(caseSeconds);
     signal(SIGPIPE, SIG_IGN);
     std::filesystem::remove(this->recordPath);
-    char pattern[] = "/tmp/filbert-review-XXXXXX";
-    temporaryFolder = mkdtemp(pattern);
+    const auto *parent = getenv("TMPDIR");
+    temporaryFolder = std::string {parent != nullptr ? parent : "/tmp"} + "/filbert-review-XXXXXX";
+    if (mkdtemp(temporaryFolder.data()) == nullptr) {
+        throw std::runtime_error {"no temporary folder"};
+    }
     // Addresses and ports that no other cell on this machine is likely to use at the same time.
     network = 1 + static_cast<int>(getpid() % 250);
     basePort = 20'000 + static_cast<int>(getpid() / 250 % 1'000) * 10;
