A submission that was cancelled before it arrived is refused

Cause: the leader answered the cancel of an unknown job and kept nothing, so that the order of cancel and submission was lost; and an entry host took a submission for fresh when it read it.

Change: such a cancel is an entry of the log, bounded for each team; a submission that its caller could cancel is refused by the leader and again when it is applied. The loop knows when it stood still, so that the deadline of a submission that waited meanwhile counts from before; leader_client sends nothing past its deadline.

--- a/modules/filbert_dispatch/dispatch_state.cpp
+++ b/modules/filbert_dispatch/dispatch_state.cpp
@@ -23,6 +23,8 @@
 constexpr milliseconds maxPassPause {40}; // a small fraction of the shortest latency objective
 constexpr int requestIdBits = 32; // leaves 2^32 request ids per term
 constexpr int maxJobsPerCleanup = 500; // keeps the entry of the log at some 10 kB
+// Fifty cleanups forget all; an entry takes some 100 kB at most.
+constexpr int maxCancelsPerCleanup = static_cast<int>(maxEarlyCancels / 50);
 
 void handleCommittedStart(dispatch_state &state, const messages::start_run_command &start,
                           bool refused, time_point now)
@@ -218,6 +220,33 @@
     }
 }
 
+/** Refreshes the job if it was known, else remembers when the cancel may be forgotten. */
+void handleCommittedEarlyCancel(dispatch_state &state, const early_cancel &cancel, time_point now)
+{
+    if (state.work->jobs.contains(cancel.job)) {
+        refreshJob(state, cancel.job, now);
+    } else if (isRemembered(*state.work, cancel)) {
+        state.earlyCancels.emplace_back(now + state.settings.jobRetention, cancel);
+    }
+}
+
+/** Forgets early cancels after the time for which cancelled jobs are retained. It is measured by
+    this leader's monotonic clock: a step of the wall clock must not end it. */
+void removeEarlyCancels(dispatch_state &state, time_point now)
+{
+    messages::work_command command;
+    auto *forget = command.mutable_forget_cancels();
+    auto &cancels = state.earlyCancels;
+    while (!cancels.empty() && now >= cancels.front().first
+           && forget->cancels_size() < maxCancelsPerCleanup) {
+        *forget->add_cancels() = toMessage(cancels.front().second);
+        cancels.pop_front();
+    }
+    if (forget->cancels_size() > 0) {
+        state.effects.commands.push_back(std::move(command));
+    }
+}
+
 void removeEndedJobs(dispatch_state &state, time_point now, std::int64_t wallMs)
 {
     if (now < state.nextCleanupAt) {
@@ -236,6 +265,7 @@
     if (forget->jobs_size() > 0) {
         state.effects.commands.push_back(std::move(command));
     }
+    removeEarlyCancels(state, now);
 }
 
 } // namespace
@@ -281,6 +311,9 @@
     state.leadingSince = now;
     state.retryTokens = settings.maxRetryTokens;
     state.nextCleanupAt = now + cleanupPeriod;
+    for (const auto &cancel : work.earlyCancels) {
+        state.earlyCancels.emplace_back(now + settings.jobRetention, cancel);
+    }
     for (const auto &[id, registered] : work.targets) {
         syncTarget(state, id, now);
     }
@@ -319,6 +352,10 @@
     state.isPassDue = true;
     switch (command.body_case()) {
     case body::kAccept:
+        if (refused) {
+            forgetSubmission(state.jobAdmission, command.accept().id());
+            break;
+        }
         refreshJob(state, command.accept().id(), now);
         handleAcceptedJob(state, command.accept().id(), now);
         break;
@@ -357,7 +394,11 @@
             state.changedTargets.insert(id);
         }
         break;
+    case body::kCancelEarly:
+        handleCommittedEarlyCancel(state, toEarlyCancel(command.cancel_early()), now);
+        break;
     case body::kForget:
+    case body::kForgetCancels:
     case body::BODY_NOT_SET:
         break;
     }
--- a/modules/filbert_dispatch/job_admission.cpp
+++ b/modules/filbert_dispatch/job_admission.cpp
@@ -212,7 +212,7 @@
 std::string_view reasonName(refusal_reason reason)
 {
     constexpr std::array<std::string_view, refusalReasonCount> names {
-        "none", "invalid", "long_turns", "would_be_late", "beyond_share", "too_wide"};
+        "none", "invalid", "long_turns", "would_be_late", "beyond_share", "too_wide", "cancelled"};
     return names[static_cast<std::size_t>(reason)];
 }
 
--- a/modules/filbert_dispatch/job_admission.h
+++ b/modules/filbert_dispatch/job_admission.h
@@ -23,8 +23,9 @@
     WouldBeLate, // too much work of its queue waits before it
     BeyondShare, // the same, and its team sends more than it is owed
     TooWide, // no known target could hold one of its tasks
+    Cancelled, // it was cancelled before it arrived
 };
-constexpr std::size_t refusalReasonCount = 6;
+constexpr std::size_t refusalReasonCount = 7;
 
 /** @return the name of a reason in logs and metrics */
 std::string_view reasonName(refusal_reason reason);
--- a/modules/filbert_node/leader_client.cpp
+++ b/modules/filbert_node/leader_client.cpp
@@ -76,7 +76,7 @@
 void leader_client::sendCall(pending_call &call, time_point now)
 {
     call.nextSendAt = now + settings.retryDelay;
-    if (leader.empty()) {
+    if (leader.empty() || now >= call.deadline) { // the next tick completes an expired one
         return;
     }
     if (hooks.send(leader, call.envelope)) {
--- a/modules/filbert_node/tests/leader_client_test.cpp
+++ b/modules/filbert_node/tests/leader_client_test.cpp
@@ -308,3 +308,28 @@
     client.tick({6'000}); // both end without a leader
     CHECK(client.pendingCalls() == 0);
 }
+
+// Guards against submissions that are handed on after their callers have given up, by a process
+// that stood still: it hears of a new leader before it notices that their deadline has passed.
+TEST_CASE("a request whose deadline has passed is not sent any more", "[link]")
+{
+    client_fixture fixture;
+    bool isCompleted = false;
+    fixture.receiveWelcome("tcp://c1", "tcp://c1");
+    const auto call = [&](time_point deadline) {
+        fixture.client.call({}, fixture.now, deadline,
+                            [&](call_result &&result) { isCompleted = !result.isAnswered; });
+    };
+    call(fixture.now + milliseconds {1'000});
+    REQUIRE(fixture.requestAddresses().size() == 1);
+    fixture.now = fixture.now + milliseconds {5'000}; // stood still
+    fixture.receiveWelcome("tcp://c2", "tcp://c2");
+    CHECK(fixture.requestAddresses().size() == 1);
+    fixture.client.tick(fixture.now);
+    CHECK(isCompleted);
+    isCompleted = false;
+    call(fixture.now - milliseconds {1});
+    fixture.client.tick(fixture.now);
+    CHECK(fixture.requestAddresses().size() == 1);
+    CHECK(isCompleted);
+}
--- a/modules/filbert_node/tests/work_controller_test.cpp
+++ b/modules/filbert_node/tests/work_controller_test.cpp
@@ -286,6 +286,82 @@
     CHECK(fixture.callJob(messages::JOB_STATE, another).name() == "cancelled");
 }
 
+// Guards against work that its caller has cancelled: a submission that an entry host held back was
+// accepted after the cancel had been answered with "no such job".
+TEST_CASE("a submission that arrives after the job was cancelled is refused and never runs",
+          "[controller]")
+{
+    controller_fixture fixture;
+    fixture.configureTwoTeams(1);
+    REQUIRE(fixture.callJob(messages::JOB_CANCEL).kind() == messages::ANSWER_NO_JOB);
+    CHECK(fixture.callJob(messages::JOB_SUBMIT).kind() == messages::ANSWER_CONFLICT);
+    CHECK(fixture.callJob(messages::JOB_STATE).kind() == messages::ANSWER_NO_JOB);
+    CHECK(fixture.callJob(messages::JOB_STATE, "/quotes/").number() == 0);
+    CHECK(fixture.callJob(messages::JOB_CANCEL).kind() == messages::ANSWER_NO_JOB);
+    fixture.restart();
+    CHECK(fixture.callJob(messages::JOB_SUBMIT).kind() == messages::ANSWER_CONFLICT);
+    CHECK(fixture.controller->work().jobs.empty());
+}
+
+TEST_CASE("a cancel and a submission that are both on their way to the log are applied in order",
+          "[controller]")
+{
+    controller_fixture fixture;
+    fixture.configure(1);
+    const auto send = [&](messages::job_call_kind kind) {
+        messages::work_envelope envelope;
+        envelope.set_exchange(++fixture.lastExchange);
+        *envelope.mutable_request() = fixture.jobRequest(kind);
+        fixture.controller->handleEnvelope("gateway-1", envelope, fixture.now, 1'000);
+        return fixture.lastExchange;
+    };
+    const auto cancel = send(messages::JOB_CANCEL);
+    const auto submission = send(messages::JOB_SUBMIT);
+    const auto copy = send(messages::JOB_SUBMIT);
+    fixture.runTurn();
+    CHECK(fixture.answers[cancel].kind() == messages::ANSWER_NO_JOB);
+    CHECK(fixture.answers[submission].kind() == messages::ANSWER_CONFLICT);
+    CHECK(fixture.answers[copy].kind() == messages::ANSWER_CONFLICT);
+    CHECK(fixture.controller->work().jobs.empty());
+}
+
+// Guards against strangers who keep a team's jobs out by cancelling their ids beforehand.
+TEST_CASE("a cancel by another team or without a key keeps no job out", "[controller]")
+{
+    controller_fixture fixture;
+    fixture.configureTwoTeams(1);
+    CHECK(fixture.callJob(messages::JOB_CANCEL, jobPath, "key-of-others").kind()
+          == messages::ANSWER_NO_JOB);
+    CHECK(fixture.callJob(messages::JOB_CANCEL, jobPath, "").kind()
+          == messages::ANSWER_UNAUTHORIZED);
+    CHECK(fixture.callJob(messages::JOB_SUBMIT).kind() == messages::ANSWER_OK);
+    // Neither is an id remembered that no job can have.
+    CHECK(fixture.callJob(messages::JOB_CANCEL, "/quotes/no-id").kind() == messages::ANSWER_NO_JOB);
+    CHECK(fixture.controller->work().earlyCancels.size() == 1);
+}
+
+TEST_CASE("an early cancel is forgotten after as long as a cancelled job, also by a new leader",
+          "[controller]")
+{
+    controller_fixture fixture;
+    fixture.configure(1);
+    fixture.callJob(messages::JOB_CANCEL);
+    const auto retention = dispatch_settings {}.jobRetention;
+    const auto advance = [&](milliseconds time) {
+        for (const auto end = fixture.now + time; fixture.now < end;) {
+            fixture.now = fixture.now + milliseconds {1'000};
+            fixture.runTurn();
+        }
+    };
+    advance(retention - milliseconds {2'000});
+    fixture.restart(); // it does not know for how long the cancel has been remembered
+    advance(retention - milliseconds {2'000});
+    CHECK(fixture.controller->work().earlyCancels.size() == 1);
+    advance({15'000});
+    CHECK(fixture.controller->work().earlyCancels.empty());
+    CHECK(fixture.callJob(messages::JOB_SUBMIT).kind() == messages::ANSWER_OK);
+}
+
 // Guards against accepted work that nobody can find or stop any more: the queue of a job was known
 // by its name alone.
 TEST_CASE("jobs stay known, counted and cancellable when their queue gets another name",
--- a/modules/filbert_node/work_controller.cpp
+++ b/modules/filbert_node/work_controller.cpp
@@ -407,6 +407,10 @@
         answerKind(to, messages::ANSWER_OK);
         break;
     case body::kAccept:
+        if (isRefused) {
+            refuseCancelledJob(to, command.accept().id());
+            break;
+        }
         if (to.exchange != 0) {
             log_line {"job_accepted"}
                 .with("job", command.accept().id())
@@ -420,6 +424,9 @@
         log_line {"job_cancelled"}.with("job", command.cancel()).with("known", !isRefused);
         answerKind(to, isRefused ? messages::ANSWER_NO_JOB : messages::ANSWER_OK);
         break;
+    case body::kCancelEarly:
+        handleAppliedEarlyCancel(toEarlyCancel(command.cancel_early()), outcome, to);
+        break;
     case body::kTarget:
         log_line {"target_state"}
             .with("target", command.target().id())
@@ -435,6 +442,25 @@
     }
 }
 
+void work_controller::handleAppliedEarlyCancel(const early_cancel &cancel,
+                                               const command_outcome &outcome,
+                                               const answer_address &to)
+{
+    const bool isCancelled =
+        outcome.error == error_kind::None && state.jobs.contains(cancel.job); // known by now
+    log_line {"job_cancelled"}
+        .with("job", cancel.job)
+        .with("known", isCancelled)
+        .with("remembered", isRemembered(state, cancel))
+        .with("team", cancel.caller.team)
+        .with("queue", cancel.caller.queue.name);
+    if (outcome.error == error_kind::Overloaded) {
+        refuseEarlyCancel(to);
+        return;
+    }
+    answerKind(to, isCancelled ? messages::ANSWER_OK : messages::ANSWER_NO_JOB);
+}
+
 void work_controller::handleOrderAnswer(const target_order &order, const order_answer &answer,
                                         time_point now)
 {
--- a/modules/filbert_node/work_controller.h
+++ b/modules/filbert_node/work_controller.h
@@ -122,6 +122,9 @@
     void refuseJob(const answer_address &from, const submission_decision &decision,
                    const std::string &id, const messages::work_queue &queue,
                    const std::string &team, const std::string &why);
+    void refuseEarlyCancel(const answer_address &from);
+    void refuseCancelledJob(const answer_address &from, const std::string &id);
+    void handleEarlyCancel(const answer_address &from, const early_cancel &cancel);
     void reportWaits(time_point now);
     void handleConfiguration(const answer_address &from,
                              const messages::work_configuration &document);
@@ -148,6 +151,8 @@
     void logSuccessors(const messages::work_configuration &configuration);
     void handleAppliedCommand(const messages::work_command &command, const command_outcome &outcome,
                               const answer_address &to);
+    void handleAppliedEarlyCancel(const early_cancel &cancel, const command_outcome &outcome,
+                                  const answer_address &to);
     void updateLeadership(time_point now, std::int64_t wallMs);
     void updateMembership(time_point now);
     void sendEffects(time_point now);
--- a/modules/filbert_node/work_requests.cpp
+++ b/modules/filbert_node/work_requests.cpp
@@ -8,6 +8,8 @@
 namespace {
 
 constexpr std::size_t jobIdLength = 16; // hexadecimal digits of a job id
+// A cancel that is remembered is forgotten after minutes; room is made each few seconds.
+constexpr milliseconds earlyCancelRetryDelay {5'000};
 constexpr milliseconds formationRetryDelay {500}; // forming a cell takes about a second
 
 bool isJobId(std::string_view text)
@@ -144,7 +146,12 @@
         return;
     }
     if (!isFound) {
-        answerKind(from, messages::ANSWER_NO_JOB);
+        const bool mayStillArrive = !access && isJobId(id);
+        if (mayStillArrive) {
+            handleEarlyCancel(from, {id, accessUnder(*queue, teamName)});
+        } else {
+            answerKind(from, messages::ANSWER_NO_JOB);
+        }
         return;
     }
     messages::work_command command;
@@ -152,6 +159,30 @@
     propose(std::move(command), from);
 }
 
+/** Cancels a job that is not known, so that a delayed submission of it is refused. */
+void work_controller::handleEarlyCancel(const answer_address &from, const early_cancel &cancel)
+{
+    if (isRemembered(state, cancel)) {
+        answerKind(from, messages::ANSWER_NO_JOB);
+        return;
+    }
+    if (!hasRoomFor(state, cancel)) {
+        refuseEarlyCancel(from);
+        return;
+    }
+    messages::work_command command;
+    *command.mutable_cancel_early() = toMessage(cancel);
+    propose(std::move(command), from);
+}
+
+/** Tells a caller that the cancel of an unknown job cannot be remembered. */
+void work_controller::refuseEarlyCancel(const answer_address &from)
+{
+    answerKind(from, messages::ANSWER_NOT_NOW,
+               "too many unknown jobs of the team were cancelled lately",
+               earlyCancelRetryDelay.count);
+}
+
 /** @return who may see and cancel a job that was accepted or is on its way to the log, or nothing
    if there is none of that id */
 std::optional<job_access> work_controller::findJobAccess(const std::string &id) const
@@ -189,6 +220,10 @@
         answerKind(from, messages::ANSWER_OK); // a repeated submission of an accepted job
         return;
     }
+    if (isCancelledEarly(state, id, accessUnder(queue, team))) {
+        refuseCancelledJob(from, id);
+        return;
+    }
     auto problem = call.problem();
     if (problem.empty() && !isJobId(id)) {
         problem = "expected an id of 16 hexadecimal digits";
@@ -220,6 +255,14 @@
     propose(std::move(command), from);
 }
 
+/** Refuses a submission that was cancelled before it arrived. */
+void work_controller::refuseCancelledJob(const answer_address &from, const std::string &id)
+{
+    metrics.countRefusedJob(refusal_reason::Cancelled);
+    log_line {"job_refused"}.with("reason", reasonName(refusal_reason::Cancelled)).with("job", id);
+    answerKind(from, messages::ANSWER_CONFLICT, "the job was cancelled before it was submitted");
+}
+
 /** Tells a caller that its job is not accepted. @param why  for the caller */
 void work_controller::refuseJob(const answer_address &from, const submission_decision &decision,
                                 const std::string &id, const messages::work_queue &queue,
--- a/modules/filbert_transport/event_loop.cpp
+++ b/modules/filbert_transport/event_loop.cpp
@@ -15,6 +15,12 @@
 // The library sets its next timer only while it handles an event. A timer of this period, of its
 // own, makes it find those that were added elsewhere. Its timeouts are whole seconds.
 constexpr milliseconds libraryTimerPeriod {100};
+// A loop that has not looked for events for this time stood still: its timers are far shorter.
+constexpr milliseconds standstillTime {500};
+// A loop that waited for this time found no event when it began to: two ticks of the clock.
+constexpr milliseconds noticeableWait {2};
+// What has waited in the sockets is read within this time, also while new requests keep coming.
+constexpr milliseconds maxCatchUpTime {1'000};
 
 } // namespace
 
@@ -48,6 +54,14 @@
     info.pcontext = &lwsContext; // reset once the context is destroyed
     info.pt_serv_buf_size = 16 * 1024;
     info.max_http_header_data = 8 * 1024;
+    lastCollectedAt = monotonicNow();
+    ev_check_init(&collectedWatcher, onEventsCollected);
+    ev_set_priority(&collectedWatcher, EV_MAXPRI); // before the events are handled
+    collectedWatcher.data = this;
+    ev_prepare_init(&waitWatcher, onBeforeWait);
+    waitWatcher.data = this;
+    ev_prepare_start(events, &waitWatcher);
+    ev_check_start(events, &collectedWatcher);
     lwsContext = lws_create_context(&info);
     FILBERT_INVARIANT(lwsContext != nullptr, "libwebsockets creates its context");
     lws_sul_schedule(lwsContext, 0, &libraryTimer, onLibraryTimer,
@@ -69,6 +83,8 @@
         ev_timer_stop(events, &entry->watcher);
     }
     lws_sul_cancel(&libraryTimer);
+    ev_check_stop(events, &collectedWatcher);
+    ev_prepare_stop(events, &waitWatcher);
     while (lwsContext != nullptr) { // in several steps, since the loop is not the library's own
         lws_context_destroy(lwsContext);
     }
@@ -148,6 +164,34 @@
     action();
 }
 
+void event_loop::onBeforeWait(struct ev_loop *, ev_prepare *watcher, int)
+{
+    static_cast<event_loop *>(watcher->data)->lastWaitAt = monotonicNow();
+}
+
+/** Notices that the process stood still, and when it has read all that has waited meanwhile: then
+    the loop has to wait for events. */
+void event_loop::onEventsCollected(struct ev_loop *, ev_check *watcher, int)
+{
+    auto *self = static_cast<event_loop *>(watcher->data);
+    const auto now = monotonicNow();
+    const auto pause = now - self->lastCollectedAt;
+    const bool hasWaited = now - self->lastWaitAt >= noticeableWait;
+    if (pause > standstillTime) {
+        log_line {"loop_stood_still", log_line::severity::Warning}.with("pause_ms", pause.count);
+        self->stoodStillSince = self->stoodStillSince.value_or(self->lastCollectedAt);
+        self->wokeAt = now;
+    } else if (hasWaited || now - self->wokeAt > maxCatchUpTime) {
+        self->stoodStillSince.reset();
+    }
+    self->lastCollectedAt = now;
+}
+
+time_point event_loop::inputArrivedAfter() const
+{
+    return stoodStillSince.value_or(monotonicNow());
+}
+
 void event_loop::onLibraryTimer(lws_sorted_usec_list_t *entry)
 {
     auto *self = lws_container_of(entry, event_loop, libraryTimer);
--- a/modules/filbert_transport/event_loop.h
+++ b/modules/filbert_transport/event_loop.h
@@ -6,6 +6,7 @@
 #include <functional>
 #include <libwebsockets.h>
 #include <memory>
+#include <optional>
 #include <utility>
 #include <vector>
 
@@ -55,6 +56,11 @@
     /** Dispatches events until stop() is called. */
     void run();
 
+    /** @return when input that is read now may have arrived at the earliest: now or, if the process
+       stood still and has not read all that has waited meanwhile, when it last ran. Sleep of the
+       host counts. */
+    time_point inputArrivedAfter() const;
+
     /** Makes run() return after the current iteration. */
     void stop() { isStopping = true; }
 
@@ -120,6 +126,8 @@
     };
 
     static void onTimer(struct ev_loop *events, ev_timer *watcher, int flags);
+    static void onEventsCollected(struct ev_loop *events, ev_check *watcher, int flags);
+    static void onBeforeWait(struct ev_loop *events, ev_prepare *watcher, int flags);
     static void onLibraryTimer(lws_sorted_usec_list_t *entry);
     void onSignals(const std::vector<int> &numbers, std::function<void()> action);
     void addTimer(milliseconds period, bool isRepeating, std::function<void()> action);
@@ -135,6 +143,12 @@
     struct ev_loop *events = nullptr;
     lws_context *lwsContext = nullptr;
     lws_sorted_usec_list_t libraryTimer {};
+    ev_check collectedWatcher {};
+    ev_prepare waitWatcher {};
+    time_point lastCollectedAt; // when the loop last looked for events
+    time_point lastWaitAt; // when it last began to wait for them
+    std::optional<time_point> stoodStillSince; // until all input that has waited is read
+    time_point wokeAt; // from that standstill
     lws_vhost *fileVhost = nullptr;
     std::vector<std::unique_ptr<timer>> timers;
     std::vector<std::shared_ptr<input_source>> inputs;
--- a/modules/filbert_transport/http_server.cpp
+++ b/modules/filbert_transport/http_server.cpp
@@ -203,6 +203,7 @@
     current.isFramed = head.isFramed;
     current.request = std::move(head.request);
     current.request.id = user->id;
+    current.request.arrivedAfter = loop.inputArrivedAfter();
     if (limits.limiter != nullptr) {
         limits.limiter->addRequest(*this, user->id, wsi);
     }
--- a/modules/filbert_transport/http_types.h
+++ b/modules/filbert_transport/http_types.h
@@ -50,6 +50,9 @@
     std::string idempotencyKey;
     std::string contentType;
     milliseconds deadline; // 0 = none given
+    // When the request may have arrived at the earliest. It is earlier than when it was read if the
+    // process stood still meanwhile.
+    time_point arrivedAfter;
     std::string body;
     std::vector<http_header> headers; // the additional ones that the server was configured to read
 };
--- a/modules/filbert_transport/tests/http_test.cpp
+++ b/modules/filbert_transport/tests/http_test.cpp
@@ -1,11 +1,14 @@
 #include "filbert_transport/filbert_transport.h"
 
+#include <array>
 #include <catch2/catch.hpp>
 #include <chrono>
 #include <filesystem>
 #include <fstream>
 #include <iomanip>
+#include <netinet/in.h>
 #include <sstream>
+#include <sys/socket.h>
 #include <thread>
 #include <unistd.h>
 
@@ -33,6 +36,23 @@
     return count;
 }
 
+/** Sends a request on a connection of its own, and returns once there is an answer. */
+void sendRequestAndWait(int port)
+{
+    const int descriptor = socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in name {};
+    name.sin_family = AF_INET;
+    name.sin_port = htons(static_cast<std::uint16_t>(port));
+    name.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    const std::string request = "GET / HTTP/1.1\r\nHost: a\r\n\r\n";
+    std::array<char, 100> answer {};
+    if (connect(descriptor, reinterpret_cast<const sockaddr *>(&name), sizeof name) == 0
+        && write(descriptor, request.data(), request.size()) > 0) {
+        read(descriptor, answer.data(), answer.size());
+    }
+    close(descriptor);
+}
+
 } // namespace
 
 TEST_CASE("the library timeout is positive even long after the deadline of a call", "[transport]")
@@ -71,6 +91,40 @@
     CHECK(callsBeforeTimer == 1);
 }
 
+// Guards against requests that are taken for fresh though they have waited in a socket while the
+// process stood still: their callers have given up.
+TEST_CASE("a request that waited while the process stood still says since when", "[transport]")
+{
+    event_loop loop;
+    std::vector<time_point> arrivals;
+    std::unique_ptr<http_server> server;
+    server = std::make_unique<http_server>(loop, "127.0.0.1", 0, http_limits {}, tls_files {},
+                                           [&](http_request &&request) {
+                                               arrivals.push_back(request.arrivedAfter);
+                                               server->respond(request.id, http_response {});
+                                           });
+    http_client client {loop, 1};
+    time_point stoodStillAt;
+    time_point secondSentAt;
+    std::thread caller;
+    loop.callAfter({100}, [&] {
+        stoodStillAt = monotonicNow();
+        caller = std::thread {[port = server->port()] { sendRequestAndWait(port); }};
+        std::this_thread::sleep_for(std::chrono::milliseconds {1'500});
+        loop.callAfter({200}, [&] {
+            secondSentAt = monotonicNow();
+            http_call call;
+            call.endpoint = "127.0.0.1:" + std::to_string(server->port());
+            client.send(std::move(call), [&](std::error_code, http_response &&) { loop.stop(); });
+        });
+    });
+    loop.run();
+    caller.join();
+    REQUIRE(arrivals.size() == 2);
+    CHECK(arrivals[0].ms <= stoodStillAt.ms);
+    CHECK(arrivals[1].ms >= secondSentAt.ms);
+}
+
 TEST_CASE("connections that no other call may reuse are closed", "[transport]")
 {
     constexpr int calls = 40;
--- a/modules/filbert_work/filbert_work.h
+++ b/modules/filbert_work/filbert_work.h
@@ -20,6 +20,8 @@
     `fills_gaps` marks a best-effort step and `lasts` a long-running one, and a `drop` command
     abandons a run, so that its task waits again.
 
+    - A cancel is early if the job was not known. A submission of it that arrives later is refused.
+
     Every change is a command of the replicated log. Applying a command is deterministic, so that
     all controllers hold the same state at the same index of the log. A command that would violate a
     guarantee is refused: a second run of a task that is running or complete, a start before the
@@ -28,6 +30,7 @@
     Depends on: filbert_core, filbert_messages, filbert_policy (resource amounts).
 */
 
+#include "early_cancels.h"
 #include "evacuation.h"
 #include "queue_lookup.h"
 #include "target_checks.h"
--- a/modules/filbert_work/queue_lookup.cpp
+++ b/modules/filbert_work/queue_lookup.cpp
@@ -121,6 +121,11 @@
     return {acceptingQueueOf(job), job.team(), job.taken_under().is_open()};
 }
 
+job_access accessUnder(const messages::work_queue &queue, const std::string &team)
+{
+    return {{queue.host(), queue.path_prefix(), queue.name()}, team, queue.is_open()};
+}
+
 bool isVisible(const messages::work_configuration &configuration, const messages::work_queue &queue,
                const std::string &team, const job_access &access)
 {
--- a/modules/filbert_work/queue_lookup.h
+++ b/modules/filbert_work/queue_lookup.h
@@ -18,17 +18,12 @@
 const messages::work_team *findTeamByKey(const messages::work_configuration &configuration,
                                          const std::string &key);
 
-/** What decides where callers find a job, and which of them. */
-struct job_access
-{
-    accepting_queue queue;
-    std::string team; // empty = none
-    bool isOpenToAll = false; // it was accepted by a queue that required no key
-};
-
 /** @return who finds an accepted job, and where */
 job_access accessOf(const messages::staged_job &job);
 
+/** @return who finds a job that a queue accepts now @param team of the caller; empty = none */
+job_access accessUnder(const messages::work_queue &queue, const std::string &team);
+
 /** Whether a caller may see and cancel a job.
 
     The team of a job may do so wherever its queue is now. Everybody may if the queue required no
--- a/modules/filbert_work/work_commands.cpp
+++ b/modules/filbert_work/work_commands.cpp
@@ -1,6 +1,8 @@
 #include "work_commands.h"
 
+#include "early_cancels.h"
 #include "evacuation.h"
+#include "queue_lookup.h"
 #include "task_name.h"
 #include "team_succession.h"
 
@@ -82,6 +84,9 @@
     if (state.jobs.contains(job.id())) {
         return {}; // a repetition of the same request
     }
+    if (isCancelledEarly(state, job.id(), accessOf(job))) {
+        return {error_kind::Conflict, "the job was cancelled before it was submitted"};
+    }
     auto &record = state.jobs[job.id()];
     record.job = job;
     if (job.repeat_count() == 0) {
@@ -395,6 +400,11 @@
         return recordCrash(state, command.crashed(), wallMs);
     case body::kEvacuate:
         return applyEvacuation(state, *readEvacuation(command));
+    case body::kCancelEarly:
+        return applyEarlyCancel(state, toEarlyCancel(command.cancel_early()), wallMs);
+    case body::kForgetCancels:
+        forgetCancels(state, command.forget_cancels());
+        return {};
     case body::BODY_NOT_SET:
         break;
     }
--- a/modules/filbert_work/work_commands.h
+++ b/modules/filbert_work/work_commands.h
@@ -21,7 +21,7 @@
     @param wallMs   the leader's wall clock when it proposed the command; used for the retention of
                     ended jobs only
     @return no error, or why the command was refused: Conflict (for instance, the task is running or
-            its step is not ready), NotFound, NoCapacity or Malformed
+            its step is not ready), NotFound, NoCapacity, Overloaded or Malformed
 */
 command_outcome applyCommand(work_state &state, const messages::work_command &command,
                              std::int64_t wallMs);
--- a/modules/filbert_work/work_snapshot.cpp
+++ b/modules/filbert_work/work_snapshot.cpp
@@ -1,5 +1,6 @@
 #include "work_snapshot.h"
 
+#include "early_cancels.h"
 #include "evacuation_messages.h"
 
 namespace filbert {
@@ -88,6 +89,9 @@
         out->set_restarts(registered.restarts);
     }
     writeEvacuatedDomains(state.evacuatedDomains, &image);
+    for (const auto &cancel : state.earlyCancels) {
+        *image.add_early_cancels() = toMessage(cancel);
+    }
     return image.SerializeAsString();
 }
 
@@ -111,6 +115,9 @@
         state->jobs.emplace(job.job().id(), readJob(job));
     }
     state->evacuatedDomains = readEvacuatedDomains(image);
+    for (const auto &cancel : image.early_cancels()) {
+        state->earlyCancels.insert(toEarlyCancel(cancel));
+    }
     rebuildDerivedState(*state);
     return {};
 }
--- a/modules/filbert_work/work_state.cpp
+++ b/modules/filbert_work/work_state.cpp
@@ -211,6 +211,10 @@
 {
     state.teamUsage.clear();
     state.pendingByQueue.clear();
+    state.earlyCancelsByTeam.clear();
+    for (const auto &cancel : state.earlyCancels) {
+        ++state.earlyCancelsByTeam[cancel.caller.team];
+    }
     for (auto &[id, registered] : state.targets) {
         registered.runs.clear();
         registered.used = {};
--- a/modules/filbert_work/work_state.h
+++ b/modules/filbert_work/work_state.h
@@ -50,6 +50,26 @@
     auto operator<=>(const accepting_queue &other) const = default;
 };
 
+/** What decides where callers find a job, and which of them. */
+struct job_access
+{
+    accepting_queue queue;
+    std::string team; // empty = none
+    bool isOpenToAll = false; // it was accepted by a queue that required no key
+
+    auto operator<=>(const job_access &other) const = default;
+};
+
+/** The cancelling of a job that was not known. Its submission may have been delayed, and must not
+   be accepted when it arrives. */
+struct early_cancel
+{
+    std::string job;
+    job_access caller; // where and by whom it was cancelled
+
+    auto operator<=>(const early_cancel &other) const = default;
+};
+
 /** A task: its current run, if it has one, and what the next run needs. */
 struct work_task
 {
@@ -139,8 +159,8 @@
 
 /** The whole state of staged jobs, equal on all controllers at the same index of the log.
 
-    Snapshots store the configuration, the jobs, the targets and the evacuated failure domains;
-    members marked as derived are computed from them.
+    Snapshots store the configuration, the jobs, the targets, the evacuated failure domains and the
+    early cancels; members marked as derived are computed from them.
 */
 struct work_state
 {
@@ -148,11 +168,13 @@
     std::unordered_map<std::string, work_job> jobs; // by id
     std::map<std::string, registered_target> targets; // by id
     std::set<std::string> evacuatedDomains; // failure domains in which nothing starts
+    std::set<early_cancel> earlyCancels;
 
     // Derived:
     std::map<std::string, resource_amounts> teamUsage; // by team, of its running tasks
     // Accepted jobs without a started task; without queues that have none.
     std::map<accepting_queue, std::int64_t> pendingByQueue;
+    std::map<std::string, std::size_t> earlyCancelsByTeam; // without teams that have none
 };
 
 /** @return the specification of a step, which must exist in the job */
