A job belongs to the holder of the key with which it was submitted

Cause: jobs moved by whole teams, to an heir whose keys all came from that one team. The key that tells whose a job is was not kept.

Change: a job keeps fingerprints of its team's keys at acceptance. Its owner is the holder of its caller's key, else its team or that team's heir; the owner is decided again when the job is applied, and a withdrawn key refuses it there. Each valid key that its team had at acceptance finds it. Usage, shares and early cancels follow.

--- a/modules/filbert_dispatch/dispatch_state.cpp
+++ b/modules/filbert_dispatch/dispatch_state.cpp
@@ -334,6 +334,7 @@
             }
         }
     }
+    state.seenOwnerChanges = work.ownerChanges;
     restoreShares(state, now, wallMs);
     for (const auto &[id, target] : state.targets) {
         for (const auto &[task, run] : target.runs) {
@@ -408,6 +409,11 @@
 {
     tickTargets(state, now);
     reviewTargetSpeeds(state, now);
+    if (state.seenOwnerChanges != state.work->ownerChanges) {
+        state.seenOwnerChanges = state.work->ownerChanges;
+        state.teamShares = {}; // what was charged to a team follows its jobs
+        restoreShares(state, now, wallMs);
+    }
     beginDueOccurrences(state, wallMs);
     removeEndedJobs(state, now, wallMs);
 }
--- a/modules/filbert_dispatch/dispatch_state.h
+++ b/modules/filbert_dispatch/dispatch_state.h
@@ -489,6 +489,7 @@
     std::map<task_name, gang_plan_attempt> gangPlans; // by step, of gangs that wait
     std::map<task_name, std::string> abandonments; // proposed ones: target by task
     std::map<task_name, std::string> suspectStarts; // target by task, see crash_suspects.h
+    std::uint64_t seenOwnerChanges = 0; // see work_state
     std::deque<std::pair<time_point, early_cancel>> earlyCancels; // by when they are forgotten
     std::set<std::pair<std::string, std::uint32_t>> proposedOccurrences; // (job, occurrence)
     std::uint64_t lastAdmissionId = 0;
--- a/modules/filbert_node/tests/work_controller_test.cpp
+++ b/modules/filbert_node/tests/work_controller_test.cpp
@@ -481,6 +481,104 @@
     CHECK(fixture.callJob(messages::JOB_CANCEL).kind() == messages::ANSWER_OK);
 }
 
+// Guards against jobs that nobody can see or stop any more after their team was merged or divided.
+TEST_CASE("the jobs of a team stay with its keys through mergers, divisions and moves of keys",
+          "[controller]")
+{
+    controller_fixture fixture;
+    const auto configure = [&](std::uint64_t version,
+                               const std::map<std::string, std::vector<std::string>> &teams) {
+        work_fixture content;
+        messages::work_request request;
+        *request.mutable_configure() = content.state.configuration;
+        request.mutable_configure()->set_version(version);
+        request.mutable_configure()->clear_teams();
+        for (const auto &[name, keys] : teams) {
+            auto *team = request.mutable_configure()->add_teams();
+            team->set_name(name);
+            team->mutable_keys()->Assign(keys.begin(), keys.end());
+        }
+        REQUIRE(fixture.sendRequest(request).kind() == messages::ANSWER_OK);
+    };
+    const auto isKnownTo = [&](const std::string &key) {
+        return fixture.callJob(messages::JOB_STATE, jobPath, key).kind() == messages::ANSWER_STATE;
+    };
+    const auto owner = [&] {
+        return fixture.controller->work().jobs.at("5c0e7a21d94b36f8").job.team();
+    };
+    configure(1, {{"a", {"a1", "a2"}}, {"b", {"b1"}}});
+    REQUIRE(fixture.callJob(messages::JOB_SUBMIT, jobPath, "a1").kind() == messages::ANSWER_OK);
+    SECTION("merged with another, under its name or a new one, and the merger undone")
+    {
+        configure(2, {{"b", {"a1", "a2", "b1"}}});
+        CHECK((isKnownTo("a1") && isKnownTo("a2") && isKnownTo("b1")));
+        configure(3, {{"c", {"a1", "a2", "b1"}}});
+        CHECK((isKnownTo("a1") && isKnownTo("b1")));
+        configure(4, {{"a", {"a1", "a2"}}, {"b", {"b1"}}});
+        CHECK((isKnownTo("a1") && isKnownTo("a2") && !isKnownTo("b1")));
+        CHECK(owner() == "a");
+    }
+    SECTION("divided among two new ones")
+    {
+        configure(2, {{"x", {"a1"}}, {"y", {"a2"}}, {"b", {"b1"}}});
+        CHECK((isKnownTo("a1") && isKnownTo("a2") && !isKnownTo("b1")));
+        CHECK(owner() == "x");
+    }
+    SECTION("one key moves to another team, and is withdrawn there")
+    {
+        configure(2, {{"a", {"a2"}}, {"b", {"a1", "b1"}}});
+        CHECK((isKnownTo("a1") && isKnownTo("a2")));
+        CHECK(owner() == "b");
+        configure(3, {{"a", {"a2"}}, {"b", {"b1"}}});
+        CHECK_FALSE(isKnownTo("a1"));
+        CHECK(isKnownTo("a2"));
+    }
+    SECTION("left, and its name given to a new team")
+    {
+        configure(2, {{"b", {"b1"}}});
+        configure(3, {{"b", {"b1"}}, {"a", {"a9"}}});
+        CHECK_FALSE((isKnownTo("a9") || isKnownTo("b1")));
+        configure(4, {{"c", {"a2"}}, {"a", {"a9"}}});
+        CHECK((isKnownTo("a2") && !isKnownTo("a9")));
+    }
+    SECTION("all keys exchanged under its name")
+    {
+        configure(2, {{"a", {"a9"}}, {"b", {"b1"}}});
+        CHECK((isKnownTo("a9") && !isKnownTo("b1")));
+    }
+    CHECK(fixture.controller->work().jobs.size() == 1);
+}
+
+// Guards against jobs that are accepted under a team that has another name by the time at which
+// they are applied.
+TEST_CASE("a submission in the same turn as a configuration gets the team that its key has then",
+          "[controller]")
+{
+    controller_fixture fixture;
+    fixture.configureTwoTeams(1);
+    const auto send = [&](const messages::work_request &request) {
+        messages::work_envelope envelope;
+        envelope.set_exchange(++fixture.lastExchange);
+        *envelope.mutable_request() = request;
+        fixture.controller->handleEnvelope("gateway-1", envelope, fixture.now, 1'000);
+        return fixture.lastExchange;
+    };
+    work_fixture content;
+    messages::work_request renaming;
+    *renaming.mutable_configure() = content.state.configuration;
+    renaming.mutable_configure()->set_version(2);
+    renaming.mutable_configure()->mutable_teams(0)->set_name("renamed");
+    send(renaming);
+    const auto accepted = send(fixture.jobRequest(messages::JOB_SUBMIT));
+    const auto withdrawn =
+        send(fixture.jobRequest(messages::JOB_SUBMIT, "/quotes/5c0e7a21d94b36f9", "key-of-others"));
+    fixture.runTurn();
+    CHECK(fixture.answers[accepted].kind() == messages::ANSWER_OK);
+    CHECK(fixture.callJob(messages::JOB_STATE).name() == "queued");
+    CHECK(fixture.answers[withdrawn].kind() == messages::ANSWER_UNAUTHORIZED);
+    CHECK(fixture.controller->work().jobs.size() == 1);
+}
+
 TEST_CASE("a team that gets the name of one that left earlier does not get its jobs",
           "[controller]")
 {
--- a/modules/filbert_node/work_controller.cpp
+++ b/modules/filbert_node/work_controller.cpp
@@ -407,6 +407,10 @@
         answerKind(to, messages::ANSWER_OK);
         break;
     case body::kAccept:
+        if (outcome.error == error_kind::Unauthorized) {
+            answerKind(to, messages::ANSWER_UNAUTHORIZED); // its key was withdrawn meanwhile
+            break;
+        }
         if (isRefused) {
             refuseCancelledJob(to, command.accept().id());
             break;
--- a/modules/filbert_node/work_controller.h
+++ b/modules/filbert_node/work_controller.h
@@ -117,7 +117,7 @@
     void handleJobCall(const answer_address &from, const messages::job_call &call, time_point now,
                        std::int64_t wallMs);
     void handleSubmission(const answer_address &from, const messages::job_call &call,
-                          const messages::work_queue &queue, const std::string &team,
+                          const messages::work_queue &queue, const job_caller &caller,
                           const std::string &id, time_point now, std::int64_t wallMs);
     void refuseJob(const answer_address &from, const submission_decision &decision,
                    const std::string &id, const messages::work_queue &queue,
--- a/modules/filbert_node/work_requests.cpp
+++ b/modules/filbert_node/work_requests.cpp
@@ -121,7 +121,10 @@
         return;
     }
     const auto id = call.path().substr(queue->path_prefix().size());
-    const auto teamName = team != nullptr ? team->name() : std::string {};
+    job_caller caller;
+    if (team != nullptr) {
+        caller = {team->name(), keyFingerprint(call.key())};
+    }
     if (call.kind() == messages::JOB_STATE && id.empty()) {
         std::int64_t count = 0;
         for (const auto &[accepting, jobs] : state.pendingByQueue) {
@@ -131,11 +134,11 @@
         return;
     }
     if (call.kind() == messages::JOB_SUBMIT) {
-        handleSubmission(from, call, *queue, teamName, id, now, wallMs);
+        handleSubmission(from, call, *queue, caller, id, now, wallMs);
         return;
     }
     const auto access = findJobAccess(id);
-    const bool isFound = access && isVisible(configuration, *queue, teamName, *access);
+    const bool isFound = access && isVisible(configuration, *queue, caller, *access);
     if (call.kind() == messages::JOB_STATE) {
         const auto job = state.jobs.find(id);
         const bool isKnown = isFound && job != state.jobs.end();
@@ -148,7 +151,7 @@
     if (!isFound) {
         const bool mayStillArrive = !access && isJobId(id);
         if (mayStillArrive) {
-            handleEarlyCancel(from, {id, accessUnder(*queue, teamName)});
+            handleEarlyCancel(from, {id, accessUnder(*queue, caller)});
         } else {
             answerKind(from, messages::ANSWER_NO_JOB);
         }
@@ -207,11 +210,11 @@
 }
 
 void work_controller::handleSubmission(const answer_address &from, const messages::job_call &call,
-                                       const messages::work_queue &queue, const std::string &team,
+                                       const messages::work_queue &queue, const job_caller &caller,
                                        const std::string &id, time_point now, std::int64_t wallMs)
 {
     const auto access = findJobAccess(id);
-    if (access && !isVisible(state.configuration, queue, team, *access)) {
+    if (access && !isVisible(state.configuration, queue, caller, *access)) {
         // A success would leave the caller with a job that it cannot see and that is not its own.
         answerKind(from, messages::ANSWER_CONFLICT, "another job has this id");
         return;
@@ -220,7 +223,12 @@
         answerKind(from, messages::ANSWER_OK); // a repeated submission of an accepted job
         return;
     }
-    if (isCancelledEarly(state, id, accessUnder(queue, team))) {
+    const auto *team = findTeam(state.configuration, caller.team);
+    const auto teamKeys =
+        team != nullptr ? teamKeysOf(*team, caller.key) : std::vector<std::uint64_t> {};
+    auto ownAccess = accessUnder(queue, caller);
+    ownAccess.teamKeys = teamKeys;
+    if (isCancelledEarly(state, id, ownAccess)) {
         refuseCancelledJob(from, id);
         return;
     }
@@ -232,16 +240,16 @@
         problem = findProblem(call.job()).value_or("");
     }
     if (!problem.empty()) {
-        refuseJob(from, {refusal_reason::Invalid, {}, {}, {}}, id, queue, team, problem);
+        refuseJob(from, {refusal_reason::Invalid, {}, {}, {}}, id, queue, caller.team, problem);
         return;
     }
     submission_decision decision;
     // One that is on its way to the log may be accepted, so that it cannot be refused any more.
     if (!access) {
-        decision = decideSubmission(*dispatch, shedding, id, call.job(), queue, team, now);
+        decision = decideSubmission(*dispatch, shedding, id, call.job(), queue, caller.team, now);
     }
     if (decision.reason != refusal_reason::None) {
-        refuseJob(from, decision, id, queue, team, explanationOf(decision.reason));
+        refuseJob(from, decision, id, queue, caller.team, explanationOf(decision.reason));
         return;
     }
     messages::work_command command;
@@ -249,7 +257,8 @@
     *job = call.job();
     job->set_id(id);
     job->set_queue(queue.name());
-    job->set_team(team);
+    job->set_team(caller.team);
+    job->mutable_team_keys()->Assign(teamKeys.begin(), teamKeys.end());
     job->set_accepted_wall_ms(wallMs - decision.waited.count); // its objective counts from then
     *job->mutable_taken_under() = queue;
     propose(std::move(command), from);
--- a/modules/filbert_work/early_cancels.cpp
+++ b/modules/filbert_work/early_cancels.cpp
@@ -12,10 +12,14 @@
 bool mayCancel(const work_state &state, const job_access &caller, const job_access &job)
 {
     const bool isSameTeam = !caller.team.empty() && caller.team == job.team;
+    // Its team may have another name by now.
+    const bool hasOwnKey = !caller.teamKeys.empty()
+        && std::find(job.teamKeys.begin(), job.teamKeys.end(), caller.teamKeys.front())
+            != job.teamKeys.end();
     const auto *queue = findQueueAt(state.configuration, {job.queue.host, job.queue.pathPrefix});
     // A queue that requires a key by now does so to keep others out.
     const bool isOpen = caller.isOpenToAll && job.isOpenToAll;
-    return (isSameTeam || isOpen) && queue != nullptr
+    return (isSameTeam || hasOwnKey || isOpen) && queue != nullptr
         && hasJobsOf(state.configuration, *queue, caller.queue);
 }
 
@@ -100,15 +104,22 @@
     message.set_queue_name(cancel.caller.queue.name);
     message.set_team(cancel.caller.team);
     message.set_is_open_to_all(cancel.caller.isOpenToAll);
+    message.set_key(cancel.caller.teamKeys.empty() ? 0 : cancel.caller.teamKeys.front());
     return message;
 }
 
 early_cancel toEarlyCancel(const messages::early_cancel &message)
 {
-    return {message.job(),
-            {{message.queue_host(), message.queue_path_prefix(), message.queue_name()},
-             message.team(),
-             message.is_open_to_all()}};
+    early_cancel cancel;
+    cancel.job = message.job();
+    cancel.caller = {{message.queue_host(), message.queue_path_prefix(), message.queue_name()},
+                     message.team(),
+                     message.is_open_to_all(),
+                     {}};
+    if (message.key() != 0) {
+        cancel.caller.teamKeys.push_back(message.key());
+    }
+    return cancel;
 }
 
 } // namespace filbert
--- a/modules/filbert_work/queue_lookup.cpp
+++ b/modules/filbert_work/queue_lookup.cpp
@@ -3,6 +3,8 @@
 #include "value_limits.h"
 
 #include <algorithm>
+#include <array>
+#include <climits>
 #include <set>
 #include <sodium.h>
 #include <utility>
@@ -118,21 +120,43 @@
 
 job_access accessOf(const messages::staged_job &job)
 {
-    return {acceptingQueueOf(job), job.team(), job.taken_under().is_open()};
+    return {acceptingQueueOf(job),
+            job.team(),
+            job.taken_under().is_open(),
+            {job.team_keys().begin(), job.team_keys().end()}};
 }
 
-job_access accessUnder(const messages::work_queue &queue, const std::string &team)
+std::uint64_t keyFingerprint(const std::string &key)
 {
-    return {{queue.host(), queue.path_prefix(), queue.name()}, team, queue.is_open()};
+    std::array<unsigned char, crypto_generichash_BYTES> digest {};
+    crypto_generichash(digest.data(), digest.size(),
+                       reinterpret_cast<const unsigned char *>(key.data()), key.size(), nullptr, 0);
+    std::uint64_t fingerprint = 0;
+    for (std::size_t i = 0; i < sizeof fingerprint; ++i) { // the same on hosts of any byte order
+        fingerprint = fingerprint << CHAR_BIT | digest[i];
+    }
+    return std::max<std::uint64_t>(fingerprint, 1);
+}
+
+job_access accessUnder(const messages::work_queue &queue, const job_caller &caller)
+{
+    std::vector<std::uint64_t> keys;
+    if (caller.key != 0) {
+        keys.push_back(caller.key);
+    }
+    return {{queue.host(), queue.path_prefix(), queue.name()}, caller.team, queue.is_open(), keys};
 }
 
 bool isVisible(const messages::work_configuration &configuration, const messages::work_queue &queue,
-               const std::string &team, const job_access &access)
+               const job_caller &caller, const job_access &access)
 {
-    const bool isOwnTeam = !team.empty() && team == access.team;
+    const auto &keys = access.teamKeys;
+    const bool isOwnTeam = !caller.team.empty() && caller.team == access.team;
+    const bool hasOwnKey =
+        caller.key != 0 && std::find(keys.begin(), keys.end(), caller.key) != keys.end();
     const bool isOpenNow = queue.is_open()
         && placeOf(queue) == queue_place {access.queue.host, access.queue.pathPrefix};
-    return (isOwnTeam || access.isOpenToAll || isOpenNow)
+    return (isOwnTeam || hasOwnKey || access.isOpenToAll || isOpenNow)
         && hasJobsOf(configuration, queue, access.queue);
 }
 
--- a/modules/filbert_work/work_commands.cpp
+++ b/modules/filbert_work/work_commands.cpp
@@ -73,7 +73,7 @@
                                    const messages::work_configuration &configuration)
 {
     if (configuration.version() > state.configuration.version()) {
-        moveJobsToSuccessors(state, findSuccessors(state.configuration, configuration));
+        moveJobsToOwners(state, configuration);
         state.configuration = configuration;
     }
     return {};
@@ -87,8 +87,14 @@
     if (isCancelledEarly(state, job.id(), accessOf(job))) {
         return {error_kind::Conflict, "the job was cancelled before it was submitted"};
     }
+    // The configuration may have changed since the leader proposed the job.
+    const auto owner = ownerOnAcceptance(state.configuration, job);
+    if (!owner) {
+        return {error_kind::Unauthorized, "the key of the caller was withdrawn"};
+    }
     auto &record = state.jobs[job.id()];
     record.job = job;
+    record.job.set_team(*owner);
     if (job.repeat_count() == 0) {
         beginOccurrence(record, 0);
     }
--- a/modules/filbert_work/work_state.h
+++ b/modules/filbert_work/work_state.h
@@ -56,6 +56,7 @@
     accepting_queue queue;
     std::string team; // empty = none
     bool isOpenToAll = false; // it was accepted by a queue that required no key
+    std::vector<std::uint64_t> teamKeys; // fingerprints of the team's keys at acceptance
 
     auto operator<=>(const job_access &other) const = default;
 };
@@ -65,7 +66,7 @@
 struct early_cancel
 {
     std::string job;
-    job_access caller; // where and by whom it was cancelled
+    job_access caller; // where and by whom it was cancelled; with the caller's own key only
 
     auto operator<=>(const early_cancel &other) const = default;
 };
@@ -175,6 +176,7 @@
     // Accepted jobs without a started task; without queues that have none.
     std::map<accepting_queue, std::int64_t> pendingByQueue;
     std::map<std::string, std::size_t> earlyCancelsByTeam; // without teams that have none
+    std::uint64_t ownerChanges = 0; // configurations that gave jobs to other teams
 };
 
 /** @return the specification of a step, which must exist in the job */
