A job is pending until a target confirms that it has begun

Cause: startRun() marked a job as started when the order was committed; the abandonment of a rejected run did not take that back.

Change: beginnings come from the answers and lists of targets. The log learns them from ends, crashes and abandonments, so that no entry is added; the leader knows the others, and a new one asks the targets. A job is shown as active once it has begun: the test that expected that state after the order expects queued there and active after the target's answer now.

--- a/modules/filbert_dispatch/dispatch_state.cpp
+++ b/modules/filbert_dispatch/dispatch_state.cpp
@@ -3,6 +3,7 @@
 #include "admission_requests.h"
 #include "capacity_claims.h"
 #include "job_acceptance.h"
+#include "pending_jobs.h"
 #include "scheduling.h"
 #include "speed_tracking.h"
 #include "target_tracking.h"
@@ -253,6 +254,7 @@
         return;
     }
     state.nextCleanupAt = now + cleanupPeriod;
+    removeLoggedBeginnings(state);
     messages::work_command command;
     auto *forget = command.mutable_forget();
     for (const auto &[id, job] : state.work->jobs) {
@@ -311,6 +313,7 @@
     state.leadingSince = now;
     state.retryTokens = settings.maxRetryTokens;
     state.nextCleanupAt = now + cleanupPeriod;
+    removeLoggedBeginnings(state);
     for (const auto &cancel : work.earlyCancels) {
         state.earlyCancels.emplace_back(now + settings.jobRetention, cancel);
     }
--- a/modules/filbert_dispatch/dispatch_state.h
+++ b/modules/filbert_dispatch/dispatch_state.h
@@ -93,6 +93,8 @@
     milliseconds crashWindow {500};
     // A target that ran for less before it crashed may be at fault itself.
     milliseconds minSoundLifetime {10'000};
+    // Between counts of the pending jobs: a quarter of how old the count may be.
+    milliseconds pendingCountPeriod {500};
     milliseconds jobRetention {130'000}; // of ended jobs: the platform's minimum and a margin
     double urgentHeadroom = 0.08; // fraction of a service's cores kept for its most urgent queue
 };
@@ -489,6 +491,9 @@
     std::map<task_name, gang_plan_attempt> gangPlans; // by step, of gangs that wait
     std::map<task_name, std::string> abandonments; // proposed ones: target by task
     std::map<task_name, std::string> suspectStarts; // target by task, see crash_suspects.h
+    std::set<std::string> begunJobs; // confirmed by targets, but not by the log yet
+    std::map<accepting_queue, std::int64_t> begunByQueue; // of these, as of the last count
+    time_point nextPendingCountAt;
     std::uint64_t seenOwnerChanges = 0; // see work_state
     std::deque<std::pair<time_point, early_cancel>> earlyCancels; // by when they are forgotten
     std::set<std::pair<std::string, std::uint32_t>> proposedOccurrences; // (job, occurrence)
--- a/modules/filbert_dispatch/filbert_dispatch.h
+++ b/modules/filbert_dispatch/filbert_dispatch.h
@@ -42,6 +42,7 @@
 #include "job_acceptance.h"
 #include "job_admission.h"
 #include "load_shedding.h"
+#include "pending_jobs.h"
 #include "report_checks.h"
 #include "scheduling.h"
 #include "speed_tracking.h"
--- a/modules/filbert_dispatch/order_answers.cpp
+++ b/modules/filbert_dispatch/order_answers.cpp
@@ -1,4 +1,5 @@
 #include "interference.h"
+#include "pending_jobs.h"
 #include "speed_tracking.h"
 #include "target_orders.h"
 #include "target_tracking.h"
@@ -101,6 +102,9 @@
     if (result == order_result::Done || result == order_result::Superseded) {
         run.confirmedAt = now;
         run.mayHaveReachedTarget = true;
+        if (result == order_result::Done) { // else it was stopped before it could begin
+            noteBegun(state, order.task.job);
+        }
         addSample(state.startAnswerTime, now - order.sentAt);
         if (run.placedAt.ms > 0) {
             addSample(state.placementTime, now - run.placedAt);
@@ -240,6 +244,7 @@
                         const order_answer &answer, std::set<task_name> *listed, time_point now)
 {
     for (const auto &report : answer.runs) {
+        noteBegun(state, report.task.job);
         const auto found = target.runs.find(report.task);
         if (found == target.runs.end() || found->second.run != report.run) {
             noteOrphan(target, poll, report, now);
--- a/modules/filbert_dispatch/target_orders.cpp
+++ b/modules/filbert_dispatch/target_orders.cpp
@@ -86,6 +86,7 @@
     *drop->mutable_task() = toTaskReference(task);
     drop->set_run(run.run);
     drop->set_checkpoint(run.checkpoint);
+    drop->set_has_begun(state.begunJobs.contains(task.job));
     propose(state, std::move(command));
 }
 
--- a/modules/filbert_node/tests/work_controller_test.cpp
+++ b/modules/filbert_node/tests/work_controller_test.cpp
@@ -652,7 +652,17 @@
     REQUIRE(start != fixture.orders.end());
     CHECK(start->target == "t1");
     CHECK(start->spec.empty()); // the job was submitted without one
+    // The target may reject the start: only its answer shows that the job has begun.
+    CHECK(fixture.callJob(messages::JOB_STATE).name() == "queued");
+    CHECK(fixture.callJob(messages::JOB_STATE, "/quotes/").number() == 1);
+    const auto order = *start;
+    order_answer answer;
+    answer.result = order_result::Done;
+    answer.clockMs = 500;
+    fixture.controller->handleOrderAnswer(order, answer, fixture.now);
     CHECK(fixture.callJob(messages::JOB_STATE).name() == "active");
+    fixture.now = fixture.now + dispatch_settings {}.pendingCountPeriod;
+    CHECK(fixture.callJob(messages::JOB_STATE, "/quotes/").number() == 0);
 }
 
 TEST_CASE("a new leader sends admission requests to processes that it heard from as a follower",
--- a/modules/filbert_node/work_requests.cpp
+++ b/modules/filbert_node/work_requests.cpp
@@ -126,10 +126,7 @@
         caller = {team->name(), keyFingerprint(call.key())};
     }
     if (call.kind() == messages::JOB_STATE && id.empty()) {
-        std::int64_t count = 0;
-        for (const auto &[accepting, jobs] : state.pendingByQueue) {
-            count += hasJobsOf(configuration, *queue, accepting) ? jobs : 0;
-        }
+        const auto count = countPendingJobs(*dispatch, *queue, now);
         answerKind(from, messages::ANSWER_PENDING, {}, count);
         return;
     }
@@ -144,7 +141,8 @@
         const bool isKnown = isFound && job != state.jobs.end();
         messages::work_answer content;
         content.set_kind(isKnown ? messages::ANSWER_STATE : messages::ANSWER_NO_JOB);
-        content.set_name(isKnown ? std::string {statusName(job->second.status)} : std::string {});
+        content.set_name(isKnown ? std::string {statusName(shownStatus(*dispatch, job->second))}
+                                 : std::string {});
         answer(from, std::move(content));
         return;
     }
--- a/modules/filbert_work/work_commands.cpp
+++ b/modules/filbert_work/work_commands.cpp
@@ -14,7 +14,7 @@
 
 void removeFromPending(work_state &state, work_job &job)
 {
-    if (job.hasStarted) {
+    if (job.hasBegun) {
         return;
     }
     const auto pending = state.pendingByQueue.find(acceptingQueueOf(job.job));
@@ -23,10 +23,21 @@
     }
 }
 
+/** Notes that a task of a job runs or ran on a target. */
+void markBegun(work_state &state, work_job &job)
+{
+    if (job.hasBegun) {
+        return;
+    }
+    removeFromPending(state, job);
+    job.hasBegun = true;
+    job.status = job_status::Active;
+}
+
 void endJob(work_state &state, work_job &job, job_status status, std::int64_t wallMs)
 {
     removeFromPending(state, job);
-    job.hasStarted = true; // so that it no longer counts as pending
+    job.hasBegun = true; // so that it no longer counts as pending
     job.status = status;
     job.endedWallMs = wallMs;
 }
@@ -155,9 +166,7 @@
     task->target = command.target();
     task->incarnation = command.born();
     ++step.runningTasks;
-    removeFromPending(state, job);
     job.hasStarted = true;
-    job.status = job_status::Active;
     updateReservations(state, name, task->target, 1);
     return {};
 }
@@ -209,6 +218,9 @@
             const messages::run_end &end, std::int64_t wallMs)
 {
     const auto name = toTaskName(end.task());
+    if (const auto job = state.jobs.find(name.job); job != state.jobs.end()) {
+        markBegun(state, job->second);
+    }
     auto *task = findTask(state, name);
     // A start order that was sent to an earlier incarnation may have been executed by this one.
     const bool isCurrent = task != nullptr && task->status == task_status::Running
@@ -255,6 +267,9 @@
         return {};
     }
     auto &job = state.jobs.at(name.job);
+    if (command.has_begun()) {
+        markBegun(state, job);
+    }
     releaseRun(state, name, *task, job.occurrences.at(name.occurrence).steps[name.step]);
     if (!command.checkpoint().empty()) {
         task->checkpoint = command.checkpoint();
@@ -333,6 +348,9 @@
             continue; // also a run that was abandoned before the crash was noticed counts
         }
         auto &job = state.jobs.at(name.job);
+        if (run.was_running()) {
+            markBegun(state, job);
+        }
         if (addSuspicion(*task, run) && !job.hasEnded()) {
             endJob(state, job, job_status::Failed, wallMs);
             discardDetailsOfEndedJob(job);
--- a/modules/filbert_work/work_snapshot.cpp
+++ b/modules/filbert_work/work_snapshot.cpp
@@ -45,7 +45,8 @@
     *image->mutable_job() = job.job;
     image->set_status(static_cast<std::uint32_t>(job.status));
     image->set_ended_wall_ms(job.endedWallMs);
-    image->set_has_started(job.hasStarted);
+    image->set_has_started(job.hasStarted || job.hasBegun);
+    image->set_has_not_begun(!job.hasBegun);
     for (const auto &[number, occurrence] : job.occurrences) {
         auto *out = image->add_occurrences();
         out->set_number(number);
@@ -62,6 +63,7 @@
     job.status = static_cast<job_status>(image.status());
     job.endedWallMs = image.ended_wall_ms();
     job.hasStarted = image.has_started();
+    job.hasBegun = image.has_started() && !image.has_not_begun();
     for (const auto &occurrence : image.occurrences()) {
         auto &record = job.occurrences[occurrence.number()];
         for (const auto &step : occurrence.steps()) {
--- a/modules/filbert_work/work_state.cpp
+++ b/modules/filbert_work/work_state.cpp
@@ -238,7 +238,7 @@
                 }
             }
         }
-        if (!job.hasStarted && !job.hasEnded()) {
+        if (!job.hasBegun && !job.hasEnded()) {
             ++state.pendingByQueue[acceptingQueueOf(job.job)];
         }
     }
--- a/modules/filbert_work/work_state.h
+++ b/modules/filbert_work/work_state.h
@@ -132,7 +132,9 @@
     std::map<std::uint32_t, occurrence_record> occurrences; // those that have begun, by number
     std::int64_t endedWallMs = 0; // by the leader's wall clock; 0 until the job has ended
     std::uint32_t runningTasks = 0; // derived: tasks that are running, in all occurrences
-    bool hasStarted = false; // also true for a job that ended before any task started
+    bool hasStarted = false; // the start of a task was ordered
+    // A target has confirmed that a task runs or ran. Also true for a job that ended before.
+    bool hasBegun = false;
 
     bool hasEnded() const
     {
@@ -173,7 +175,7 @@
 
     // Derived:
     std::map<std::string, resource_amounts> teamUsage; // by team, of its running tasks
-    // Accepted jobs without a started task; without queues that have none.
+    // Accepted jobs of which no task has begun on a target; without queues that have none.
     std::map<accepting_queue, std::int64_t> pendingByQueue;
     std::map<std::string, std::size_t> earlyCancelsByTeam; // without teams that have none
     std::uint64_t ownerChanges = 0; // configurations that gave jobs to other teams
