--- a/modules/filbert_node/work_controller.cpp
+++ b/modules/filbert_node/work_controller.cpp
@@ -412,7 +412,9 @@
             break;
         }
         if (isRefused) {
-            refuseCancelledJob(to, command.accept().id());
+            if (to.exchange != 0) { // else another controller answers, and counts it
+                refuseCancelledJob(to, command.accept().id());
+            }
             break;
         }
         if (to.exchange != 0) {
