--- a/modules/filbert_work/team_succession.cpp
+++ b/modules/filbert_work/team_succession.cpp
@@ -75,9 +75,10 @@
             return std::string {holder->second};
         }
     }
-    if (!job.team().empty()) {
-        const auto successor = successors.find(job.team());
-        return successor == successors.end() ? job.team() : successor->second;
+    const auto successor = successors.find(job.team());
+    const auto &heir = successor == successors.end() ? job.team() : successor->second;
+    if (!heir.empty()) {
+        return heir;
     }
     for (const auto key : job.team_keys()) { // its team has left
         if (const auto holder = holders.find(key); holder != holders.end()) {
@@ -102,6 +103,7 @@
     return usage;
 }
 
+/** @return whether two configurations have the same teams with the same keys */
 bool haveSameTeams(const messages::work_configuration &a, const messages::work_configuration &b)
 {
     return teamsByKey(a) == teamsByKey(b)
